--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# The two commands of the README are `make demo` and `make test`.
+GO ?= go
+SEED ?= 1
+DURATION ?= 30s
+
+.PHONY: build demo test lint generate prove bench clean
+
+build:
+	$(GO) build -o bin/filbertcross ./cmd/filbertcross
+
+demo: build
+	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep)
+
+# lint checks the format, vets, runs staticcheck and compares the wire output.
+lint:
+	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# test runs every test with the race detector and fixed seeds.
+test: lint
+	FILBERTCROSS_SEED=$(SEED) $(GO) test -race -count=1 -timeout 8m ./...
+
+clean:
+	rm -rf bin .demo
