Peer link: jsonrpc2 calls with deadlines on the receiver's clock and verdicts

Cause: VMs need calls whose failure says whether the handler may have run, and late calls must not run after their caller gave up. Ruled out: a wall-clock deadline (skewed clocks), a remaining time alone (a call held on the link would run late), blocking the reader when handlers are busy (heartbeats would wait behind a flood). Change: internal/peer client and server; deadlines are translated to the server's monotonic clock from the readings in its answers; limits for each method; one-way fault filter; codes Busy, Expired, Stopping added to the contract. Seen failing: broken connection reported as not run ('call 4 was told not run but ran'), expiry check off ('the late call ran'), ids repeated, call sent twice ('call 7 was told not run but ran').

--- /dev/null
+++ b/internal/event/catalogue_membership.go
@@ -0,0 +1,41 @@
+package event
+
+// Events of membership and of the peer link.
+var (
+	PeerConnected = Define(Def{
+		ID: 6000, Name: "peer-connected", Level: Debug,
+		Text: "A connection to a peer was opened.",
+		Does: "Nothing.",
+		Keys: []string{"address", "round_trip"},
+	})
+	PeerUnreachable = Define(Def{
+		ID: 6001, Name: "peer-unreachable", Level: Info,
+		Text: "A connection to a peer could not be opened; it is tried again after the backoff.",
+		Does: "Look for the VM's stop or a cut link at the same time if it repeats.",
+		Keys: []string{"address", "backoff", "error"},
+	})
+	PeerStalled = Define(Def{
+		ID: 6002, Name: "peer-stalled", Level: Info,
+		Text: "A connection on which calls timed out and nothing arrived was closed.",
+		Does: "Look for a frozen VM or a cut link if it repeats.",
+		Keys: []string{"address", "silent_for"},
+	})
+	PeerCallRefused = Define(Def{
+		ID: 6003, Name: "peer-call-refused", Level: Debug,
+		Text: "A call from a peer was refused before its handler ran.",
+		Does: "If the code is busy, this VM has too few entry VMs beside it.",
+		Keys: []string{"method", "code"},
+	})
+	PeerClockAhead = Define(Def{
+		ID: 6004, Name: "peer-clock-ahead", Level: Warn,
+		Text: "A peer's clock is more than a minute ahead of this VM's; its stamps are not merged.",
+		Does: "Correct the wall clock of one of the two VMs; the time line may be out of order until then.",
+		Keys: []string{"peer", "stamp"},
+	})
+	PeerDrained = Define(Def{
+		ID: 6005, Name: "peer-drained", Level: Info,
+		Text: "The peer server stopped and the handlers that were running have finished.",
+		Does: "Nothing.",
+		Keys: []string{"took"},
+	})
+)
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,212 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/verdict"
+)
+
+// Client calls other VMs over one kept connection for each address.
+type Client struct {
+	opts     Options
+	recorder event.Recorder
+	ctx      context.Context // ends with Close
+	cancel   context.CancelFunc
+	started  time.Time
+	prefix   string // of call ids; another for every start of the process
+	calls    atomic.Uint64
+
+	mu    sync.Mutex
+	links map[string]*link // by address
+}
+
+var _ Caller = (*Client)(nil)
+
+// NewClient returns a client without connections; they are opened by the calls.
+func NewClient(opts Options, recorder event.Recorder) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{
+		opts:     opts.withDefaults(),
+		recorder: recorder,
+		ctx:      ctx,
+		cancel:   cancel,
+		started:  time.Now(),
+		prefix:   uuid.NewString() + "-",
+		links:    map[string]*link{},
+	}
+}
+
+// Close breaks all connections; calls under way may have run.
+func (c *Client) Close() { c.cancel() }
+
+// Call sends one call and waits for its answer. The call is sent at most once.
+// Its error is of type *Error, with verdict NotRun only if the handler cannot
+// have run.
+func (c *Client) Call(ctx context.Context, address string, m Method, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.opts.CallTimeout)
+		defer cancel()
+	}
+	if err := c.call(ctx, address, m, params, result); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (c *Client) call(ctx context.Context, address string, m Method, params, result any) *Error {
+	if !c.pass(ctx, c.requestFate(address, m)) {
+		return timeoutError(address, m)
+	}
+	l := c.link(address)
+	s, failure := l.connect(ctx)
+	if failure != nil {
+		return failure
+	}
+	if ctx.Err() != nil {
+		return &Error{Code: CodeTimeout, Message: string(m) + ": too late to send", Verdict: verdict.NotRun}
+	}
+	data, failure := c.exchange(ctx, s, m, params)
+	if failure != nil && failure.Code == CodeTimeout {
+		l.closeIfStalled(s)
+	}
+	if failure == nil && !c.pass(ctx, c.answerFate(address, m)) {
+		return timeoutError(address, m)
+	}
+	if failure != nil || result == nil {
+		return failure
+	}
+	if err := json.Unmarshal(data, result); err != nil {
+		return &Error{Code: CodeInvalid, Message: "answer of " + string(m) + ": " + err.Error(), Verdict: verdict.MayHaveRun}
+	}
+	return nil
+}
+
+// exchange sends the call on the session and waits for its answer. Sending has a
+// goroutine of its own because a full connection may hold it past the deadline.
+func (c *Client) exchange(ctx context.Context, s *session, m Method, params any) (json.RawMessage, *Error) {
+	type sent struct {
+		waiter jsonrpc2.Waiter
+		err    error
+	}
+	meta := requestMeta{Deadline: s.clock.deadline(c.deadline(ctx)), Stamp: c.opts.Clock.Now()}
+	dispatched := make(chan sent, 1)
+	go func() {
+		waiter, err := s.rpc.DispatchCall(ctx, string(m), params, c.nextID(), jsonrpc2.Meta(meta))
+		dispatched <- sent{waiter, err}
+	}()
+	select {
+	case d := <-dispatched:
+		if d.err != nil {
+			return nil, unsentError(m, d.err)
+		}
+		var data json.RawMessage
+		err := d.waiter.Wait(ctx, &data)
+		return data, answerError(m, err)
+	case <-ctx.Done():
+		return nil, timeoutError("", m)
+	}
+}
+
+// unsentError is for a message that was not written whole, so that the peer
+// cannot have decoded it.
+func unsentError(m Method, err error) *Error {
+	code := CodeUnreachable
+	if errors.Is(err, errTooLarge) {
+		code = CodeInvalid
+	}
+	return &Error{Code: code, Message: string(m) + ": " + err.Error(), Verdict: verdict.NotRun}
+}
+
+// answerError classifies the failure of a call that was sent.
+func answerError(m Method, err error) *Error {
+	var wire *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &wire):
+		return fromWire(wire)
+	case errors.Is(err, jsonrpc2.ErrClosed):
+		return &Error{Code: CodeUnreachable, Message: string(m) + ": connection broke", Verdict: verdict.MayHaveRun}
+	default:
+		return &Error{Code: CodeTimeout, Message: string(m) + ": " + err.Error(), Verdict: verdict.MayHaveRun}
+	}
+}
+
+func timeoutError(address string, m Method) *Error {
+	return &Error{Code: CodeTimeout, Message: string(m) + ": no answer in time " + address, Verdict: verdict.MayHaveRun}
+}
+
+func (c *Client) requestFate(address string, m Method) Fate {
+	if c.opts.Filter == nil {
+		return Fate{}
+	}
+	return c.opts.Filter.Request(address, m)
+}
+
+func (c *Client) answerFate(address string, m Method) Fate {
+	if c.opts.Filter == nil {
+		return Fate{}
+	}
+	return c.opts.Filter.Answer(address, m)
+}
+
+// pass lets a message go on after its delay; a lost one is waited for in vain.
+func (c *Client) pass(ctx context.Context, f Fate) bool {
+	if f.Drop {
+		<-ctx.Done()
+		return false
+	}
+	if f.Delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(f.Delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// link returns the address's link and drops those that have not been used for long.
+func (c *Client) link(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l, ok := c.links[address]; ok {
+		return l
+	}
+	for other, l := range c.links {
+		if l.idle(c.opts.IdleTimeout) {
+			l.close()
+			delete(c.links, other)
+		}
+	}
+	l := &link{client: c, address: address}
+	c.links[address] = l
+	return l
+}
+
+// nextID returns an id that no call of this or another process has had.
+func (c *Client) nextID() jsonrpc2.CallOption {
+	id := c.prefix + strconv.FormatUint(c.calls.Add(1), 36)
+	return jsonrpc2.PickID(jsonrpc2.ID{Str: id, IsString: true})
+}
+
+// now reads the client's monotonic clock.
+func (c *Client) now() time.Duration { return time.Since(c.started) }
+
+// deadline returns the context's deadline on the client's clock.
+func (c *Client) deadline(ctx context.Context) time.Duration {
+	at, _ := ctx.Deadline()
+	return at.Sub(c.started)
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/verdict"
+)
+
+// link keeps one connection to one address and dials it again when it broke.
+type link struct {
+	client  *Client
+	address string
+
+	mu       sync.Mutex
+	session  *session
+	dialing  chan struct{} // closed when the dial under way has ended; nil: none
+	failure  *Error        // of the last dial
+	failures int           // dials failed in a row
+	retryAt  time.Time     // no dial before
+	used     time.Time
+}
+
+// session is one connection with its estimate of the server's clock.
+type session struct {
+	rpc      *jsonrpc2.Conn
+	clock    serverClock
+	received atomic.Int64 // client's clock at the last answer
+}
+
+func (s *session) open() bool {
+	select {
+	case <-s.rpc.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
+}
+
+// connect returns the open connection, or waits for a dial within ctx. Its error
+// means that nothing was sent.
+func (l *link) connect(ctx context.Context) (*session, *Error) {
+	for {
+		l.mu.Lock()
+		l.used = time.Now()
+		if l.session != nil && l.session.open() {
+			defer l.mu.Unlock()
+			return l.session, nil
+		}
+		if l.dialing == nil && time.Now().Before(l.retryAt) {
+			defer l.mu.Unlock()
+			return nil, l.failure
+		}
+		if l.dialing == nil {
+			l.dialing = make(chan struct{})
+			go l.dial()
+		}
+		wait := l.dialing
+		l.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, &Error{Code: CodeTimeout, Message: "no connection to " + l.address + " in time", Verdict: verdict.NotRun}
+		}
+	}
+}
+
+// dial opens a connection and notes the result.
+func (l *link) dial() {
+	session, err := l.client.dial(l.address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.dialing)
+	l.dialing = nil
+	if err == nil {
+		l.session, l.failures = session, 0
+		return
+	}
+	backoff := l.backoff()
+	l.failures++
+	l.failure = &Error{Code: CodeUnreachable, Message: err.Error(), Verdict: verdict.NotRun}
+	l.retryAt = time.Now().Add(backoff)
+	l.client.recorder.Record(event.PeerUnreachable, l.address, backoff, err.Error())
+}
+
+// backoff doubles with every failure in a row and is spread by half.
+func (l *link) backoff() time.Duration {
+	o := l.client.opts
+	wait := o.Backoff << min(l.failures, 16)
+	wait = min(wait, o.MaxBackoff)
+	return wait/2 + rand.N(wait/2+1)
+}
+
+// closeIfStalled closes a connection on which a call timed out and nothing has
+// arrived for the stall timeout, so that the next call dials anew instead of
+// waiting for TCP to repeat itself.
+func (l *link) closeIfStalled(s *session) {
+	silent := l.client.now() - time.Duration(s.received.Load())
+	if silent < l.client.opts.StallTimeout {
+		return
+	}
+	if s.rpc.Close() == nil {
+		l.client.recorder.Record(event.PeerStalled, l.address, silent)
+	}
+}
+
+// idle reports whether the link has not been used for the time.
+func (l *link) idle(d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dialing == nil && time.Since(l.used) > d
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		_ = l.session.rpc.Close()
+	}
+}
+
+// dial connects and greets, which gives the first reading of the server's clock.
+func (c *Client) dial(address string) (*session, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.DialTimeout)
+	defer cancel()
+	conn, err := c.opts.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{}
+	s.received.Store(int64(c.now()))
+	onRecv := jsonrpc2.OnRecv(func(_ *jsonrpc2.Request, answer *jsonrpc2.Response) { c.received(s, address, answer) })
+	s.rpc = jsonrpc2.NewConn(c.ctx, newStream(conn, c.opts), noCalls{}, onRecv, jsonrpc2.SetLogger(silent{}))
+	begun := time.Now()
+	err = s.rpc.Call(ctx, helloMethod, nil, nil, c.nextID(), jsonrpc2.Meta(requestMeta{Stamp: c.opts.Clock.Now()}))
+	if err != nil {
+		_ = s.rpc.Close()
+		return nil, err
+	}
+	c.recorder.Record(event.PeerConnected, address, time.Since(begun))
+	return s, nil
+}
+
+// received merges what every answer carries, late ones included.
+func (c *Client) received(s *session, address string, answer *jsonrpc2.Response) {
+	now := c.now()
+	s.received.Store(int64(now))
+	var meta answerMeta
+	if answer == nil || answer.Meta == nil || json.Unmarshal(*answer.Meta, &meta) != nil {
+		return
+	}
+	s.clock.observe(now, meta.Clock)
+	if !c.opts.Clock.Observe(meta.Stamp) {
+		c.recorder.Record(event.PeerClockAhead, address, meta.Stamp.Time())
+	}
+}
+
+// noCalls ignores requests: servers do not call their clients.
+type noCalls struct{}
+
+func (noCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,9 @@
 	CodeUnknown                     // the method is not known there
 	CodeInvalid                     // the message could not be read
 	CodeNotOwner                    // the VM does not own what the call is about
+	CodeBusy                        // too many calls of the method are running there
+	CodeExpired                     // the call arrived after its deadline
+	CodeStopping                    // the VM is stopping
 )
 
 // Error is the failure of a call to a peer.
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/semaphore"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/verdict"
+)
+
+// Server answers the calls of other VMs. Handlers are registered before Serve.
+type Server struct {
+	opts     Options
+	recorder event.Recorder
+	started  time.Time
+	methods  map[Method]method
+
+	mu       sync.Mutex
+	stopping bool
+	conns    map[*jsonrpc2.Conn]struct{}
+	unlisten []func()       // close the listeners of Serve
+	running  sync.WaitGroup // handlers; added to under mu while not stopping
+}
+
+type method struct {
+	handler Handler
+	slots   *semaphore.Weighted
+}
+
+var _ Registry = (*Server)(nil)
+
+// NewServer returns a server without handlers.
+func NewServer(opts Options, recorder event.Recorder) *Server {
+	return &Server{
+		opts:     opts.withDefaults(),
+		recorder: recorder,
+		started:  time.Now(),
+		methods:  map[Method]method{},
+		conns:    map[*jsonrpc2.Conn]struct{}{},
+	}
+}
+
+// Handle registers the handler of a method. It panics when the method has one.
+func (s *Server) Handle(m Method, h Handler) {
+	if _, ok := s.methods[m]; ok {
+		panic("peer: two handlers for " + string(m))
+	}
+	s.methods[m] = method{handler: h, slots: semaphore.NewWeighted(s.opts.MethodHandlers)}
+}
+
+// Serve accepts connections until Shutdown or until ctx is done. It closes l.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	s.mu.Lock()
+	s.unlisten = append(s.unlisten, cancel)
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return s.acceptError(ctx, err)
+		}
+		if !s.open(conn) {
+			_ = conn.Close()
+			return nil
+		}
+	}
+}
+
+func (s *Server) acceptError(ctx context.Context, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "peer: accept")
+}
+
+// open starts to read a connection unless the server is stopping.
+func (s *Server) open(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, s.opts), requests{s}, jsonrpc2.SetLogger(silent{}))
+	s.conns[rpc] = struct{}{}
+	go func() {
+		<-rpc.DisconnectNotify()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, rpc)
+	}()
+	return true
+}
+
+// Shutdown refuses new calls, waits until the running handlers have answered or
+// ctx is done, and closes the connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	begun := time.Now()
+	s.mu.Lock()
+	s.stopping = true
+	for _, cancel := range s.unlisten {
+		cancel()
+	}
+	s.mu.Unlock()
+	idle := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(idle)
+	}()
+	var err error
+	select {
+	case <-idle:
+		s.recorder.Record(event.PeerDrained, time.Since(begun))
+	case <-ctx.Done():
+		err = errors.Wrap(ctx.Err(), "peer: handlers still running")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	return err
+}
+
+// requests implements jsonrpc2.Handler for a Server.
+type requests struct{ *Server }
+
+// Handle is called by the connection's reader for one request after the other.
+func (r requests) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	r.handleRequest(ctx, conn, req)
+}
+
+// handleRequest refuses a call or starts its handler; it does not wait for it.
+func (s *Server) handleRequest(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var meta requestMeta
+	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil {
+		s.refuse(ctx, conn, req, CodeInvalid, "no deadline")
+		return
+	}
+	if !s.opts.Clock.Observe(meta.Stamp) {
+		s.recorder.Record(event.PeerClockAhead, "caller", meta.Stamp.Time())
+	}
+	if req.Method == helloMethod {
+		s.reply(ctx, conn, req, struct{}{}, nil)
+		return
+	}
+	m, ok := s.methods[Method(req.Method)]
+	switch {
+	case !ok:
+		s.refuse(ctx, conn, req, CodeUnknown, "unknown method "+req.Method)
+	case s.now() >= meta.Deadline:
+		s.refuse(ctx, conn, req, CodeExpired, "arrived after its deadline")
+	case !m.slots.TryAcquire(1):
+		s.refuse(ctx, conn, req, CodeBusy, "too many calls of "+req.Method)
+	case !s.begin():
+		m.slots.Release(1)
+		s.refuse(ctx, conn, req, CodeStopping, "stopping")
+	default:
+		go s.run(ctx, conn, req, m, meta.Deadline)
+	}
+}
+
+// begin counts a running handler unless the server is stopping.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.running.Add(1)
+	return true
+}
+
+func (s *Server) run(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, m method, deadline time.Duration) {
+	defer s.running.Done()
+	defer m.slots.Release(1)
+	ctx, cancel := context.WithDeadline(ctx, s.started.Add(deadline))
+	defer cancel()
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := m.handler(ctx, params)
+	s.reply(ctx, conn, req, result, err)
+}
+
+func (s *Server) refuse(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, code Code, message string) {
+	s.recorder.Record(event.PeerCallRefused, req.Method, int(code))
+	s.reply(ctx, conn, req, nil, &Error{Code: code, Message: message, Verdict: verdict.NotRun})
+}
+
+// reply sends the answer. A failure to send is the caller's timeout.
+func (s *Server) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
+	answer := &jsonrpc2.Response{ID: req.ID}
+	if err == nil {
+		err = answer.SetResult(result)
+	}
+	if err != nil {
+		answer.Result = nil
+		answer.Error = toWire(err)
+	}
+	meta, _ := json.Marshal(answerMeta{Clock: s.now(), Stamp: s.opts.Clock.Now()})
+	answer.Meta = (*json.RawMessage)(&meta)
+	sendErr := conn.SendResponse(ctx, answer)
+	if errors.Is(sendErr, errTooLarge) {
+		answer.Result = nil
+		answer.Error = toWire(&Error{Code: CodeInternal, Message: sendErr.Error(), Verdict: verdict.MayHaveRun})
+		_ = conn.SendResponse(ctx, answer)
+	}
+}
+
+// now reads the server's monotonic clock.
+func (s *Server) now() time.Duration { return time.Since(s.started) }
