--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,66 @@
+package event
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:generate go test . -run TestCatalogueIsCurrent -update
+
+// Catalogue returns all definitions by number.
+func Catalogue() []*Def {
+	defs := slices.Clone(catalogue)
+	slices.SortFunc(defs, func(a, b *Def) int { return cmp.Compare(a.ID, b.ID) })
+	return defs
+}
+
+// areas names the ranges of a thousand numbers.
+var areas = map[int]string{
+	1: "Server",
+	2: "Scheduling",
+	3: "Partitions and leases",
+	4: "Requests",
+	5: "Backend servers",
+	6: "Membership and peers",
+	7: "Configuration",
+	8: "Platform",
+	9: "Ledger",
+}
+
+const catalogueHead = `# Events
+
+Generated from the definitions in internal/event by ` + "`go generate ./internal/event`" + `; do not edit.
+
+Each line of the log and of the time line carries one of these numbers. Numbers are never used again.
+`
+
+// WriteCatalogue writes the catalogue as Markdown, the text of docs/EVENTS.md.
+func WriteCatalogue(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString(catalogueHead)
+	area := 0
+	for _, d := range Catalogue() {
+		if d.ID/1000 != area {
+			area = d.ID / 1000
+			fmt.Fprintf(&b, "\n## %d: %s\n\n", area*1000, areas[area])
+			b.WriteString("| Event | Level | What happened | What to do | Attributes |\n|---|---|---|---|---|\n")
+		}
+		fmt.Fprintf(&b, "| %d %s | %s | %s | %s | %s |\n", d.ID, d.Name, d.Level, d.Text, d.Does, strings.Join(d.Keys, ", "))
+	}
+	_, err := io.WriteString(w, b.String())
+	return errors.Wrap(err, "write catalogue")
+}
+
+// String names the level.
+func (l Level) String() string {
+	names := [...]string{"debug", "info", "warn", "error"}
+	if l < 0 || int(l) >= len(names) {
+		return "unknown"
+	}
+	return names[l]
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -1,5 +1,7 @@
 package event
 
+import "fmt"
+
 // Def is one entry of the catalogue. Numbers are never used again. Each range of
 // a thousand has a file of its own: 1000 server, 2000 scheduling, 3000 partitions
 // and leases, 4000 requests, 5000 backend servers, 6000 membership and peers,
@@ -38,8 +40,14 @@
 
 var catalogue []*Def
 
-// Define adds an entry to the catalogue. It is called from package variables.
+// Define adds an entry to the catalogue. It is called from package variables and
+// panics when the number or the name is taken.
 func Define(d Def) *Def {
+	for _, other := range catalogue {
+		if other.ID == d.ID || other.Name == d.Name {
+			panic(fmt.Sprintf("event: %d %s is already defined as %d %s", d.ID, d.Name, other.ID, other.Name))
+		}
+	}
 	catalogue = append(catalogue, &d)
 	return &d
 }
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,156 @@
+package event
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/proptest"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md instead of comparing it")
+
+func TestCatalogueIsCurrent(t *testing.T) {
+	const path = "../../docs/EVENTS.md"
+	var want bytes.Buffer
+	if err := WriteCatalogue(&want); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range Catalogue() {
+		if areas[d.ID/1000] == "" || d.Name == "" || d.Text == "" || d.Does == "" {
+			t.Errorf("event %d is incomplete", d.ID)
+		}
+	}
+	if *update {
+		if err := os.WriteFile(path, want.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil || !bytes.Equal(got, want.Bytes()) {
+		t.Fatalf("docs/EVENTS.md is not current (%v); run go generate ./internal/event", err)
+	}
+}
+
+// TestTimelineRespectsCausality runs VMs with skewed wall clocks that exchange
+// stamps. The oracle is each event's count of events that can have caused it.
+func TestTimelineRespectsCausality(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		const vms = 3
+		const ringEntries = 8
+		wall := make([]time.Time, vms)
+		logs := make([]*Log, vms)
+		causes := make([]map[Stamp]bool, vms) // stamps that precede the VM's next event
+		var all []Entry
+		mails := []map[Stamp]bool{}
+		var mailStamps []Stamp
+		for i := range logs {
+			wall[i] = time.Unix(1_700_000_000, 0)
+			causes[i] = map[Stamp]bool{}
+			clock := NewClock(func() time.Time { return wall[i] })
+			logs[i] = NewLog(LogOptions{VM: model.VMID(rune(97 + i)), Clock: clock, RingEntries: ringEntries, Logger: funcr.New(func(_, _ string) {}, funcr.Options{})})
+		}
+		vm := rapid.IntRange(0, vms-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) { proptest.Step() },
+			"wall": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				wall[i] = wall[i].Add(time.Duration(rapid.IntRange(-5, 5).Draw(t, "ms")) * time.Millisecond)
+			},
+			"record": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				logs[i].Record(PeerDrained, len(all))
+				e := logs[i].ring[(logs[i].start+len(logs[i].ring)-1)%len(logs[i].ring)]
+				for cause := range causes[i] {
+					if e.Stamp <= cause {
+						t.Fatalf("effect %d is not after its cause %d", e.Stamp, cause)
+					}
+				}
+				causes[i][e.Stamp] = true
+				all = append(all, e)
+			},
+			"send": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				stamp := logs[i].opts.Clock.Now()
+				carried := map[Stamp]bool{}
+				for s := range causes[i] {
+					carried[s] = true
+				}
+				mails, mailStamps = append(mails, carried), append(mailStamps, stamp)
+			},
+			"receive": func(t *rapid.T) {
+				if len(mails) == 0 {
+					t.Skip("no message")
+				}
+				n := rapid.IntRange(0, len(mails)-1).Draw(t, "message")
+				i := vm.Draw(t, "vm")
+				if !logs[i].opts.Clock.Observe(mailStamps[n]) {
+					t.Fatalf("stamp refused")
+				}
+				for s := range mails[n] {
+					causes[i][s] = true
+				}
+			},
+			"list": func(t *rapid.T) {
+				i := vm.Draw(t, "vm")
+				after := Stamp(0)
+				if len(all) > 0 {
+					after = rapid.SampledFrom(all).Draw(t, "after").Stamp
+				}
+				var own []Entry
+				for _, e := range all {
+					if e.VM == logs[i].opts.VM {
+						own = append(own, e)
+					}
+				}
+				kept := own[max(0, len(own)-ringEntries):]
+				want := slices.DeleteFunc(slices.Clone(kept), func(e Entry) bool { return e.Stamp <= after })
+				missed := slices.ContainsFunc(own[:len(own)-len(kept)], func(e Entry) bool { return e.Stamp > after })
+				var got []Entry
+				if logs[i].List(ListRequest{After: after}).Missed != missed {
+					t.Fatalf("loss from the ring: want %v", missed)
+				}
+				for more := true; more; {
+					answer := logs[i].List(ListRequest{After: after, Limit: 3})
+					got, more = append(got, answer.Entries...), answer.More
+					if len(got) > 0 {
+						after = got[len(got)-1].Stamp
+					}
+				}
+				if !slices.EqualFunc(got, want, sameEntry) {
+					t.Fatalf("list gave %v, want %v", got, want)
+				}
+			},
+			"merge": func(*rapid.T) {
+				rings := [][]Entry{logs[2].List(ListRequest{}).Entries, logs[0].List(ListRequest{}).Entries, logs[1].List(ListRequest{}).Entries}
+				merged := Merge(rings...)
+				again := Merge(merged, rings[1], rings[0])
+				if len(merged) != len(rings[0])+len(rings[1])+len(rings[2]) || !slices.IsSortedFunc(merged, compareEntries) || !slices.EqualFunc(merged, again, sameEntry) {
+					t.Fatalf("merge lost, repeated or crossed entries")
+				}
+			},
+		})
+	})
+}
+
+func sameEntry(a, b Entry) bool { return a.Stamp == b.Stamp && a.VM == b.VM }
+
+// TestRecordDoesNotWaitForTheLogger fills the queue without a reader.
+func TestRecordDoesNotWaitForTheLogger(t *testing.T) {
+	lines := 0
+	log := NewLog(LogOptions{Logger: funcr.New(func(_, _ string) { lines++ }, funcr.Options{Verbosity: 1})})
+	for range queueEntries + 10 {
+		log.Record(PeerDrained, time.Second)
+	}
+	log.flush()
+	if lines != queueEntries+1 || log.ring[len(log.ring)-1].ID != LogLinesDropped.ID {
+		t.Fatalf("%d lines and no notice of the lost ones", lines)
+	}
+}
