Sheet: parse, check, diff and canonical form

Cause: planners' exports carry spreadsheet habits; every error has to be named by row and column, and a race by what the other changed.

--- /dev/null
+++ b/internal/sheet/check.go
@@ -0,0 +1,92 @@
+package sheet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"filbertcross/internal/model"
+)
+
+// assemble checks each row by itself and against the others, and orders the result.
+func (p *parser) assemble() Sheet {
+	var sheet Sheet
+	first := map[model.BranchID]row{}
+	seen := map[workloadKey]int{} // line
+	for _, r := range p.rows {
+		p.checkRow(r)
+		key := keyOf(r.workload)
+		if line, ok := seen[key]; ok && key.branch != "" && key.workload != "" {
+			p.problem(r.line, ColumnWorkload, string(key.workload), fmt.Sprintf("is already in row %d for this branch", line))
+		} else {
+			seen[key] = r.line
+		}
+		if other, ok := first[key.branch]; ok {
+			p.checkBranch(r, other)
+		} else {
+			first[key.branch] = r
+			sheet.Branches = append(sheet.Branches, model.Branch{ID: key.branch, Share: r.workload.Share, Quota: r.quota})
+		}
+		sheet.Workloads = append(sheet.Workloads, r.workload)
+	}
+	sheet.sort()
+	return sheet
+}
+
+// checkRow checks what the kind of workload asks for.
+func (p *parser) checkRow(r row) {
+	w := r.workload
+	interactive := w.Kind == model.KindInteractive
+	switch {
+	case w.Kind == "":
+		return
+	case interactive && w.Service == "":
+		p.problem(r.line, ColumnService, "", "is needed for an interactive workload")
+	case !interactive && w.Service != "":
+		p.problem(r.line, ColumnService, w.Service, "is only for interactive workloads")
+	}
+	if w.Kind == model.KindGang && w.Tasks < 2 {
+		p.problem(r.line, ColumnTasks, fmt.Sprint(w.Tasks), "a gang has at least 2 tasks")
+	}
+	if !interactive && w.Size.IsZero() {
+		p.problem(r.line, ColumnCPUs, "", "a placed workload needs cpus, memory or accelerators")
+	}
+	if interactive && !w.Size.IsZero() {
+		p.notice(r.line, ColumnCPUs, "", "sizes of an interactive workload are not used")
+	}
+	if w.Deadline > 0 && w.Runtime > w.Deadline {
+		p.notice(r.line, ColumnDeadline, w.Deadline.String(), "is shorter than the declared runtime")
+	}
+}
+
+// checkBranch checks that a branch's own values are the same in all its rows.
+func (p *parser) checkBranch(r, other row) {
+	message := fmt.Sprintf("differs from row %d of the same branch", other.line)
+	if r.workload.Share != other.workload.Share {
+		p.problem(r.line, ColumnShare, fmt.Sprint(r.workload.Share), message)
+	}
+	if r.quota != other.quota {
+		p.problem(r.line, ColumnQuotaCPUs, r.quota.String(), message)
+	}
+}
+
+// workloadKey names a workload in the whole sheet.
+type workloadKey struct {
+	branch   model.BranchID
+	workload model.WorkloadID
+}
+
+func keyOf(w model.Workload) workloadKey { return workloadKey{w.Branch, w.ID} }
+
+func compareKeys(a, b workloadKey) int {
+	return cmp.Or(cmp.Compare(a.branch, b.branch), cmp.Compare(a.workload, b.workload))
+}
+
+func compareWorkloads(a, b model.Workload) int { return compareKeys(keyOf(a), keyOf(b)) }
+
+func compareBranches(a, b model.Branch) int { return cmp.Compare(a.ID, b.ID) }
+
+func (s *Sheet) sort() {
+	slices.SortFunc(s.Branches, compareBranches)
+	slices.SortFunc(s.Workloads, compareWorkloads)
+}
