Adapters to the platform and its stand-ins

Cause: the whole path needs a store, a list of VMs, workers and backend servers to talk to; only their protocols are the product's business. A write without an answer is uncertain unless the dial itself failed.

--- /dev/null
+++ b/internal/platform/store_http.go
@@ -0,0 +1,186 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// StoreEntry is a key as the store's HTTP interface writes it.
+type StoreEntry struct {
+	Key      string   `json:"key"`
+	Value    []byte   `json:"value,omitempty"`
+	Revision Revision `json:"revision"`
+	Deleted  bool     `json:"deleted,omitempty"`
+}
+
+// StorePage is the answer to a list or a watch.
+type StorePage struct {
+	Revision Revision     `json:"revision"`
+	Entries  []StoreEntry `json:"entries"`
+}
+
+// StoreProblem is the body of a failed call.
+type StoreProblem struct {
+	Error string `json:"error"`
+}
+
+// HTTPStore is the adapter to the store's HTTP interface.
+type HTTPStore struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+}
+
+// NewHTTPStore returns the adapter for the store at base, such as
+// "http://127.0.0.1:9000". Calls other than a watch end after timeout.
+func NewHTTPStore(base string, timeout time.Duration) *HTTPStore {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: storeConnections,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+	}
+	return &HTTPStore{base: base, client: &http.Client{Transport: transport}, timeout: timeout}
+}
+
+const (
+	storeConnections = 16
+	maxPageBytes     = 64 << 20
+)
+
+// Get implements Store.
+func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
+	var found StoreEntry
+	err := s.read(ctx, s.timeout, s.keyURL(key, nil), &found)
+	return found.entry(), err
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context, prefix string) ([]Entry, error) {
+	var page StorePage
+	err := s.read(ctx, s.timeout, s.base+"/v1/keys?"+url.Values{"prefix": {prefix}}.Encode(), &page)
+	return page.entries(), err
+}
+
+// CompareAndSwap implements Store.
+func (s *HTTPStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected Revision) (Revision, error) {
+	if len(value) > MaxValueBytes {
+		return 0, errors.Wrapf(ErrUnavailable, "value of %s has %d bytes, limit %d", key, len(value), MaxValueBytes)
+	}
+	return s.write(ctx, http.MethodPut, key, value, expected)
+}
+
+// Delete implements Store.
+func (s *HTTPStore) Delete(ctx context.Context, key string, expected Revision) error {
+	_, err := s.write(ctx, http.MethodDelete, key, nil, expected)
+	return err
+}
+
+// Watch implements Store. A deleted key shows as an entry without a value.
+func (s *HTTPStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error) {
+	query := url.Values{"prefix": {prefix}, "after": {fmt.Sprint(after)}, "wait": {wait.String()}}
+	var page StorePage
+	err := s.read(ctx, wait+s.timeout, s.base+"/v1/watch?"+query.Encode(), &page)
+	if err != nil {
+		return nil, after, err
+	}
+	return page.entries(), page.Revision, nil
+}
+
+func (s *HTTPStore) keyURL(key string, query url.Values) string {
+	u := s.base + "/v1/keys/" + (&url.URL{Path: key}).EscapedPath()
+	if len(query) > 0 {
+		u += "?" + query.Encode()
+	}
+	return u
+}
+
+func (s *HTTPStore) read(ctx context.Context, timeout time.Duration, target string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return errors.Wrap(err, "store: read")
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "store: read"), ErrUnavailable)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return err
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(into); err != nil {
+		return errors.Mark(errors.Wrap(err, "store: read"), ErrUnavailable)
+	}
+	return nil
+}
+
+func (s *HTTPStore) write(ctx context.Context, method, key string, value []byte, expected Revision) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	query := url.Values{"expected": {strconv.FormatInt(int64(expected), 10)}}
+	req, err := http.NewRequestWithContext(ctx, method, s.keyURL(key, query), bytes.NewReader(value))
+	if err != nil {
+		return 0, errors.Wrap(err, "store: write")
+	}
+	req.GetBody = nil // the transport must not send a write twice by itself
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "store: write"), writeFailure(err))
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return 0, err
+	}
+	var written StoreEntry
+	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxValueBytes)).Decode(&written); err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "store: write"), ErrUncertain)
+	}
+	return written.Revision, nil
+}
+
+// writeFailure classifies a write that got no answer: only a failed dial is
+// certain to have had no effect.
+func writeFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return ErrUncertain
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrUnavailable
+	default:
+		return errors.Wrapf(ErrUncertain, "store: status %d", status)
+	}
+}
+
+func (e StoreEntry) entry() Entry {
+	return Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+}
+
+func (p StorePage) entries() []Entry {
+	entries := make([]Entry, len(p.Entries))
+	for i, e := range p.Entries {
+		entries[i] = e.entry()
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,313 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"filbertcross/internal/platform"
+)
+
+// Store is a stand-in for the platform's key-value service over HTTP, with
+// compare-and-swap, leases, watches, counts of calls, limits and faults.
+type Store struct {
+	Faults *Faults
+	limits struct{ reads, writes *rate.Limiter }
+
+	mu       sync.Mutex
+	revision platform.Revision
+	keys     map[string]storedKey
+	removed  []storedKey // tombstones for watches, oldest first
+	leases   map[string]time.Time
+	changed  chan struct{} // closed and replaced at every change
+	counts   Counts
+}
+
+// Counts are the calls that the store has seen since its start.
+type Counts struct {
+	Reads      int64 `json:"reads"`
+	Writes     int64 `json:"writes"`
+	Watches    int64 `json:"watches"`
+	Waiting    int64 `json:"waiting"` // watches at this moment
+	Refused    int64 `json:"refused"` // over the limits or while down
+	LostAnswer int64 `json:"lost_answers"`
+	WriteBytes int64 `json:"write_bytes"`
+}
+
+type storedKey struct {
+	entry   platform.StoreEntry
+	lease   string
+	deleted bool
+}
+
+const maxTombstones = 10_000
+
+// NewStore returns an empty store that takes the given calls a second; zero means no limit.
+func NewStore(readsPerSecond, writesPerSecond float64) *Store {
+	s := &Store{
+		Faults:  &Faults{},
+		keys:    map[string]storedKey{},
+		leases:  map[string]time.Time{},
+		changed: make(chan struct{}),
+	}
+	s.limits.reads = limiter(readsPerSecond)
+	s.limits.writes = limiter(writesPerSecond)
+	return s
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
+}
+
+// Handler returns the store's HTTP interface.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/keys", s.limited(s.limits.reads, s.list))
+	mux.Handle("GET /v1/keys/{key...}", s.limited(s.limits.reads, s.get))
+	mux.Handle("PUT /v1/keys/{key...}", s.limited(s.limits.writes, s.put))
+	mux.Handle("DELETE /v1/keys/{key...}", s.limited(s.limits.writes, s.delete))
+	mux.Handle("GET /v1/watch", s.limited(s.limits.reads, s.watch))
+	mux.Handle("POST /v1/leases", s.limited(s.limits.writes, s.grantLease))
+	mux.Handle("PUT /v1/leases/{lease}", s.limited(s.limits.writes, s.renewLease))
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	mux.Handle("PUT /faults", s.Faults)
+	return mux
+}
+
+// Counts returns the calls seen so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Store) limited(limit *rate.Limiter, next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fault := s.Faults.draw()
+		time.Sleep(fault.delay)
+		if fault.down || !limit.Allow() {
+			s.count(func(c *Counts) { c.Refused++ })
+			writeJSON(w, http.StatusServiceUnavailable, platform.StoreProblem{Error: "unavailable"})
+			return
+		}
+		if fault.loseAnswer {
+			s.count(func(c *Counts) { c.LostAnswer++ })
+			next(discardAnswer{}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+	})
+}
+
+func (s *Store) count(change func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.counts)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.counts.Reads++
+	s.expireLeases()
+	found, ok := s.keys[r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		writeJSON(w, http.StatusNotFound, platform.StoreProblem{Error: "not found"})
+		return
+	}
+	writeJSON(w, http.StatusOK, found.entry)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	s.mu.Lock()
+	s.counts.Reads++
+	s.expireLeases()
+	page := platform.StorePage{Revision: s.revision}
+	for key, stored := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			page.Entries = append(page.Entries, stored.entry)
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(page.Entries, func(i, j int) bool { return page.Entries[i].Key < page.Entries[j].Key })
+	writeJSON(w, http.StatusOK, page)
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	value, err := readBody(w, r, platform.MaxValueBytes)
+	if err != nil {
+		writeJSON(w, http.StatusRequestEntityTooLarge, platform.StoreProblem{Error: "value too large"})
+		return
+	}
+	key := r.PathValue("key")
+	expected, ok := expectedRevision(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Writes++
+	s.counts.WriteBytes += int64(len(value))
+	s.expireLeases()
+	if s.keys[key].entry.Revision != expected {
+		writeJSON(w, http.StatusConflict, platform.StoreProblem{Error: "conflict"})
+		return
+	}
+	s.revision++
+	entry := platform.StoreEntry{Key: key, Value: value, Revision: s.revision}
+	s.keys[key] = storedKey{entry: entry, lease: r.URL.Query().Get("lease")}
+	s.announce()
+	writeJSON(w, http.StatusOK, platform.StoreEntry{Key: key, Revision: s.revision})
+}
+
+func (s *Store) delete(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	expected, ok := expectedRevision(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Writes++
+	found, exists := s.keys[key]
+	if !exists {
+		writeJSON(w, http.StatusNotFound, platform.StoreProblem{Error: "not found"})
+		return
+	}
+	if found.entry.Revision != expected {
+		writeJSON(w, http.StatusConflict, platform.StoreProblem{Error: "conflict"})
+		return
+	}
+	s.remove(key)
+	writeJSON(w, http.StatusOK, platform.StoreEntry{Key: key, Revision: s.revision})
+}
+
+// remove deletes a key and keeps a tombstone; the caller holds mu.
+func (s *Store) remove(key string) {
+	delete(s.keys, key)
+	s.revision++
+	tombstone := platform.StoreEntry{Key: key, Revision: s.revision, Deleted: true}
+	s.removed = append(s.removed, storedKey{entry: tombstone, deleted: true})
+	if len(s.removed) > maxTombstones {
+		s.removed = s.removed[1:]
+	}
+	s.announce()
+}
+
+// announce wakes the waiting watches; the caller holds mu.
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(query.Get("wait"))
+	s.count(func(c *Counts) { c.Watches++; c.Waiting++ })
+	defer s.count(func(c *Counts) { c.Waiting-- })
+	timeout := time.After(wait)
+	for {
+		page, changed := s.changesAfter(query.Get("prefix"), platform.Revision(after))
+		if len(page.Entries) > 0 {
+			writeJSON(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeJSON(w, http.StatusOK, page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) changesAfter(prefix string, after platform.Revision) (platform.StorePage, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	page := platform.StorePage{Revision: s.revision}
+	add := func(k storedKey) {
+		if strings.HasPrefix(k.entry.Key, prefix) && k.entry.Revision > after {
+			page.Entries = append(page.Entries, k.entry)
+		}
+	}
+	for _, k := range s.keys {
+		add(k)
+	}
+	for _, k := range s.removed {
+		add(k)
+	}
+	sort.Slice(page.Entries, func(i, j int) bool { return page.Entries[i].Revision < page.Entries[j].Revision })
+	return page, s.changed
+}
+
+func (s *Store) grantLease(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		writeJSON(w, http.StatusBadRequest, platform.StoreProblem{Error: "ttl"})
+		return
+	}
+	id := uuid.NewString()
+	s.mu.Lock()
+	s.counts.Writes++
+	s.leases[id] = time.Now().Add(ttl)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]string{"lease": id})
+}
+
+func (s *Store) renewLease(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		writeJSON(w, http.StatusBadRequest, platform.StoreProblem{Error: "ttl"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Writes++
+	s.expireLeases()
+	id := r.PathValue("lease")
+	if _, ok := s.leases[id]; !ok {
+		writeJSON(w, http.StatusNotFound, platform.StoreProblem{Error: "not found"})
+		return
+	}
+	s.leases[id] = time.Now().Add(ttl)
+	writeJSON(w, http.StatusOK, map[string]string{"lease": id})
+}
+
+// expireLeases removes the keys of ended leases; the caller holds mu.
+func (s *Store) expireLeases() {
+	now := time.Now()
+	for id, until := range s.leases {
+		if until.After(now) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, stored := range s.keys {
+			if stored.lease == id {
+				s.remove(key)
+			}
+		}
+	}
+}
+
+func expectedRevision(w http.ResponseWriter, r *http.Request) (platform.Revision, bool) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, platform.StoreProblem{Error: "expected: not a revision"})
+		return 0, false
+	}
+	return platform.Revision(expected), true
+}
