Settings, operators' HTTP messages, command line and the demo's driver

Cause: the whole path needs a way in; the server follows as its parts land. Change: settings as flags and environment variables, checked all at once; typed HTTP messages and a client; commands with text and JSON output and written exit codes; a demo that starts processes, kills and freezes VMs and compares callers' verdicts with the backend servers' and workers' own account.

--- /dev/null
+++ b/internal/command/job.go
@@ -0,0 +1,134 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/model"
+)
+
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "job",
+		Usage: "submit, show, list and cancel jobs",
+		Commands: []*cli.Command{
+			{
+				Name:      "submit",
+				Usage:     "submit a run of a workload",
+				ArgsUsage: "BRANCH WORKLOAD",
+				Flags: clientFlags(
+					&cli.IntFlag{Name: "tasks", Usage: "`COUNT` of tasks; default: the sheet's"},
+					&cli.DurationFlag{Name: "deadline", Usage: "`DURATION` from now; default: the sheet's"},
+					&cli.StringFlag{Name: "key", Usage: "idempotency `KEY`: a repeat finds the first job"},
+					&cli.BoolFlag{Name: "run-once", Usage: "never run a task again that may have run"},
+				),
+				Action: submitJob,
+			},
+			{
+				Name:      "status",
+				Usage:     "show a job, its tasks and what it waits for",
+				ArgsUsage: "JOB",
+				Flags:     clientFlags(),
+				Action:    showJob,
+			},
+			{
+				Name:   "list",
+				Usage:  "list jobs",
+				Flags:  clientFlags(&cli.StringFlag{Name: "branch", Usage: "only of this `BRANCH`"}),
+				Action: listJobs,
+			},
+			{
+				Name:      "cancel",
+				Usage:     "cancel a job; its running tasks are stopped",
+				ArgsUsage: "JOB",
+				Flags:     clientFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					id, err := jobArgument(c)
+					if err != nil {
+						return err
+					}
+					return client(c).CancelJob(ctx, id)
+				},
+			},
+		},
+	}
+}
+
+func submitJob(ctx context.Context, c *cli.Command) error {
+	if c.NArg() != 2 {
+		return usage("job submit takes BRANCH and WORKLOAD")
+	}
+	job := api.SubmitJob{
+		Branch:   model.BranchID(c.Args().Get(0)),
+		Workload: model.WorkloadID(c.Args().Get(1)),
+		Tasks:    c.Int("tasks"),
+		RunOnce:  c.Bool("run-once"),
+	}
+	if c.IsSet("deadline") {
+		job.Deadline = time.Now().Add(c.Duration("deadline"))
+	}
+	accepted, err := client(c).SubmitJob(ctx, job, c.String("key"))
+	if err != nil {
+		return err
+	}
+	return write(c, accepted, string(accepted.ID))
+}
+
+func showJob(ctx context.Context, c *cli.Command) error {
+	id, err := jobArgument(c)
+	if err != nil {
+		return err
+	}
+	job, err := client(c).Job(ctx, id)
+	if err != nil {
+		return err
+	}
+	return write(c, job, describeJob(job))
+}
+
+func jobArgument(c *cli.Command) (model.JobID, error) {
+	if c.NArg() != 1 {
+		return "", usage("job %s takes one JOB", c.Name)
+	}
+	return model.JobID(c.Args().First()), nil
+}
+
+func describeJob(job api.Job) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s  %s/%s (%s)  %s\n", job.ID, job.Branch, job.Workload, job.Kind, job.State)
+	fmt.Fprintf(&text, "tasks: %d waiting, %d running, %d done, %d failed\n", job.Waiting, job.Running, job.Done, job.Failed)
+	if !job.Deadline.IsZero() {
+		fmt.Fprintf(&text, "deadline: %s\n", job.Deadline.Format(time.RFC3339))
+	}
+	if job.Reason != "" {
+		fmt.Fprintf(&text, "waits: %s\n", job.Reason)
+	}
+	for _, f := range job.Filters {
+		fmt.Fprintf(&text, "  %s turned down %d workers\n", f.Name, f.Workers)
+	}
+	if len(job.Tasks) > 0 {
+		rows := newTable("TASK", "ATTEMPT", "STATE", "WORKER", "GRANTED")
+		for _, task := range job.Tasks {
+			rows.row(task.ID, task.Attempt, task.State, task.Worker, task.Size)
+		}
+		text.WriteString(rows.String())
+	}
+	return text.String()
+}
+
+func listJobs(ctx context.Context, c *cli.Command) error {
+	jobs, err := client(c).Jobs(ctx, model.BranchID(c.String("branch")))
+	if err != nil {
+		return err
+	}
+	rows := newTable("JOB", "BRANCH", "WORKLOAD", "KIND", "STATE", "WAITING", "RUNNING", "DONE", "FAILED")
+	for _, j := range jobs {
+		rows.row(j.ID, j.Branch, j.Workload, j.Kind, j.State, j.Waiting, j.Running, j.Done, j.Failed)
+	}
+	return write(c, jobs, rows.String())
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+func checkFormat(format string) error {
+	if format != formatText && format != formatJSON {
+		return errors.Newf("%q is not text or json", format)
+	}
+	return nil
+}
+
+// write prints value as JSON or text as it is, after --output.
+func write(c *cli.Command, value any, text string) error {
+	out := c.Root().Writer
+	if c.String("output") == formatJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	_, err := fmt.Fprintln(out, strings.TrimRight(text, "\n"))
+	return err
+}
+
+// table lays out rows under a header.
+type table struct {
+	text   strings.Builder
+	writer *tabwriter.Writer
+}
+
+func newTable(header ...string) *table {
+	t := &table{}
+	t.writer = tabwriter.NewWriter(&t.text, 0, 4, 2, ' ', 0)
+	t.row(toAny(header)...)
+	return t
+}
+
+func (t *table) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(t.writer, "\t")
+		}
+		fmt.Fprint(t.writer, cell)
+	}
+	fmt.Fprintln(t.writer)
+}
+
+func (t *table) String() string {
+	t.writer.Flush()
+	return t.text.String()
+}
+
+func toAny(texts []string) []any {
+	values := make([]any, len(texts))
+	for i, text := range texts {
+		values[i] = text
+	}
+	return values
+}
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"filbertcross/internal/api"
+)
+
+// Version is set by the linker.
+var Version = "development"
+
+// New returns the root command, which writes results to out.
+func New(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "filbertcross",
+		Usage:                 "cluster scheduler for organisations of branches",
+		Version:               Version,
+		EnableShellCompletion: true,
+		Writer:                out,
+		Description: "Durations are written like 250ms, 5s or 1h30m; sizes in the unit that the flag names.\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 conflict with another operator,\n" +
+			"4 not available now (try again), 5 not found or refused input.",
+		Commands: []*cli.Command{
+			serveCommand(),
+			sheetCommand(),
+			branchCommand(),
+			jobCommand(),
+			workerCommand(),
+			eventsCommand(),
+			timelineCommand(),
+			versionCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // main turns errors into exit codes
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return write(c, Version, Version)
+		},
+	}
+}
+
+// clientFlags are the flags of every command that speaks to a VM.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name:    "server",
+			Usage:   "`URL` of any VM",
+			Value:   "http://127.0.0.1:8080",
+			Sources: cli.EnvVars("FILBERTCROSS_SERVER"),
+		},
+		&cli.StringFlag{
+			Name:      "output",
+			Aliases:   []string{"o"},
+			Usage:     "`FORMAT`: text or json",
+			Value:     formatText,
+			Validator: checkFormat,
+			Sources:   cli.EnvVars("FILBERTCROSS_OUTPUT"),
+		},
+	}, more...)
+}
+
+func client(c *cli.Command) *api.Client { return api.NewClient(c.String("server")) }
--- /dev/null
+++ b/internal/command/sheet.go
@@ -0,0 +1,124 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"filbertcross/internal/api"
+)
+
+func sheetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "sheet",
+		Usage: "check, compare, apply and follow the operators' sheet (CSV)",
+		Commands: []*cli.Command{
+			{
+				Name:      "check",
+				Usage:     "check a sheet and list every mistake; asks no VM",
+				ArgsUsage: "FILE",
+				Flags:     clientFlags(),
+				Action:    checkSheet,
+			},
+			{
+				Name:      "diff",
+				Usage:     "show what a sheet would change",
+				ArgsUsage: "FILE",
+				Flags:     clientFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					csv, err := readSheet(c)
+					if err != nil {
+						return err
+					}
+					diff, err := client(c).DiffSheet(ctx, csv)
+					if err != nil {
+						return describeRows(err)
+					}
+					return write(c, diff, describeAccepted(fmt.Sprintf("against revision %d:", diff.Revision), diff))
+				},
+			},
+			{
+				Name:      "apply",
+				Usage:     "put a sheet in force",
+				ArgsUsage: "FILE",
+				Flags: clientFlags(&cli.Int64Flag{
+					Name:     "base",
+					Usage:    "`REVISION` that the sheet was made from (0: the first); another one in force is a conflict",
+					Required: true,
+				}),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					csv, err := readSheet(c)
+					if err != nil {
+						return err
+					}
+					accepted, err := client(c).ApplySheet(ctx, c.Int64("base"), csv)
+					if err != nil {
+						return describeRows(err)
+					}
+					return write(c, accepted, describeAccepted(fmt.Sprintf("accepted as revision %d:", accepted.Revision), accepted))
+				},
+			},
+			{
+				Name:   "status",
+				Usage:  "show the revision in force on every VM",
+				Flags:  clientFlags(),
+				Action: showSheetStatus,
+			},
+		},
+	}
+}
+
+func readSheet(c *cli.Command) ([]byte, error) {
+	if c.NArg() != 1 {
+		return nil, usage("sheet %s takes one FILE", c.Name)
+	}
+	csv, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return nil, errors.Mark(err, errUsage)
+	}
+	return csv, nil
+}
+
+func describeAccepted(title string, accepted api.SheetAccepted) string {
+	lines := append([]string{title}, accepted.Changes...)
+	if len(accepted.Changes) == 0 {
+		lines = append(lines, "no change")
+	}
+	for _, notice := range accepted.Notices {
+		lines = append(lines, "notice: "+notice)
+	}
+	return strings.Join(lines, "\n  ")
+}
+
+// describeRows adds the rows and conflicts of a refused sheet to the error.
+func describeRows(err error) error {
+	var status *api.StatusError
+	if !errors.As(err, &status) {
+		return err
+	}
+	var lines []string
+	for _, row := range status.Problem.Rows {
+		lines = append(lines, fmt.Sprintf("row %d, %s: %s", row.Row, row.Column, row.Detail))
+	}
+	lines = append(lines, status.Problem.Conflicts...)
+	if len(lines) == 0 {
+		return err
+	}
+	return errors.Wrap(err, "\n  "+strings.Join(lines, "\n  ")+"\n")
+}
+
+func showSheetStatus(ctx context.Context, c *cli.Command) error {
+	statuses, err := client(c).SheetStatus(ctx)
+	if err != nil {
+		return err
+	}
+	rows := newTable("VM", "REVISION", "SINCE", "PROBLEM")
+	for _, s := range statuses {
+		rows.row(s.VM, s.Revision, s.Since.Format("15:04:05.000"), s.Problem)
+	}
+	return write(c, statuses, rows.String())
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,153 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// Settings are what a VM is started with. They never change while it runs.
+type Settings struct {
+	Name             string              `json:"name"`           // of the VM; the id adds a part that no restart repeats
+	FailureDomain    model.FailureDomain `json:"failure_domain"` // where this VM stands
+	HTTPAddress      string              `json:"http_address"`   // for callers and operators, host:port
+	PeerAddress      string              `json:"peer_address"`   // for other VMs, host:port
+	StoreURL         string              `json:"store_url"`
+	VMListURL        string              `json:"vm_list_url"`
+	StoreTimeout     time.Duration       `json:"store_timeout"`      // of one call to the store
+	StoreWrites      int                 `json:"store_writes"`       // writes a second for all VMs together
+	ListInterval     time.Duration       `json:"list_interval"`      // between readings of the platform's list
+	WorkerTimeout    time.Duration       `json:"worker_timeout"`     // of one call to a worker
+	WorkerInterval   time.Duration       `json:"worker_interval"`    // between polls of a worker
+	Heartbeat        time.Duration       `json:"heartbeat"`          // between heartbeats to another VM
+	LeaseLead        time.Duration       `json:"lease_lead"`         // how long leases outlast the last confirmation by the store
+	DriftMargin      time.Duration       `json:"drift_margin"`       // added to the lead before a task is placed again without other proof
+	DomainShards     int                 `json:"domain_shards"`      // partitions of the workers in a failure domain
+	KeyPartitions    int                 `json:"key_partitions"`     // partitions of the idempotency keys
+	DefaultDeadline  time.Duration       `json:"default_deadline"`   // of a request without one
+	MaxDeadline      time.Duration       `json:"max_deadline"`       // of any request
+	MaxBody          int64               `json:"max_body"`           // bytes of a request's or an answer's body
+	MaxQueueRequests int                 `json:"max_queue_requests"` // waiting for a slot on this VM
+	MaxQueueBytes    int64               `json:"max_queue_bytes"`    // of their bodies
+	EventRing        int                 `json:"event_ring"`         // events kept for the time line
+	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a graceful stop gives up
+	LogLevel         string              `json:"log_level"`          // debug, info, warn or error
+}
+
+// Default returns the settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		Name:             "vm",
+		HTTPAddress:      "127.0.0.1:8080",
+		PeerAddress:      "127.0.0.1:8081",
+		StoreURL:         "http://127.0.0.1:9100",
+		VMListURL:        "http://127.0.0.1:9101",
+		StoreTimeout:     2 * time.Second,
+		StoreWrites:      300,
+		ListInterval:     time.Second,
+		WorkerTimeout:    2 * time.Second,
+		WorkerInterval:   time.Second,
+		Heartbeat:        300 * time.Millisecond,
+		LeaseLead:        30 * time.Second,
+		DriftMargin:      time.Second,
+		DomainShards:     1,
+		KeyPartitions:    9,
+		DefaultDeadline:  5 * time.Second,
+		MaxDeadline:      time.Minute,
+		MaxBody:          1 << 20,
+		MaxQueueRequests: 4096,
+		MaxQueueBytes:    64 << 20,
+		EventRing:        4096,
+		DrainTimeout:     30 * time.Second,
+		LogLevel:         "info",
+	}
+}
+
+// Problem is one mistake in the settings.
+type Problem struct {
+	Flag   string // with its dashes
+	Detail string
+}
+
+// Problems lists every mistake in the settings; it is the error of Validate.
+type Problems []Problem
+
+// Error lists the mistakes, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Flag + ": " + problem.Detail
+	}
+	return "invalid settings:\n  " + strings.Join(lines, "\n  ")
+}
+
+// Validate returns nil or Problems with every mistake.
+func (s Settings) Validate() error {
+	v := validator{}
+	v.require("--name", s.Name != "", "is empty")
+	v.require("--failure-domain", s.FailureDomain != "", "is empty; name the failure domain of this VM")
+	v.address("--http-address", s.HTTPAddress)
+	v.address("--peer-address", s.PeerAddress)
+	v.url("--store-url", s.StoreURL)
+	v.url("--vm-list-url", s.VMListURL)
+	v.between("--store-timeout", s.StoreTimeout, 10*time.Millisecond, time.Minute)
+	v.between("--list-interval", s.ListInterval, 50*time.Millisecond, time.Minute)
+	v.between("--worker-timeout", s.WorkerTimeout, 10*time.Millisecond, time.Minute)
+	v.between("--worker-interval", s.WorkerInterval, 50*time.Millisecond, time.Minute)
+	v.between("--heartbeat", s.Heartbeat, 20*time.Millisecond, 10*time.Second)
+	v.between("--lease-lead", s.LeaseLead, time.Second, time.Hour)
+	v.between("--drift-margin", s.DriftMargin, 0, time.Minute)
+	v.between("--default-deadline", s.DefaultDeadline, time.Millisecond, s.MaxDeadline)
+	v.between("--drain-timeout", s.DrainTimeout, 0, time.Hour)
+	v.require("--lease-lead", s.LeaseLead > 2*s.WorkerInterval, "must be more than twice --worker-interval, or leases lapse between polls")
+	v.positive("--store-writes", int64(s.StoreWrites))
+	v.positive("--domain-shards", int64(s.DomainShards))
+	v.positive("--key-partitions", int64(s.KeyPartitions))
+	v.positive("--max-body", s.MaxBody)
+	v.positive("--max-queue-requests", int64(s.MaxQueueRequests))
+	v.positive("--max-queue-bytes", s.MaxQueueBytes)
+	v.positive("--event-ring", int64(s.EventRing))
+	_, known := logLevels[s.LogLevel]
+	v.require("--log-level", known, fmt.Sprintf("%q is not debug, info, warn or error", s.LogLevel))
+	if len(v.problems) > 0 {
+		return v.problems
+	}
+	return nil
+}
+
+var logLevels = map[string]int{"debug": 1, "info": 0, "warn": 0, "error": 0}
+
+// Verbosity is the logr verbosity of the log level.
+func (s Settings) Verbosity() int { return logLevels[s.LogLevel] }
+
+type validator struct {
+	problems Problems
+}
+
+func (v *validator) require(flag string, ok bool, detail string) {
+	if !ok {
+		v.problems = append(v.problems, Problem{Flag: flag, Detail: detail})
+	}
+}
+
+func (v *validator) address(flag, address string) {
+	host, _, err := net.SplitHostPort(address)
+	v.require(flag, err == nil && host != "", fmt.Sprintf("%q is not host:port; others reach this VM by it", address))
+}
+
+func (v *validator) url(flag, text string) {
+	u, err := url.Parse(text)
+	v.require(flag, err == nil && u.Scheme == "http" && u.Host != "", fmt.Sprintf("%q is not an http URL", text))
+}
+
+func (v *validator) between(flag string, value, low, high time.Duration) {
+	v.require(flag, value >= low && value <= high, fmt.Sprintf("%v is not between %v and %v", value, low, high))
+}
+
+func (v *validator) positive(flag string, value int64) {
+	v.require(flag, value > 0, fmt.Sprintf("%d is not positive", value))
+}
--- /dev/null
+++ b/internal/standin/demo/load.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/standin"
+	"filbertcross/internal/verdict"
+)
+
+// load sends checks and bookings to the VMs as the platform's balancer would:
+// in turn, to those whose readiness answers, knowing nothing else.
+type load struct {
+	client *http.Client
+	urls   []string // of the VMs
+	ready  []atomic.Bool
+
+	mu       sync.Mutex
+	tally    tally
+	verdicts map[string]verdict.Verdict // of each booking
+}
+
+// tally counts the answers of a load.
+type tally struct {
+	sent, done, notRun, mayHaveRun, noAnswer, wrong int
+}
+
+func newLoad(urls []string) *load {
+	return &load{
+		client:   &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		urls:     urls,
+		ready:    make([]atomic.Bool, len(urls)),
+		verdicts: map[string]verdict.Verdict{},
+	}
+}
+
+const (
+	readinessInterval = 100 * time.Millisecond
+	readinessTimeout  = 300 * time.Millisecond
+)
+
+// watchReadiness polls each VM's readiness until the context ends.
+func (l *load) watchReadiness(ctx context.Context) {
+	poll := &http.Client{Timeout: readinessTimeout}
+	for i, url := range l.urls {
+		go func() {
+			for ctx.Err() == nil {
+				resp, err := poll.Get(url + "/readyz")
+				if err == nil {
+					resp.Body.Close()
+				}
+				l.ready[i].Store(err == nil && resp.StatusCode == http.StatusOK)
+				time.Sleep(readinessInterval)
+			}
+		}()
+	}
+}
+
+// run sends requests at a steady rate until the context ends, then waits for the answers.
+func (l *load) run(ctx context.Context, perSecond int, label string) {
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		url, ok := l.pick(n)
+		if !ok {
+			continue
+		}
+		answers.Add(1)
+		go func() {
+			defer answers.Done()
+			if n%4 == 0 {
+				l.book(url, fmt.Sprintf("%s-%d", label, n))
+				return
+			}
+			l.check(url, fmt.Sprintf("hall-%s-%d", label, n))
+		}()
+	}
+}
+
+func (l *load) pick(n int) (string, bool) {
+	for i := range l.urls {
+		candidate := (n + i) % len(l.urls)
+		if l.ready[candidate].Load() {
+			return l.urls[candidate], true
+		}
+	}
+	return "", false
+}
+
+// check asks for a hall's availability; the answer must name that hall.
+func (l *load) check(url, hall string) {
+	req, _ := http.NewRequest(http.MethodGet, url+"/v1/branches/sofia-academy/services/zalibook/availability/"+hall, nil)
+	answer, v, err := l.send(req)
+	wrong := v == verdict.Done && answer.Path != "/availability/"+hall
+	l.count(v, err, wrong)
+}
+
+// book files a booking under its own idempotency key.
+func (l *load) book(url, booking string) (standin.BackendAnswer, verdict.Verdict) {
+	req, _ := http.NewRequest(http.MethodPost, url+"/v1/branches/sofia-academy/services/zalibook/bookings?booking="+booking, nil)
+	req.Header.Set(api.HeaderIdempotencyKey, booking)
+	answer, v, err := l.send(req)
+	l.count(v, err, v == verdict.Done && answer.Booking != booking)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.verdicts[booking] = v
+	return answer, v
+}
+
+func (l *load) send(req *http.Request) (standin.BackendAnswer, verdict.Verdict, error) {
+	req.Header.Set("Filbertcross-Deadline", "5s")
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return standin.BackendAnswer{}, verdict.MayHaveRun, err
+	}
+	defer resp.Body.Close()
+	var answer standin.BackendAnswer
+	v := verdict.Parse(resp.Header.Get(api.HeaderVerdict))
+	if v != verdict.Done {
+		return answer, v, nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return answer, verdict.MayHaveRun, err
+	}
+	return answer, v, nil
+}
+
+func (l *load) count(v verdict.Verdict, err error, wrong bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tally.sent++
+	switch {
+	case wrong:
+		l.tally.wrong++
+	case err != nil:
+		l.tally.noAnswer++
+	case v == verdict.Done:
+		l.tally.done++
+	case v == verdict.NotRun:
+		l.tally.notRun++
+	default:
+		l.tally.mayHaveRun++
+	}
+}
+
+// counts returns the tally so far and starts a new one.
+func (l *load) counts() tally {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := l.tally
+	l.tally = tally{}
+	return counts
+}
+
+func (t tally) String() string {
+	return fmt.Sprintf("%d sent: %d done, %d not run, %d may have run, %d without an answer, %d wrong",
+		t.sent, t.done, t.notRun, t.mayHaveRun, t.noAnswer, t.wrong)
+}
--- /dev/null
+++ b/internal/standin/demo/main.go
@@ -0,0 +1,57 @@
+// Command demo starts the stand-ins and three VMs as processes on loopback,
+// drives work through them under failures and checks what must hold. It exits
+// non-zero if anything did not hold and leaves no process behind.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// demoTimeout ends a demo that hangs.
+const demoTimeout = 3 * time.Minute
+
+func main() {
+	keep := flag.Bool("keep", false, "leave everything up and print commands to try")
+	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
+	sheet := flag.String("sheet", "examples/demo.csv", "sheet to apply")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	demo, err := newDemo(*binaries, *sheet)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+	os.Exit(demo.main(ctx, *keep))
+}
+
+func (d *demo) main(ctx context.Context, keep bool) int {
+	defer d.procs.killAll()
+	bounded, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	err := d.run(bounded)
+	if err != nil {
+		d.checks.fail("the demo ran to its end", err.Error())
+	}
+	if keep {
+		d.printCommands()
+		<-ctx.Done()
+	}
+	if err == nil && !keep {
+		d.stopGracefully(bounded)
+	}
+	d.procs.killAll()
+	d.checks.expect("no process is left behind", d.procs.alive() == 0, fmt.Sprintf("%d alive", d.procs.alive()))
+	d.checks.print()
+	if d.checks.failed() {
+		fmt.Println("logs are in", d.procs.dir)
+		return 1
+	}
+	return 0
+}
