Thin request path: fair queue, local slots, verdicts, ledger

Change: packages backend (slot table, fair queue, ejector, estimators, manager) and front (handler, exchange with a write gate per connection, ledger).

--- /dev/null
+++ b/internal/backend/ejector.go
@@ -0,0 +1,112 @@
+package backend
+
+import "time"
+
+// EjectionOptions set when a failing backend server gets no more requests.
+type EjectionOptions struct {
+	Failures int           // in a row, after which a server is ejected
+	Part     float64       // of the servers that may be out at once
+	Shortest time.Duration // of the first ejection; doubles with each failed probe
+	Longest  time.Duration // of an ejection
+}
+
+// Ejector takes backend servers out that fail several requests in a row, and
+// lets one request at a time probe them when their ejection ends. Only a bounded
+// part is out at once. Not safe for concurrent use.
+type Ejector struct {
+	options EjectionOptions
+	servers map[ServerID]*health
+	out     int // servers ejected or on probe
+}
+
+type health struct {
+	failures int // in a row
+	ejected  bool
+	until    time.Time
+	length   time.Duration // of the ejection
+}
+
+// NewEjector returns an ejector that knows no server.
+func NewEjector(options EjectionOptions) *Ejector {
+	return &Ejector{options: options, servers: make(map[ServerID]*health)}
+}
+
+// Add makes the server known as healthy.
+func (e *Ejector) Add(id ServerID) {
+	if _, known := e.servers[id]; !known {
+		e.servers[id] = &health{}
+	}
+}
+
+// Remove forgets the server.
+func (e *Ejector) Remove(id ServerID) {
+	if h, known := e.servers[id]; known && h.ejected {
+		e.out--
+	}
+	delete(e.servers, id)
+}
+
+// Observe takes the outcome of an attempt on the server.
+func (e *Ejector) Observe(now time.Time, id ServerID, o Outcome) {
+	h, known := e.servers[id]
+	if !known {
+		return
+	}
+	switch o {
+	case OutcomeAnswered:
+		e.restore(h)
+	case OutcomeFailed, OutcomeTimeout:
+		h.failures++
+		e.eject(now, h)
+	}
+}
+
+func (e *Ejector) restore(h *health) {
+	if h.ejected {
+		e.out--
+	}
+	*h = health{}
+}
+
+func (e *Ejector) eject(now time.Time, h *health) {
+	switch {
+	case h.ejected && now.Before(h.until):
+		// A request sent before the ejection failed as well.
+	case h.ejected:
+		h.length = min(2*h.length, e.options.Longest)
+		h.until = now.Add(h.length)
+	case h.failures >= e.options.Failures && e.out < e.allowed():
+		h.ejected = true
+		e.out++
+		h.length = e.options.Shortest
+		h.until = now.Add(h.length)
+	}
+}
+
+// allowed is how many servers may be out at once.
+func (e *Ejector) allowed() int {
+	return int(float64(len(e.servers)) * e.options.Part)
+}
+
+// Limit returns how many of the server's slots may be used now: none while it
+// is ejected, one while it is probed.
+func (e *Ejector) Limit(now time.Time, id ServerID, slots int) int {
+	h, known := e.servers[id]
+	switch {
+	case !known || !h.ejected:
+		return slots
+	case now.Before(h.until):
+		return 0
+	default:
+		return min(1, slots)
+	}
+}
+
+// Out returns the number of servers that are ejected or on probe.
+func (e *Ejector) Out() int { return e.out }
+
+// Ejected reports whether the server is ejected or on probe.
+func (e *Ejector) Ejected(id ServerID) bool {
+	h, known := e.servers[id]
+	return known && h.ejected
+}
--- /dev/null
+++ b/internal/backend/fair_queue.go
@@ -0,0 +1,248 @@
+package backend
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// QueueLimits bounds a FairQueue.
+type QueueLimits struct {
+	Requests int
+	Bytes    int64
+}
+
+// Item is one request waiting in a FairQueue.
+type Item[T any] struct {
+	ID     PermitID
+	Branch model.BranchID
+	Share  int64   // weight of the branch, at least 1
+	Cost   float64 // seconds of slot time that the request is expected to take
+	Bytes  int64
+	Latest time.Time // last moment at which starting it can still be in time
+	Value  T
+
+	start float64 // virtual start time
+}
+
+// FairQueue orders waiting requests by start-time fair queueing over the
+// branches: first come first served within a branch, slot time by share among
+// the branches that wait. Not safe for concurrent use.
+type FairQueue[T any] struct {
+	limits   QueueLimits
+	branches map[model.BranchID]*branchQueue[T]
+	waiting  branchHeap[T] // branches with items, by the start tag of their first
+	items    map[PermitID]*list.Element
+	bytes    int64
+	virtual  float64 // start tag of the item popped last
+}
+
+type branchQueue[T any] struct {
+	id     model.BranchID
+	share  int64
+	items  list.List // of *Item[T]
+	bytes  int64
+	finish float64 // virtual finish time of the newest item
+	index  int     // in the heap; -1: not there
+}
+
+func (b *branchQueue[T]) head() *Item[T] { return b.items.Front().Value.(*Item[T]) }
+
+// NewFairQueue returns an empty queue.
+func NewFairQueue[T any](limits QueueLimits) *FairQueue[T] {
+	return &FairQueue[T]{
+		limits:   limits,
+		branches: make(map[model.BranchID]*branchQueue[T]),
+		items:    make(map[PermitID]*list.Element),
+	}
+}
+
+// Push queues the item. When the queue is full, the newest items of the branch
+// that exceeds its share of the queue most make room and are returned; if that
+// is the item's own branch, the item itself is refused.
+func (q *FairQueue[T]) Push(item Item[T]) (evicted []Item[T], ok bool) {
+	if _, twice := q.items[item.ID]; twice {
+		return nil, false
+	}
+	if q.limits.Requests < 1 || item.Bytes > q.limits.Bytes {
+		return nil, false
+	}
+	for len(q.items) >= q.limits.Requests || q.bytes+item.Bytes > q.limits.Bytes {
+		victim := q.largest(item)
+		if victim == nil || victim.id == item.Branch {
+			return evicted, false
+		}
+		evicted = append(evicted, q.remove(victim.items.Back()))
+	}
+	q.append(item)
+	return evicted, true
+}
+
+func (q *FairQueue[T]) append(item Item[T]) {
+	b, ok := q.branches[item.Branch]
+	if !ok {
+		b = &branchQueue[T]{id: item.Branch, index: -1}
+		q.branches[item.Branch] = b
+	}
+	b.share = max(1, item.Share)
+	item.start = max(q.virtual, b.finish)
+	b.finish = item.start + item.Cost/float64(b.share)
+	b.bytes += item.Bytes
+	q.bytes += item.Bytes
+	q.items[item.ID] = b.items.PushBack(&item)
+	if b.index < 0 {
+		heap.Push(&q.waiting, b)
+	}
+}
+
+// largest returns the branch that uses most of the queue for its share, counted
+// as if the new item were in it.
+func (q *FairQueue[T]) largest(item Item[T]) *branchQueue[T] {
+	var worst *branchQueue[T]
+	var worstUse float64
+	for _, b := range q.waiting {
+		use := q.use(b.items.Len(), b.bytes, b.share)
+		if b.id == item.Branch {
+			use = q.use(b.items.Len()+1, b.bytes+item.Bytes, b.share)
+		}
+		if worst == nil || use > worstUse || (use == worstUse && b.id > worst.id) {
+			worst, worstUse = b, use
+		}
+	}
+	own := q.use(1, item.Bytes, max(1, item.Share))
+	if own > worstUse {
+		return nil
+	}
+	return worst
+}
+
+// use is the part of the queue's bounds taken, over the share.
+func (q *FairQueue[T]) use(requests int, bytes int64, share int64) float64 {
+	byCount := float64(requests) / float64(q.limits.Requests)
+	byBytes := float64(bytes) / float64(q.limits.Bytes)
+	return max(byCount, byBytes) / float64(share)
+}
+
+// Pop takes the next request that can still be in time; those that cannot are
+// taken out on the way and returned as late.
+func (q *FairQueue[T]) Pop(now time.Time) (item Item[T], late []Item[T], ok bool) {
+	for len(q.waiting) > 0 {
+		b := q.waiting[0]
+		finish := b.finish
+		first := q.remove(b.items.Front())
+		if now.After(first.Latest) {
+			late = append(late, first)
+			continue
+		}
+		b.finish = finish
+		q.virtual = max(q.virtual, first.start)
+		return first, late, true
+	}
+	return Item[T]{}, late, false
+}
+
+// Expire takes out the requests at the heads of their branches that are late.
+func (q *FairQueue[T]) Expire(now time.Time) []Item[T] {
+	var late []Item[T]
+	for _, b := range append(branchHeap[T](nil), q.waiting...) {
+		for b.items.Len() > 0 && now.After(b.head().Latest) {
+			late = append(late, q.remove(b.items.Front()))
+		}
+	}
+	return late
+}
+
+// Remove takes a cancelled request out.
+func (q *FairQueue[T]) Remove(id PermitID) bool {
+	e, ok := q.items[id]
+	if ok {
+		q.remove(e)
+	}
+	return ok
+}
+
+func (q *FairQueue[T]) remove(e *list.Element) Item[T] {
+	item := e.Value.(*Item[T])
+	b := q.branches[item.Branch]
+	newest := e == b.items.Back()
+	b.items.Remove(e)
+	b.bytes -= item.Bytes
+	q.bytes -= item.Bytes
+	delete(q.items, item.ID)
+	if newest {
+		b.finish = item.start // nothing behind it: its virtual time is given back
+	}
+	if b.items.Len() == 0 {
+		heap.Remove(&q.waiting, b.index)
+	} else {
+		heap.Fix(&q.waiting, b.index)
+	}
+	return *item
+}
+
+// Len returns the number of waiting requests.
+func (q *FairQueue[T]) Len() int { return len(q.items) }
+
+// Bytes returns the size of the waiting requests.
+func (q *FairQueue[T]) Bytes() int64 { return q.bytes }
+
+// Ahead estimates how many requests are served before a new one of the branch.
+func (q *FairQueue[T]) Ahead(branch model.BranchID, share int64) float64 {
+	own := 0
+	shares := max(1, share)
+	for _, b := range q.waiting {
+		if b.id == branch {
+			own = b.items.Len()
+			continue
+		}
+		shares += b.share
+	}
+	fair := float64(own+1) * float64(shares) / float64(max(1, share))
+	return min(fair, float64(len(q.items)))
+}
+
+// Forget drops the accounts of branches that wait for nothing and owe nothing.
+func (q *FairQueue[T]) Forget() {
+	for id, b := range q.branches {
+		if b.items.Len() == 0 && b.finish <= q.virtual {
+			delete(q.branches, id)
+		}
+	}
+}
+
+// branchHeap is a heap over the branches that have items.
+type branchHeap[T any] []*branchQueue[T]
+
+func (h branchHeap[T]) Len() int { return len(h) }
+
+func (h branchHeap[T]) Less(i, j int) bool {
+	// A branch that has just been emptied is on its way out of the heap.
+	if h[i].items.Len() == 0 || h[j].items.Len() == 0 {
+		return h[i].items.Len() < h[j].items.Len()
+	}
+	a, b := h[i].head().start, h[j].head().start
+	return a < b || (a == b && h[i].id < h[j].id)
+}
+
+func (h branchHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds a branch; it is called by container/heap.
+func (h *branchHeap[T]) Push(x any) {
+	b := x.(*branchQueue[T])
+	b.index = len(*h)
+	*h = append(*h, b)
+}
+
+// Pop takes the last branch out; it is called by container/heap.
+func (h *branchHeap[T]) Pop() any {
+	old := *h
+	b := old[len(old)-1]
+	*h = old[:len(old)-1]
+	b.index = -1
+	return b
+}
--- /dev/null
+++ b/internal/backend/options.go
@@ -0,0 +1,68 @@
+package backend
+
+import "time"
+
+// minimumCost is the least slot time that fair queueing charges for a request.
+const minimumCost = 100 * time.Microsecond
+
+// Options set the manager's bounds. The zero value of a field takes its default.
+type Options struct {
+	Policy        Policy           // who owns the slots; default PolicyPermits
+	Queue         QueueLimits      // of each service on this VM
+	Ejection      EjectionOptions  // of failing servers
+	LeaseMargin   time.Duration    // by which a permit outlasts its request's deadline
+	Handover      time.Duration    // before a new owner grants slots of which the former owner says nothing
+	LeavingHold   time.Duration    // for which a peer's word that a server is leaving holds
+	RetryAfterMin time.Duration    // shortest advice to come back
+	RetryAfterMax time.Duration    // longest advice to come back
+	LocalLimit    int              // slots of each server that this VM uses under PolicyLocal; 0: its part
+	Now           func() time.Time // the clock
+}
+
+// Policy says which VM may grant a server's slots.
+type Policy int
+
+// The policies.
+const (
+	PolicyPermits Policy = iota // one VM owns a server's slots and grants permits to the others
+	PolicyLocal                 // every VM uses every server within a limit of its own
+)
+
+// Defaults of Options.
+const (
+	defaultQueueRequests    = 4096
+	defaultQueueBytes       = 64 << 20
+	defaultEjectionFailures = 5
+	defaultEjectionPart     = 0.25
+	defaultEjectionShortest = time.Second
+	defaultEjectionLongest  = 30 * time.Second
+	defaultLeaseMargin      = 500 * time.Millisecond
+	defaultHandover         = time.Second
+	defaultLeavingHold      = 30 * time.Second
+	defaultRetryAfterMin    = 50 * time.Millisecond
+	defaultRetryAfterMax    = 10 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.Queue.Requests, defaultQueueRequests)
+	orDefault(&o.Queue.Bytes, defaultQueueBytes)
+	orDefault(&o.Ejection.Failures, defaultEjectionFailures)
+	orDefault(&o.Ejection.Part, defaultEjectionPart)
+	orDefault(&o.Ejection.Shortest, defaultEjectionShortest)
+	orDefault(&o.Ejection.Longest, defaultEjectionLongest)
+	orDefault(&o.LeaseMargin, defaultLeaseMargin)
+	orDefault(&o.Handover, defaultHandover)
+	orDefault(&o.LeavingHold, defaultLeavingHold)
+	orDefault(&o.RetryAfterMin, defaultRetryAfterMin)
+	orDefault(&o.RetryAfterMax, defaultRetryAfterMax)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+func orDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/front/exchange.go
@@ -0,0 +1,143 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/backend"
+	"filbertcross/internal/ledger"
+	"filbertcross/internal/verdict"
+)
+
+// Causes of a failed attempt. Callers test them with errors.Is.
+var (
+	errRefused  = errors.New("the backend server refused the request")
+	errCrossed  = errors.New("the answer is to another request")
+	errCut      = errors.New("the answer is cut")
+	errTooLarge = errors.New("the answer is larger than the limit")
+)
+
+// attempt is one sending of a request to a backend server.
+type attempt struct {
+	id       string // of this attempt; the answer must carry it
+	request  *request
+	server   backend.Server
+	deadline time.Time
+}
+
+// failure is an attempt without a whole answer.
+type failure struct {
+	cause   error
+	verdict verdict.Verdict
+	outcome backend.Outcome
+}
+
+// exchange sends the attempt and returns the whole answer to it, or a failure.
+func (c *connections) exchange(ctx context.Context, a attempt) (*ledger.Answer, *failure) {
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	var used gatedConns
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used.take(info.Conn.(*gatedConn))
+	}}
+	out, err := a.outbound(httptrace.WithClientTrace(ctx, trace))
+	if err != nil {
+		return nil, &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeUnused}
+	}
+	in, err := c.transport(a.server).RoundTrip(out)
+	if err != nil {
+		return nil, lost(ctx, used, err)
+	}
+	answer, err := c.whole(a, in)
+	if err == nil {
+		return answer, nil
+	}
+	if !errors.Is(err, errRefused) {
+		used.poison()
+	}
+	return nil, incomplete(ctx, err)
+}
+
+// outbound builds the request as the backend server gets it. The body cannot be
+// rewound and the idempotency key travels under another name, so that the
+// transport never sends anything twice by itself.
+func (a attempt) outbound(ctx context.Context) (*http.Request, error) {
+	r := a.request
+	target := "http://" + a.server.Address + r.target
+	out, err := http.NewRequestWithContext(ctx, r.method, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	out.Header = endToEnd(r.header)
+	out.Header.Del(HeaderKey)
+	out.Header.Set(HeaderRequestID, a.id)
+	out.Header.Set(HeaderBranch, string(r.branch))
+	out.Header.Set(HeaderDeadline, a.deadline.UTC().Format(time.RFC3339Nano))
+	if r.key != "" {
+		out.Header.Set(HeaderForwardedKey, r.key)
+	}
+	if len(r.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.body))
+		out.ContentLength = int64(len(r.body))
+	}
+	return out, nil
+}
+
+// lost classifies an attempt that got no answer: it was not run if no byte of it
+// was written and none can be any more.
+func lost(ctx context.Context, used gatedConns, err error) *failure {
+	f := &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeFailed}
+	if used.seal() {
+		f.verdict = verdict.NotRun
+	}
+	if ctx.Err() != nil {
+		f.outcome = backend.OutcomeTimeout
+	}
+	return f
+}
+
+// incomplete classifies an attempt whose answer is refused, crossed or cut.
+func incomplete(ctx context.Context, err error) *failure {
+	switch {
+	case errors.Is(err, errRefused):
+		return &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeRefused}
+	case ctx.Err() != nil:
+		return &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeTimeout}
+	default:
+		return &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeFailed}
+	}
+}
+
+// whole reads the answer to its end and checks that it belongs to the attempt.
+func (c *connections) whole(a attempt, in *http.Response) (*ledger.Answer, error) {
+	defer in.Body.Close() // closes the connection if the answer is not read to its end
+	if in.Header.Get(HeaderRequestID) != a.id {
+		return nil, errCrossed
+	}
+	if unframed(in) {
+		return nil, errCut
+	}
+	body, err := io.ReadAll(io.LimitReader(in.Body, c.options.AnswerLimit+1))
+	if err != nil {
+		return nil, errors.Mark(err, errCut)
+	}
+	if int64(len(body)) > c.options.AnswerLimit {
+		return nil, errTooLarge
+	}
+	if in.StatusCode == http.StatusServiceUnavailable && in.Header.Get(HeaderRefused) == "1" {
+		return nil, errRefused
+	}
+	return &ledger.Answer{Status: in.StatusCode, Header: endToEnd(in.Header), Body: body}, nil
+}
+
+// unframed reports whether only the connection's end would mark the answer's end,
+// so that a cut one looks whole.
+func unframed(in *http.Response) bool {
+	return in.ContentLength < 0 && len(in.TransferEncoding) == 0 && in.Request.Method != http.MethodHead
+}
--- /dev/null
+++ b/internal/front/fake_test.go
@@ -0,0 +1,126 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"filbertcross/internal/ledger"
+	"filbertcross/internal/verdict"
+)
+
+// fakeServer is a backend server that counts executions by path. Its behaviour is
+// chosen by the test for each request.
+type fakeServer struct {
+	id     string
+	server *httptest.Server
+	behave func(w http.ResponseWriter, r *http.Request, run func())
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newFakeServer(t *testing.T, id string, behave func(http.ResponseWriter, *http.Request, func())) *fakeServer {
+	s := &fakeServer{id: id, behave: behave, runs: make(map[string]int)}
+	s.server = httptest.NewServer(s)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *fakeServer) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	s.behave(w, r, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.runs[r.URL.Path]++
+	})
+}
+
+func (s *fakeServer) ran(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[path]
+}
+
+// answerPath runs the request and answers with its path.
+func answerPath(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	_, _ = w.Write([]byte(r.URL.Path))
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request, _ func()) {
+	w.Header().Set(HeaderRefused, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// reset runs the request and breaks the connection without an answer.
+func reset(w http.ResponseWriter, _ *http.Request, run func()) {
+	run()
+	conn, _, _ := http.NewResponseController(w).Hijack()
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// raw runs the request and sends an answer as it stands.
+func raw(text string) func(http.ResponseWriter, *http.Request, func()) {
+	return func(w http.ResponseWriter, r *http.Request, run func()) {
+		run()
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_, _ = conn.Write([]byte(strings.ReplaceAll(text, "ID", r.Header.Get(HeaderRequestID))))
+		_ = conn.Close()
+	}
+}
+
+// fakeLedger keeps keys in memory by the contract of package ledger.
+type fakeLedger struct {
+	mu   sync.Mutex
+	keys map[string]*fakeKey
+	down error
+}
+
+type fakeKey struct {
+	fingerprint ledger.Fingerprint
+	state       ledger.State
+	answer      *ledger.Answer
+}
+
+func newFakeLedger() *fakeLedger { return &fakeLedger{keys: make(map[string]*fakeKey)} }
+
+func (l *fakeLedger) Begin(_ context.Context, r ledger.BeginRequest) (ledger.BeginResult, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down != nil {
+		return ledger.BeginResult{}, l.down
+	}
+	k, known := l.keys[r.Key]
+	switch {
+	case !known:
+		l.keys[r.Key] = &fakeKey{fingerprint: r.Fingerprint, state: ledger.InProgress}
+		return ledger.BeginResult{State: ledger.Run}, nil
+	case k.fingerprint != r.Fingerprint:
+		return ledger.BeginResult{State: ledger.Mismatch}, nil
+	default:
+		return ledger.BeginResult{State: k.state, Answer: k.answer}, nil
+	}
+}
+
+func (l *fakeLedger) Finish(_ context.Context, r ledger.FinishRequest) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch r.Verdict {
+	case verdict.NotRun:
+		delete(l.keys, r.Key)
+	case verdict.Done:
+		l.keys[r.Key].state = ledger.Recorded
+		l.keys[r.Key].answer = r.Answer
+	default:
+		l.keys[r.Key].state = ledger.MayHaveRun
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/handler.go
@@ -0,0 +1,244 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
+
+	"filbertcross/internal/backend"
+	"filbertcross/internal/event"
+	"filbertcross/internal/ledger"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/verdict"
+)
+
+// Advice to callers on when to come back, where no drain rate is known.
+const (
+	configurationRetryAfter = time.Second
+	overloadRetryAfter      = 200 * time.Millisecond
+	drainRetryAfter         = 100 * time.Millisecond
+	ledgerRetryAfter        = time.Second
+)
+
+// Handler is the http.Handler of callers' requests. Safe for concurrent use.
+type Handler struct {
+	options     Options
+	router      backend.Router
+	ledger      ledger.Client
+	view        membership.View
+	recorder    event.Recorder
+	metrics     metrics
+	routes      routes
+	connections *connections
+	sequence    atomic.Int64 // of requests
+	inFlight    *semaphore.Weighted
+	buffered    *semaphore.Weighted
+
+	mu       sync.Mutex
+	budgets  map[string]*RetryBudget // by service
+	draining bool
+	active   int           // requests between enter and leave
+	idle     chan struct{} // closed when draining and active is 0
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// New returns a handler. The view gives this VM's id and the number of members.
+func New(
+	options Options,
+	router backend.Router,
+	keys ledger.Client,
+	source model.ConfigurationSource,
+	view membership.View,
+	recorder event.Recorder,
+	scope tally.Scope,
+) *Handler {
+	h := &Handler{
+		options:  options.withDefaults(),
+		router:   router,
+		ledger:   keys,
+		view:     view,
+		recorder: recorder,
+		metrics:  newMetrics(scope.SubScope("front")),
+		routes:   routes{source: source},
+		budgets:  make(map[string]*RetryBudget),
+		idle:     make(chan struct{}),
+	}
+	h.connections = newConnections(&h.options, h.members)
+	h.inFlight = semaphore.NewWeighted(int64(h.options.InFlight))
+	h.buffered = semaphore.NewWeighted(h.options.Buffered)
+	return h
+}
+
+// members counts the VMs that may hold connections to a backend server.
+func (h *Handler) members() int {
+	n := 0
+	for _, m := range h.view.Members() {
+		if m.State != membership.Dead {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// ServeHTTP answers one request with a whole answer or a Problem.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	start := h.options.Now()
+	id := h.requestID()
+	w.Header().Set(HeaderRequestID, id)
+	if !h.enter() {
+		h.refuse(w, unavailable("the VM is stopping", drainRetryAfter))
+		return
+	}
+	defer h.leave()
+	if !h.inFlight.TryAcquire(1) {
+		h.refuse(w, unavailable("too many requests are held", overloadRetryAfter))
+		return
+	}
+	defer h.inFlight.Release(1)
+	answer, problem := h.serve(w, in, start, id)
+	if problem != nil {
+		h.refuse(w, problem)
+		return
+	}
+	h.metrics.answered(h.options.Now().Sub(start))
+	h.write(w, in.Method, answer)
+}
+
+// serve takes the request whole and forwards it.
+func (h *Handler) serve(w http.ResponseWriter, in *http.Request, now time.Time, id string) (*ledger.Answer, *Problem) {
+	to, path, problem := h.routes.find(in.URL)
+	if problem != nil {
+		return nil, problem
+	}
+	deadline, problem := h.options.parseDeadline(now, in.Header.Get(HeaderDeadline))
+	if problem != nil {
+		return nil, problem
+	}
+	r := &request{
+		id:       id,
+		route:    to,
+		method:   in.Method,
+		target:   path,
+		header:   in.Header,
+		key:      in.Header.Get(HeaderKey),
+		deadline: deadline,
+	}
+	if in.URL.RawQuery != "" {
+		r.target += "?" + in.URL.RawQuery
+	}
+	room := h.room(in)
+	if !h.buffered.TryAcquire(room) {
+		return nil, unavailable("too many bytes are held", overloadRetryAfter)
+	}
+	defer h.buffered.Release(room)
+	if r.body, problem = h.options.readBody(w, in, deadline); problem != nil {
+		return nil, problem
+	}
+	return h.forwardOnce(in.Context(), r)
+}
+
+// room is how many bytes the body may take.
+func (h *Handler) room(in *http.Request) int64 {
+	if in.ContentLength >= 0 {
+		return min(in.ContentLength, h.options.BodyLimit)
+	}
+	return h.options.BodyLimit
+}
+
+// requestID returns an id that no other process or start of this one gives.
+func (h *Handler) requestID() string {
+	return string(h.view.Self().ID) + "-" + strconv.FormatInt(h.sequence.Add(1), 36)
+}
+
+// write sends the whole answer.
+func (h *Handler) write(w http.ResponseWriter, method string, a *ledger.Answer) {
+	header := w.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	header.Set(HeaderVerdict, verdict.Done.String())
+	if method != http.MethodHead && len(a.Body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	h.send(w, func() error {
+		w.WriteHeader(a.Status)
+		_, err := w.Write(a.Body)
+		return err
+	})
+}
+
+// refuse sends the problem.
+func (h *Handler) refuse(w http.ResponseWriter, p *Problem) {
+	h.metrics.refused(p)
+	h.send(w, func() error { return p.write(w) })
+}
+
+// send writes to the caller within the time that a slow one is given, and leaves
+// the connection without a time limit.
+func (h *Handler) send(w http.ResponseWriter, write func() error) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(h.options.Now().Add(h.options.WriteTimeout)) // not offered by every ResponseWriter
+	err := write()
+	if err == nil {
+		err = control.Flush()
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		h.recorder.Record(event.CallerGone, w.Header().Get(HeaderRequestID), err.Error())
+	}
+}
+
+// enter counts a request in, unless the VM is stopping.
+func (h *Handler) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return false
+	}
+	h.active++
+	return true
+}
+
+func (h *Handler) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active--
+	if h.draining && h.active == 0 {
+		close(h.idle)
+	}
+}
+
+// Ready reports whether the VM can take requests.
+func (h *Handler) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.draining && h.routes.source.InForce() != nil
+}
+
+// Drain refuses new requests and waits until those in flight are answered.
+func (h *Handler) Drain(ctx context.Context) error {
+	h.mu.Lock()
+	if !h.draining {
+		h.draining = true
+		if h.active == 0 {
+			close(h.idle)
+		}
+	}
+	h.mu.Unlock()
+	select {
+	case <-h.idle:
+		h.connections.closeIdle()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/front/options.go
@@ -0,0 +1,70 @@
+package front
+
+import "time"
+
+// Options set the front's bounds. The zero value of a field takes its default.
+type Options struct {
+	DefaultDeadline time.Duration // of a request that names none
+	MaxDeadline     time.Duration // a longer one is cut to it
+	BodyLimit       int64         // bytes of a request's body
+	AnswerLimit     int64         // bytes of an answer's body
+	HeaderLimit     int64         // bytes of a backend server's answer headers
+	InFlight        int           // requests held at once, from the first byte to the last
+	Buffered        int64         // bytes of request bodies held at once
+	ReadTimeout     time.Duration // for a caller to send its body
+	WriteTimeout    time.Duration // for a caller to take its answer
+	DialTimeout     time.Duration // for a connection to a backend server
+	IdleTimeout     time.Duration // after which an unused connection is closed; shorter than the servers' own
+	FinishTimeout   time.Duration // for the ledger to record an answer
+	RetryRatio      float64       // retries allowed for each request, on average
+	RetryBurst      float64       // retries allowed at once
+	MaxAttempts     int           // of one request
+	Now             func() time.Time
+}
+
+// Defaults of Options.
+const (
+	defaultDeadline      = 10 * time.Second
+	defaultMaxDeadline   = 2 * time.Minute
+	defaultBodyLimit     = 1 << 20
+	defaultAnswerLimit   = 8 << 20
+	defaultHeaderLimit   = 64 << 10
+	defaultInFlight      = 8192
+	defaultBuffered      = 128 << 20
+	defaultReadTimeout   = 10 * time.Second
+	defaultWriteTimeout  = 30 * time.Second
+	defaultDialTimeout   = time.Second
+	defaultIdleTimeout   = 20 * time.Second
+	defaultFinishTimeout = 2 * time.Second
+	defaultRetryRatio    = 0.2
+	defaultRetryBurst    = 20
+	defaultMaxAttempts   = 4
+)
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.DefaultDeadline, defaultDeadline)
+	orDefault(&o.MaxDeadline, defaultMaxDeadline)
+	orDefault(&o.BodyLimit, defaultBodyLimit)
+	orDefault(&o.AnswerLimit, defaultAnswerLimit)
+	orDefault(&o.HeaderLimit, defaultHeaderLimit)
+	orDefault(&o.InFlight, defaultInFlight)
+	orDefault(&o.Buffered, defaultBuffered)
+	orDefault(&o.ReadTimeout, defaultReadTimeout)
+	orDefault(&o.WriteTimeout, defaultWriteTimeout)
+	orDefault(&o.DialTimeout, defaultDialTimeout)
+	orDefault(&o.IdleTimeout, defaultIdleTimeout)
+	orDefault(&o.FinishTimeout, defaultFinishTimeout)
+	orDefault(&o.RetryRatio, defaultRetryRatio)
+	orDefault(&o.RetryBurst, defaultRetryBurst)
+	orDefault(&o.MaxAttempts, defaultMaxAttempts)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+func orDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/front/route.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"filbertcross/internal/model"
+)
+
+// Pattern is where the handler is mounted.
+const Pattern = "/v1/branches/{branch}/services/"
+
+// route is the interactive workload that a path names.
+type route struct {
+	branch  model.BranchID
+	share   int64
+	service string // of the backend servers
+}
+
+// routes finds workloads of the configuration in force. Safe for concurrent use.
+type routes struct {
+	source model.ConfigurationSource
+	index  atomic.Pointer[routeIndex]
+}
+
+// routeIndex is the lookup of one configuration.
+type routeIndex struct {
+	of       *model.Configuration
+	branches map[model.BranchID]map[string]route
+}
+
+func newRouteIndex(c *model.Configuration) *routeIndex {
+	index := &routeIndex{of: c, branches: make(map[model.BranchID]map[string]route, len(c.Branches))}
+	shares := make(map[model.BranchID]int64, len(c.Branches))
+	for _, b := range c.Branches {
+		shares[b.ID] = b.Share
+		index.branches[b.ID] = make(map[string]route)
+	}
+	for _, w := range c.Workloads {
+		services, known := index.branches[w.Branch]
+		if !known || w.Kind != model.KindInteractive {
+			continue
+		}
+		r := route{branch: w.Branch, share: shares[w.Branch], service: w.Service}
+		services[w.Service] = r
+		services[string(w.ID)] = r
+	}
+	return index
+}
+
+func (t *routes) current() *routeIndex {
+	c := t.source.InForce()
+	if c == nil {
+		return nil
+	}
+	index := t.index.Load()
+	if index == nil || index.of != c {
+		index = newRouteIndex(c)
+		t.index.Store(index)
+	}
+	return index
+}
+
+// find returns the route of the path and the escaped path at the backend server.
+func (t *routes) find(u *url.URL) (route, string, *Problem) {
+	branch, service, rest, ok := splitPath(u.EscapedPath())
+	if !ok {
+		return route{}, "", invalid(http.StatusNotFound, "path", "want /v1/branches/{branch}/services/{service}/{path}")
+	}
+	index := t.current()
+	if index == nil {
+		return route{}, "", unavailable("no configuration is in force yet", configurationRetryAfter)
+	}
+	services, known := index.branches[model.BranchID(branch)]
+	if !known {
+		return route{}, "", invalid(http.StatusNotFound, "branch", "the branch is not in the configuration in force")
+	}
+	r, known := services[service]
+	if !known {
+		return route{}, "", invalid(http.StatusNotFound, "service", "the branch has no such interactive workload")
+	}
+	return r, rest, nil
+}
+
+// splitPath takes the escaped path apart; rest keeps its escapes.
+func splitPath(path string) (branch, service, rest string, ok bool) {
+	tail, ok := strings.CutPrefix(path, "/v1/branches/")
+	if !ok {
+		return "", "", "", false
+	}
+	branch, tail, ok = strings.Cut(tail, "/services/")
+	if !ok {
+		return "", "", "", false
+	}
+	service, rest, _ = strings.Cut(tail, "/")
+	branch, err := url.PathUnescape(branch)
+	if err != nil {
+		return "", "", "", false
+	}
+	service, err = url.PathUnescape(service)
+	return branch, service, "/" + rest, err == nil
+}
