--- /dev/null
+++ b/internal/schedule/baseline/place.go
@@ -0,0 +1,186 @@
+package baseline
+
+import (
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// Decide implements schedule.Decider.
+func (q *Queue) Decide(_ time.Time, limit int) []schedule.Decision {
+	out := q.takeCommands(limit)
+	misfits := make(map[model.Resources]bool)
+	kept := q.jobs[:0]
+	for _, j := range q.jobs {
+		if j.unfinished() == 0 {
+			continue
+		}
+		kept = append(kept, j)
+		if j.waiting == 0 || len(out) >= limit || misfits[j.Size] {
+			continue
+		}
+		if j.Kind == model.KindGang {
+			out = append(out, q.placeGang(j, limit-len(out))...)
+			continue
+		}
+		placed, fits := q.placeTasks(j, limit-len(out))
+		out = append(out, placed...)
+		if !fits {
+			misfits[j.Size] = true
+		}
+	}
+	clear(q.jobs[len(kept):])
+	q.jobs = kept
+	return out
+}
+
+// takeCommands removes at most limit commands whose task still holds capacity.
+func (q *Queue) takeCommands(limit int) []schedule.Decision {
+	var out []schedule.Decision
+	for len(q.commands) > 0 && len(out) < limit {
+		d := q.commands[0]
+		q.commands = q.commands[1:]
+		t := q.byTask[d.Task]
+		if t.state == statePlaced && t.stopping && t.worker.ID == d.Worker {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// placeTasks places the job's waiting tasks one by one; fits is false when the workers
+// had no room for the next.
+func (q *Queue) placeTasks(j *job, limit int) (out []schedule.Decision, fits bool) {
+	for _, t := range j.tasks {
+		if t.state != stateWaiting {
+			continue
+		}
+		if len(out) >= limit || !q.quotaAllows(j, 1) {
+			return out, true
+		}
+		w := q.pick(j.Size)
+		if w == nil {
+			return out, false
+		}
+		q.hold(t, w, j.Size)
+		out = append(out, place(t, 0))
+	}
+	return out, true
+}
+
+// placeGang places all unfinished tasks of the job or none.
+func (q *Queue) placeGang(j *job, limit int) []schedule.Decision {
+	unfinished := j.unfinished()
+	if j.waiting != unfinished || unfinished > limit || !q.quotaAllows(j, unfinished) {
+		return nil
+	}
+	q.groups++
+	var out []schedule.Decision
+	for _, t := range j.tasks {
+		if t.state != stateWaiting {
+			continue
+		}
+		w := q.pick(j.Size)
+		if w == nil {
+			q.undo(out)
+			return nil
+		}
+		q.hold(t, w, j.Size)
+		out = append(out, place(t, q.groups))
+	}
+	return out
+}
+
+func (q *Queue) undo(placed []schedule.Decision) {
+	for _, d := range placed {
+		q.release(q.byTask[d.Task])
+	}
+}
+
+// pick returns a worker with room, or nil.
+func (q *Queue) pick(size model.Resources) *worker {
+	start := 0
+	if q.rng != nil && len(q.workers) > 0 {
+		start = q.rng.IntN(len(q.workers))
+	}
+	for i := range q.workers {
+		w := q.workers[(start+i)%len(q.workers)]
+		if w.admits(size) {
+			return w
+		}
+	}
+	return nil
+}
+
+// quotaAllows reports whether the branch may hold n more tasks of the job.
+func (q *Queue) quotaAllows(j *job, n int) bool {
+	used := q.granted[j.Branch].Add(times(j.Size, n))
+	return withinQuota(used, q.branches[j.Branch].Quota)
+}
+
+func place(t *task, group int64) schedule.Decision {
+	return schedule.Decision{
+		Action: schedule.ActionPlace,
+		Task:   t.id,
+		Job:    t.job.ID,
+		Branch: t.job.Branch,
+		Worker: t.worker.ID,
+		Size:   t.size,
+		Group:  group,
+	}
+}
+
+// hold takes capacity for a waiting task.
+func (q *Queue) hold(t *task, w *worker, size model.Resources) {
+	t.state, t.assumed, t.stopping = statePlaced, true, false
+	t.worker, t.size = w, size
+	t.job.waiting--
+	w.tasks[t.id] = t
+	w.used = w.used.Add(size)
+	q.granted[t.job.Branch] = q.granted[t.job.Branch].Add(size)
+}
+
+// release frees a placed task's capacity and queues it.
+func (q *Queue) release(t *task) {
+	w := t.worker
+	delete(w.tasks, t.id)
+	w.used = w.used.Sub(t.size)
+	q.granted[t.job.Branch] = q.granted[t.job.Branch].Sub(t.size)
+	t.state, t.assumed, t.worker = stateWaiting, false, nil
+	t.job.waiting++
+}
+
+// end takes a waiting task out of the queue for good.
+func (q *Queue) end(t *task) {
+	t.state = stateEnded
+	t.job.waiting--
+}
+
+// dissolve stops the rest of a gang that lost a task, so that it starts again together.
+func (q *Queue) dissolve(j *job) {
+	if j.Kind != model.KindGang {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state == statePlaced {
+			q.command(t, schedule.ActionMove, "gang")
+		}
+	}
+}
+
+// command asks once for a placed task's end.
+func (q *Queue) command(t *task, action schedule.Action, reason string) {
+	if t.stopping && action != schedule.ActionStop {
+		return
+	}
+	t.stopping = true
+	q.commands = append(q.commands, schedule.Decision{
+		Action: action,
+		Task:   t.id,
+		Job:    t.job.ID,
+		Branch: t.job.Branch,
+		Worker: t.worker.ID,
+		Reason: reason,
+	})
+}
--- /dev/null
+++ b/internal/schedule/baseline/queue.go
@@ -0,0 +1,201 @@
+package baseline
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// Queue is a schedule.Decider that serves jobs in the order of their submission, without
+// tiers, shares, deadlines, preemption, correction of sizes or quarantine. A job that
+// does not fit is passed over. One goroutine at a time uses it.
+type Queue struct {
+	rng      *rand.Rand // nil: first fit
+	branches map[model.BranchID]model.Branch
+	granted  map[model.BranchID]model.Resources
+	workers  []*worker // in the order in which they were first seen
+	byID     map[model.WorkerID]*worker
+	jobs     []*job // unfinished ones in submission order; ended ones are removed by Decide
+	byJob    map[model.JobID]*job
+	byTask   map[model.TaskID]*task
+	commands []schedule.Decision // stops and moves not yet returned by Decide
+	groups   int64
+}
+
+var _ schedule.Decider = (*Queue)(nil)
+
+// NewFirstFit returns a queue that places each task on the first worker with room.
+func NewFirstFit() *Queue {
+	return &Queue{
+		branches: make(map[model.BranchID]model.Branch),
+		granted:  make(map[model.BranchID]model.Resources),
+		byID:     make(map[model.WorkerID]*worker),
+		byJob:    make(map[model.JobID]*job),
+		byTask:   make(map[model.TaskID]*task),
+	}
+}
+
+// NewRandomFit returns a queue that places each task on a random worker with room.
+func NewRandomFit(rng *rand.Rand) *Queue {
+	q := NewFirstFit()
+	q.rng = rng
+	return q
+}
+
+// SetBranches implements schedule.Decider.
+func (q *Queue) SetBranches(_ time.Time, branches []model.Branch) {
+	clear(q.branches)
+	for _, b := range branches {
+		q.branches[b.ID] = b
+	}
+}
+
+// UpsertWorker implements schedule.Decider.
+func (q *Queue) UpsertWorker(_ time.Time, w schedule.Worker) {
+	known := q.worker(w.ID)
+	known.Worker = w
+	known.known = true
+}
+
+// worker finds or adds the record of a worker.
+func (q *Queue) worker(id model.WorkerID) *worker {
+	w, ok := q.byID[id]
+	if !ok {
+		w = newWorker(id)
+		q.byID[id] = w
+		q.workers = append(q.workers, w)
+	}
+	return w
+}
+
+// RemoveWorker implements schedule.Decider.
+func (q *Queue) RemoveWorker(_ time.Time, id model.WorkerID) {
+	w, ok := q.byID[id]
+	if !ok || len(w.tasks) > 0 {
+		return
+	}
+	delete(q.byID, id)
+	for i := range q.workers {
+		if q.workers[i] == w {
+			q.workers = append(q.workers[:i], q.workers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Submit implements schedule.Decider.
+func (q *Queue) Submit(_ time.Time, m model.Job) schedule.Status {
+	if m.Tasks < 1 || m.Size.Negative() {
+		return schedule.Status{Code: schedule.Invalid, Reason: "tasks or size"}
+	}
+	if _, ok := q.byJob[m.ID]; ok {
+		return schedule.Status{Code: schedule.Accepted}
+	}
+	j := newJob(m)
+	q.jobs = append(q.jobs, j)
+	q.byJob[m.ID] = j
+	for _, t := range j.tasks {
+		q.byTask[t.id] = t
+	}
+	for _, w := range q.workers {
+		if m.Size.Fits(w.Capacity) {
+			return schedule.Status{Code: schedule.Accepted}
+		}
+	}
+	return schedule.Status{Code: schedule.NeverFits, Reason: "capacity"}
+}
+
+// Adopt implements schedule.Decider.
+func (q *Queue) Adopt(_ time.Time, p schedule.Placement) {
+	t, ok := q.byTask[p.Task]
+	if !ok || t.state != stateWaiting {
+		return
+	}
+	q.hold(t, q.worker(p.Worker), p.Size)
+	t.assumed = false
+}
+
+// Cancel implements schedule.Decider.
+func (q *Queue) Cancel(_ time.Time, id model.JobID) {
+	j, ok := q.byJob[id]
+	if !ok || j.canceled {
+		return
+	}
+	j.canceled = true
+	for _, t := range j.tasks {
+		switch t.state {
+		case stateWaiting:
+			q.end(t)
+		case statePlaced:
+			q.command(t, schedule.ActionStop, "canceled")
+		}
+	}
+}
+
+// Observe implements schedule.Decider; declared sizes are believed.
+func (q *Queue) Observe(time.Time, schedule.Usage) {}
+
+// Finish implements schedule.Decider.
+func (q *Queue) Finish(_ time.Time, id model.TaskID, outcome model.Outcome) {
+	t, ok := q.byTask[id]
+	if !ok || t.state != statePlaced {
+		return
+	}
+	q.release(t)
+	if outcome == model.OutcomeFailed {
+		t.failures++
+	}
+	if t.runsAgain(outcome) {
+		q.dissolve(t.job)
+		return
+	}
+	q.end(t)
+}
+
+// runsAgain reports whether a task is queued again after a run with this outcome.
+func (t *task) runsAgain(outcome model.Outcome) bool {
+	switch {
+	case t.job.canceled || outcome == model.OutcomeDone || outcome == model.OutcomeCanceled:
+		return false
+	case outcome == model.OutcomeNotStart:
+		return true
+	}
+	return t.job.Restartable && t.failures < maxFailures
+}
+
+// Confirm implements schedule.Decider.
+func (q *Queue) Confirm(_ time.Time, id model.TaskID) {
+	if t, ok := q.byTask[id]; ok {
+		t.assumed = false
+	}
+}
+
+// Forget implements schedule.Decider.
+func (q *Queue) Forget(_ time.Time, id model.TaskID) {
+	t, ok := q.byTask[id]
+	if !ok || !t.assumed {
+		return
+	}
+	q.release(t)
+	if t.job.canceled {
+		q.end(t)
+	}
+}
+
+// Explain implements schedule.Decider.
+func (q *Queue) Explain(id model.JobID) (schedule.Explanation, bool) {
+	j, ok := q.byJob[id]
+	if !ok {
+		return schedule.Explanation{}, false
+	}
+	unfinished := j.unfinished()
+	return schedule.Explanation{
+		Job:     id,
+		Waiting: j.waiting,
+		Running: unfinished - j.waiting,
+		Done:    len(j.tasks) - unfinished,
+		Reason:  "capacity",
+	}, true
+}
--- /dev/null
+++ b/internal/schedule/baseline/state.go
@@ -0,0 +1,100 @@
+package baseline
+
+import (
+	"fmt"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// maxFailures is the number of failed runs after which a task is given up.
+const maxFailures = 3
+
+type taskState int
+
+const (
+	stateWaiting taskState = iota
+	statePlaced            // holds capacity
+	stateEnded
+)
+
+type task struct {
+	id       model.TaskID
+	job      *job
+	state    taskState
+	assumed  bool // placed, and neither confirmed nor forgotten
+	stopping bool // a stop or move was asked for
+	worker   *worker
+	size     model.Resources
+	failures int
+}
+
+type job struct {
+	model.Job
+	tasks    []*task
+	waiting  int
+	canceled bool
+}
+
+// taskID names the task of a job with the given index.
+func taskID(id model.JobID, index int) model.TaskID {
+	return model.TaskID(fmt.Sprintf("%s/%d", id, index))
+}
+
+func newJob(j model.Job) *job {
+	out := &job{Job: j, waiting: j.Tasks}
+	for i := range j.Tasks {
+		out.tasks = append(out.tasks, &task{id: taskID(j.ID, i), job: out})
+	}
+	return out
+}
+
+// unfinished counts the job's tasks that have not ended.
+func (j *job) unfinished() int {
+	n := 0
+	for _, t := range j.tasks {
+		if t.state != stateEnded {
+			n++
+		}
+	}
+	return n
+}
+
+type worker struct {
+	schedule.Worker
+	known bool // listed; false while only adopted tasks name it
+	used  model.Resources
+	tasks map[model.TaskID]*task
+}
+
+func newWorker(id model.WorkerID) *worker {
+	return &worker{
+		Worker: schedule.Worker{ID: id},
+		tasks:  make(map[model.TaskID]*task),
+	}
+}
+
+// admits reports whether the worker takes a new task of the given size.
+func (w *worker) admits(size model.Resources) bool {
+	if !w.known || w.Leaving || w.Unreachable {
+		return false
+	}
+	return w.used.Add(size).Fits(w.Capacity)
+}
+
+// withinQuota reports whether used is allowed by a quota whose zero components are unbounded.
+func withinQuota(used, quota model.Resources) bool {
+	within := func(used, quota int64) bool { return quota == 0 || used <= quota }
+	return within(used.MilliCPU, quota.MilliCPU) &&
+		within(used.MemoryMiB, quota.MemoryMiB) &&
+		within(used.Accelerators, quota.Accelerators)
+}
+
+// times returns n times the amount.
+func times(r model.Resources, n int) model.Resources {
+	return model.Resources{
+		MilliCPU:     r.MilliCPU * int64(n),
+		MemoryMiB:    r.MemoryMiB * int64(n),
+		Accelerators: r.Accelerators * int64(n),
+	}
+}
--- /dev/null
+++ b/internal/schedule/proof/check.go
@@ -0,0 +1,124 @@
+package proof
+
+import (
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// Decide implements schedule.Decider and checks every decision.
+func (o *Oracle) Decide(now time.Time, limit int) []schedule.Decision {
+	decisions := o.inner.Decide(now, limit)
+	if len(decisions) > limit {
+		o.violated(RuleLimit, "", "", "%d decisions, limit %d", len(decisions), limit)
+	}
+	gangs := make(map[*jobRecord]*gangPlacement)
+	for _, d := range decisions {
+		t, ok := o.tasks[d.Task]
+		if !ok {
+			o.violated(RuleEnded, d.Task, d.Worker, "unknown task")
+			continue
+		}
+		switch d.Action {
+		case schedule.ActionPlace, schedule.ActionProbe:
+			o.checkPlace(t, d, gangs)
+		case schedule.ActionThrottle:
+			o.checkHeld(t, d)
+		default:
+			o.checkStop(t, d)
+		}
+	}
+	for j, g := range gangs {
+		o.checkGang(j, g)
+	}
+	return decisions
+}
+
+// gangPlacement is what one call of Decide placed of a gang.
+type gangPlacement struct {
+	placed map[*taskRecord]bool
+	groups map[int64]bool
+}
+
+func (o *Oracle) checkPlace(t *taskRecord, d schedule.Decision, gangs map[*jobRecord]*gangPlacement) {
+	switch {
+	case t.held():
+		o.violated(RuleOnePlace, t.id, d.Worker, "already on %q", t.worker)
+		return
+	case t.phase == phaseEnded && !t.job.canceled && !t.job.Restartable:
+		o.violated(RuleRunOnce, t.id, d.Worker, "placed again")
+		return
+	case t.phase == phaseEnded:
+		o.violated(RuleEnded, t.id, d.Worker, "placed after its end")
+		return
+	}
+	w := o.worker(d.Worker)
+	if !w.known || w.Leaving || w.Unreachable {
+		o.violated(RuleWorker, t.id, d.Worker, "known %t, leaving %t, unreachable %t", w.known, w.Leaving, w.Unreachable)
+	}
+	o.hold(t, d.Worker, d.Size)
+	if d.Size.Negative() || !w.granted.Fits(w.Capacity) {
+		o.violated(RuleCapacity, t.id, d.Worker, "size %v, granted %v of %v", d.Size, w.granted, w.Capacity)
+	}
+	if quota := o.branches[t.job.Branch].Quota; quotaBroken(o.granted[t.job.Branch], quota) {
+		o.violated(RuleQuota, t.id, d.Worker, "branch holds %v of %v", o.granted[t.job.Branch], quota)
+	}
+	if t.job.Kind != model.KindGang {
+		return
+	}
+	g, ok := gangs[t.job]
+	if !ok {
+		g = &gangPlacement{placed: make(map[*taskRecord]bool), groups: make(map[int64]bool)}
+		gangs[t.job] = g
+	}
+	g.placed[t] = true
+	g.groups[d.Group] = true
+}
+
+// checkGang holds that all unfinished tasks were placed; one whose runs failed may have
+// been given up.
+func (o *Oracle) checkGang(j *jobRecord, g *gangPlacement) {
+	if len(g.groups) != 1 || g.groups[0] {
+		o.violated(RuleGang, "", "", "job %q was placed in groups %v", j.ID, g.groups)
+	}
+	for _, t := range j.tasks {
+		if t.phase == phaseEnded || t.failures > 0 {
+			continue
+		}
+		if !g.placed[t] {
+			o.violated(RuleGang, t.id, t.worker, "not placed with %d others of its gang", len(g.placed))
+		}
+	}
+}
+
+func (o *Oracle) checkHeld(t *taskRecord, d schedule.Decision) bool {
+	if !t.held() || t.worker != d.Worker {
+		o.violated(RuleHeld, t.id, d.Worker, "action %d, but the task is in phase %d on %q", d.Action, t.phase, t.worker)
+		return false
+	}
+	if d.Action == schedule.ActionThrottle && !d.Limit.Fits(t.size) {
+		o.violated(RuleCapacity, t.id, d.Worker, "limit %v above the granted %v", d.Limit, t.size)
+	}
+	return true
+}
+
+func (o *Oracle) checkStop(t *taskRecord, d schedule.Decision) {
+	if !o.checkHeld(t, d) {
+		return
+	}
+	t.asked, t.stop = true, d.Action
+	switch d.Action {
+	case schedule.ActionPreempt:
+		if _, ok := o.branches[d.Beneficiary]; !ok {
+			o.violated(RuleBeneficiary, t.id, d.Worker, "beneficiary %q", d.Beneficiary)
+		}
+		if !t.job.Restartable {
+			o.violated(RuleRunOnce, t.id, d.Worker, "preempted")
+		}
+	case schedule.ActionStop:
+		if !t.job.canceled && !t.job.failed && !t.job.oversized {
+			o.violated(RuleStop, t.id, d.Worker, "stopped for %q", d.Reason)
+		}
+	}
+}
--- /dev/null
+++ b/internal/schedule/proof/oracle.go
@@ -0,0 +1,210 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// Oracle is a schedule.Decider that passes every call on and reports each broken rule.
+// One goroutine at a time uses it.
+type Oracle struct {
+	inner    schedule.Decider
+	report   func(*Violation)
+	branches map[model.BranchID]model.Branch
+	granted  map[model.BranchID]model.Resources
+	workers  map[model.WorkerID]*workerRecord
+	jobs     map[model.JobID]*jobRecord
+	tasks    map[model.TaskID]*taskRecord
+	order    []*taskRecord // in submission order
+}
+
+var _ schedule.Decider = (*Oracle)(nil)
+
+// NewOracle wraps the Decider; report is called once for each violation.
+func NewOracle(inner schedule.Decider, report func(*Violation)) *Oracle {
+	return &Oracle{
+		inner:    inner,
+		report:   report,
+		branches: make(map[model.BranchID]model.Branch),
+		granted:  make(map[model.BranchID]model.Resources),
+		workers:  make(map[model.WorkerID]*workerRecord),
+		jobs:     make(map[model.JobID]*jobRecord),
+		tasks:    make(map[model.TaskID]*taskRecord),
+	}
+}
+
+func (o *Oracle) violated(rule Rule, task model.TaskID, worker model.WorkerID, format string, args ...any) {
+	o.report(&Violation{
+		Rule:   rule,
+		Task:   task,
+		Worker: worker,
+		Detail: fmt.Sprintf(format, args...),
+	})
+}
+
+// SetBranches implements schedule.Decider.
+func (o *Oracle) SetBranches(now time.Time, branches []model.Branch) {
+	clear(o.branches)
+	for _, b := range branches {
+		o.branches[b.ID] = b
+	}
+	o.inner.SetBranches(now, branches)
+}
+
+// UpsertWorker implements schedule.Decider.
+func (o *Oracle) UpsertWorker(now time.Time, w schedule.Worker) {
+	r := o.worker(w.ID)
+	r.Worker = w
+	r.known = true
+	o.inner.UpsertWorker(now, w)
+}
+
+// worker finds or adds the record of a worker.
+func (o *Oracle) worker(id model.WorkerID) *workerRecord {
+	r, ok := o.workers[id]
+	if !ok {
+		r = &workerRecord{Worker: schedule.Worker{ID: id}}
+		o.workers[id] = r
+	}
+	return r
+}
+
+// RemoveWorker implements schedule.Decider.
+func (o *Oracle) RemoveWorker(now time.Time, id model.WorkerID) {
+	if r, ok := o.workers[id]; ok && r.held > 0 {
+		o.violated(RuleWorkerGone, "", id, "%d tasks hold capacity", r.held)
+		return
+	}
+	delete(o.workers, id)
+	o.inner.RemoveWorker(now, id)
+}
+
+// Submit implements schedule.Decider.
+func (o *Oracle) Submit(now time.Time, job model.Job) schedule.Status {
+	status := o.inner.Submit(now, job)
+	if _, known := o.jobs[job.ID]; known || status.Code == schedule.Invalid {
+		return status
+	}
+	r := newJobRecord(job)
+	o.jobs[job.ID] = r
+	for _, t := range r.tasks {
+		o.tasks[t.id] = t
+	}
+	o.order = append(o.order, r.tasks...)
+	return status
+}
+
+// Adopt implements schedule.Decider.
+func (o *Oracle) Adopt(now time.Time, p schedule.Placement) {
+	if t, ok := o.tasks[p.Task]; ok && t.phase == phaseWaiting {
+		o.hold(t, p.Worker, p.Size)
+		t.phase = phaseRunning
+	}
+	o.inner.Adopt(now, p)
+}
+
+// Cancel implements schedule.Decider.
+func (o *Oracle) Cancel(now time.Time, id model.JobID) {
+	if j, ok := o.jobs[id]; ok {
+		j.canceled = true
+		for _, t := range j.tasks {
+			if t.phase == phaseWaiting {
+				t.phase = phaseEnded
+			}
+		}
+	}
+	o.inner.Cancel(now, id)
+}
+
+// Observe implements schedule.Decider.
+func (o *Oracle) Observe(now time.Time, u schedule.Usage) {
+	if t, ok := o.tasks[u.Task]; ok && !u.Used.Fits(t.size) {
+		t.job.oversized = true
+	}
+	o.inner.Observe(now, u)
+}
+
+// Finish implements schedule.Decider.
+func (o *Oracle) Finish(now time.Time, id model.TaskID, outcome model.Outcome) {
+	if t, ok := o.tasks[id]; ok && t.held() {
+		o.release(t)
+		if outcome == model.OutcomeFailed {
+			t.failures++
+			t.job.failed = true
+		}
+		if t.endsWith(outcome) {
+			t.phase = phaseEnded
+		}
+	}
+	o.inner.Finish(now, id, outcome)
+}
+
+// endsWith reports whether a run with this outcome is the task's last.
+func (t *taskRecord) endsWith(outcome model.Outcome) bool {
+	switch outcome {
+	case model.OutcomeDone, model.OutcomeCanceled:
+		return true
+	case model.OutcomeNotStart:
+		return t.job.canceled
+	}
+	return t.job.canceled || !t.job.Restartable
+}
+
+// Confirm implements schedule.Decider.
+func (o *Oracle) Confirm(now time.Time, id model.TaskID) {
+	if t, ok := o.tasks[id]; ok && t.phase == phaseAssumed {
+		t.phase = phaseRunning
+	}
+	o.inner.Confirm(now, id)
+}
+
+// Forget implements schedule.Decider.
+func (o *Oracle) Forget(now time.Time, id model.TaskID) {
+	if t, ok := o.tasks[id]; ok && t.phase == phaseAssumed {
+		o.release(t)
+		if t.job.canceled {
+			t.phase = phaseEnded
+		}
+	}
+	o.inner.Forget(now, id)
+}
+
+// Explain implements schedule.Decider.
+func (o *Oracle) Explain(id model.JobID) (schedule.Explanation, bool) {
+	e, ok := o.inner.Explain(id)
+	j, known := o.jobs[id]
+	if !known || j.canceled || j.failed {
+		return e, ok
+	}
+	if ended := j.count(phaseEnded); !ok && ended < j.Tasks {
+		o.violated(RuleExplain, "", "", "job %q with %d of %d tasks ended is unknown", id, ended, j.Tasks)
+	}
+	if ok && (e.Waiting != j.count(phaseWaiting) || e.Waiting+e.Running+e.Done != j.Tasks) {
+		o.violated(RuleExplain, "", "", "%+v, but %d of %d tasks wait", e, j.count(phaseWaiting), j.Tasks)
+	}
+	return e, ok
+}
+
+// hold takes capacity for the task.
+func (o *Oracle) hold(t *taskRecord, worker model.WorkerID, size model.Resources) {
+	w := o.worker(worker)
+	w.held++
+	w.granted = w.granted.Add(size)
+	o.granted[t.job.Branch] = o.granted[t.job.Branch].Add(size)
+	t.phase = phaseAssumed
+	t.worker, t.size = worker, size
+	t.asked = false
+}
+
+// release frees the capacity of the task, which waits again.
+func (o *Oracle) release(t *taskRecord) {
+	w := o.worker(t.worker)
+	w.held--
+	w.granted = w.granted.Sub(t.size)
+	o.granted[t.job.Branch] = o.granted[t.job.Branch].Sub(t.size)
+	t.phase = phaseWaiting
+	t.worker = ""
+}
