--- a/internal/schedule/proof/record.go
+++ b/internal/schedule/proof/record.go
@@ -63,6 +63,12 @@
 	return n
 }
 
+// mayStop reports whether the job may be stopped for good by rule.
+func (j *jobRecord) mayStop() bool {
+	broken := j.Kind == model.KindGang && !j.Restartable && j.count(phaseWaiting) > 0
+	return j.canceled || j.failed || j.oversized || broken
+}
+
 // workerRecord is what the oracle knows of a worker.
 type workerRecord struct {
 	schedule.Worker
--- a/internal/schedule/proof/settle.go
+++ b/internal/schedule/proof/settle.go
@@ -33,17 +33,25 @@
 	return now
 }
 
-// endRuns confirms and ends every placement.
+// endRuns confirms every placement and ends the runs that can end.
 func (o *Oracle) endRuns(now time.Time) {
 	for _, t := range o.order {
 		if !t.held() {
 			continue
 		}
 		o.Confirm(now, t.id)
+		if t.stuck() {
+			continue
+		}
 		o.Finish(now, t.id, t.answer())
 	}
 }
 
+// stuck reports whether the run waits for tasks of its gang that do not run.
+func (t *taskRecord) stuck() bool {
+	return t.job.Kind == model.KindGang && !t.asked && t.job.count(phaseWaiting) > 0
+}
+
 // answer is the outcome that a healthy worker reports for the run.
 func (t *taskRecord) answer() model.Outcome {
 	switch {
--- a/internal/schedule/proof/violation.go
+++ b/internal/schedule/proof/violation.go
@@ -20,7 +20,7 @@
 	RuleQuota       Rule = "quota"        // the sum granted to a branch is within its quota
 	RuleBeneficiary Rule = "beneficiary"  // a preemption names a branch that gains
 	RuleHeld        Rule = "held"         // only a task that holds capacity is stopped, moved, preempted or throttled
-	RuleStop        Rule = "stop"         // only a cancelled, failing or oversized job is stopped
+	RuleStop        Rule = "stop"         // only a cancelled, failing, oversized or broken job is stopped
 	RuleLimit       Rule = "limit"        // Decide returns no more than its limit
 	RuleExplain     Rule = "explain"      // Explain counts each task once
 	RuleLost        Rule = "lost"         // a task that can run is placed in the end
