--- /dev/null
+++ b/internal/schedule/cluster.go
@@ -0,0 +1,207 @@
+package schedule
+
+import (
+	"sort"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// State is what the stages of a decision may read.
+type State interface {
+	// Now is the time of the call that is being served.
+	Now() time.Time
+	// Domains lists the failure domains in order of name.
+	Domains() []*domain
+	// Scan visits workers of the domain with room for the query, from a position of the
+	// index on and wrapping, until visit returns false.
+	Scan(d *domain, start int, q *query, visit func(*worker) bool)
+	// Held lists the holds of the query's class.
+	Held(q *query) []*hold
+}
+
+// Planner is what the stages of a decision may submit to.
+type Planner interface {
+	// Assume takes a waiting task of the job and grants it the size on the worker.
+	Assume(j *job, w *worker, size model.Resources) *run
+	// Undo takes an assumed run back in the same decision.
+	Undo(r *run)
+}
+
+// cluster holds the workers, what is granted on them and the index of what is free.
+type cluster struct {
+	now     time.Time
+	workers map[model.WorkerID]*worker
+	ring    []*worker // all workers; searches for victims go round it
+	cursor  int
+	domains []*domain
+	total   model.Resources // capacity of known workers
+	free    model.Resources // of the workers that take tasks
+	runs    map[model.TaskID]*run
+	orphans map[model.JobID][]*run // adopted before their job was submitted
+	freed   []*worker              // gained room since the last Decide
+	changed bool                   // workers or branches changed since the last Decide
+}
+
+func newCluster() cluster {
+	return cluster{
+		workers: map[model.WorkerID]*worker{},
+		runs:    map[model.TaskID]*run{},
+		orphans: map[model.JobID][]*run{},
+	}
+}
+
+// Now returns the time of the call that is being served.
+func (c *cluster) Now() time.Time { return c.now }
+
+// Domains lists the failure domains in order of name.
+func (c *cluster) Domains() []*domain { return c.domains }
+
+// domain finds or adds a failure domain.
+func (c *cluster) domain(name model.FailureDomain) *domain {
+	pos := sort.Search(len(c.domains), func(i int) bool { return c.domains[i].name >= name })
+	if pos < len(c.domains) && c.domains[pos].name == name {
+		return c.domains[pos]
+	}
+	d := &domain{name: name}
+	c.domains = append(c.domains, nil)
+	copy(c.domains[pos+1:], c.domains[pos:])
+	c.domains[pos] = d
+	return d
+}
+
+// worker finds or adds a worker; a new one is unknown and takes nothing.
+func (c *cluster) worker(id model.WorkerID) *worker {
+	if w := c.workers[id]; w != nil {
+		return w
+	}
+	w := &worker{Worker: Worker{ID: id}, ringPos: len(c.ring)}
+	c.workers[id] = w
+	c.ring = append(c.ring, w)
+	c.enter(w)
+	return w
+}
+
+// enter puts the worker into its domain's index.
+func (c *cluster) enter(w *worker) {
+	w.domain = c.domain(w.FailureDomain)
+	w.leaf = w.domain.tree.add(w)
+	c.refresh(w)
+}
+
+// leave takes the worker out of its domain's index and of the sums.
+func (c *cluster) leave(w *worker) {
+	c.count(w, model.Resources{})
+	w.domain.tree.remove(w.leaf)
+}
+
+// update changes what is known of a worker.
+func (c *cluster) update(id model.WorkerID, next Worker) *worker {
+	w := c.worker(id)
+	c.total = c.total.Sub(w.Capacity).Add(next.Capacity)
+	moved := w.FailureDomain != next.FailureDomain
+	if moved {
+		c.leave(w)
+	}
+	w.Worker = next
+	w.known, w.removed = true, false
+	if moved {
+		c.enter(w)
+	}
+	c.refresh(w)
+	c.changed = true
+	return w
+}
+
+// remove forgets a worker.
+func (c *cluster) remove(w *worker) {
+	c.leave(w)
+	c.total = c.total.Sub(w.Capacity)
+	last := c.ring[len(c.ring)-1]
+	c.ring[w.ringPos] = last
+	last.ringPos = w.ringPos
+	c.ring = c.ring[:len(c.ring)-1]
+	delete(c.workers, w.ID)
+	c.changed = true
+}
+
+// refresh brings the index and the sums up to date with the worker's free capacity.
+func (c *cluster) refresh(w *worker) {
+	if !w.open() {
+		w.domain.tree.set(w.leaf, unavailable)
+		c.count(w, model.Resources{})
+		return
+	}
+	free := w.free()
+	w.domain.tree.set(w.leaf, free)
+	c.count(w, free)
+}
+
+// count replaces the worker's part in the sums of free capacity.
+func (c *cluster) count(w *worker, free model.Resources) {
+	c.free = c.free.Sub(w.counted).Add(free)
+	w.domain.free = w.domain.free.Sub(w.counted).Add(free)
+	w.counted = free
+}
+
+// grant makes a run hold capacity on its worker.
+func (c *cluster) grant(r *run) {
+	w := r.worker
+	c.runs[r.id] = r
+	w.granted = w.granted.Add(r.size)
+	r.posWorker = len(w.runs)
+	w.runs = append(w.runs, r)
+	c.refresh(w)
+}
+
+// revoke frees what a run holds.
+func (c *cluster) revoke(r *run) {
+	w := r.worker
+	delete(c.runs, r.id)
+	w.granted = w.granted.Sub(r.size)
+	w.used = w.used.Sub(r.used)
+	last := w.runs[len(w.runs)-1]
+	w.runs[r.posWorker] = last
+	last.posWorker = r.posWorker
+	w.runs[len(w.runs)-1] = nil
+	w.runs = w.runs[:len(w.runs)-1]
+	c.refresh(w)
+	c.noteFreed(w)
+}
+
+// noteFreed lists a worker on which a blocked class may fit now.
+func (c *cluster) noteFreed(w *worker) {
+	if !w.freed {
+		w.freed = true
+		c.freed = append(c.freed, w)
+	}
+}
+
+// slots returns how many tasks of the size fit into room.
+func slots(room, size model.Resources) int {
+	n := int64(maxTasks)
+	limit := func(have, need int64) {
+		if need > 0 {
+			n = min(n, max(have, 0)/need)
+		}
+	}
+	limit(room.MilliCPU, size.MilliCPU)
+	limit(room.MemoryMiB, size.MemoryMiB)
+	limit(room.Accelerators, size.Accelerators)
+	return int(n)
+}
+
+// places returns how many tasks of the size all known workers could hold if they were
+// empty, counting no further than enough.
+func (c *cluster) places(size model.Resources, enough int) int {
+	n := 0
+	for _, w := range c.ring {
+		if w.known {
+			n += slots(w.Capacity, size)
+		}
+		if n >= enough {
+			break
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/schedule/explain.go
@@ -0,0 +1,54 @@
+package schedule
+
+import "filbertcross/internal/model"
+
+// Explain says why the job waits: its class's reason, and how many workers each filter
+// turns down for its next task now. It looks at every worker.
+func (s *Scheduler) Explain(id model.JobID) (Explanation, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	e := Explanation{Job: id, Waiting: j.waiting, Running: len(j.runs), Done: j.done, Reason: s.reason(j)}
+	if j.waiting == 0 {
+		return e, true
+	}
+	counts := s.countFilters(j)
+	for f := filterNone + 1; f < filterCount; f++ {
+		if counts[f] > 0 {
+			e.Filters = append(e.Filters, Filter{Name: f.String(), Workers: counts[f]})
+		}
+	}
+	return e, true
+}
+
+// countFilters counts the workers by the filter that turns them down.
+func (s *Scheduler) countFilters(j *job) [filterCount]int {
+	var counts [filterCount]int
+	q := s.query(j)
+	for _, w := range s.cluster.ring {
+		counts[s.cluster.check(w, q)]++
+	}
+	return counts
+}
+
+// reason says in words what the job waits for.
+func (s *Scheduler) reason(j *job) string {
+	switch {
+	case j.canceled:
+		return "cancelled"
+	case j.fault != "":
+		return j.fault
+	case j.waiting == 0 && len(j.runs) > 0:
+		return "running"
+	case j.waiting == 0:
+		return "ended"
+	case s.cluster.now.Before(j.notBefore):
+		return "waits before the next start after failures"
+	case j.Kind == model.KindGang && len(j.runs) > 0:
+		return "waits until the gang's other tasks have stopped"
+	case j.class.state == classActive:
+		return "waits for its turn"
+	}
+	return j.class.why
+}
--- /dev/null
+++ b/internal/schedule/feasible.go
@@ -0,0 +1,175 @@
+package schedule
+
+import (
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// filter is a reason to turn a worker down.
+type filter int
+
+// The filters, in the order in which they are asked.
+const (
+	filterNone filter = iota
+	filterLeaving
+	filterUnreachable
+	filterQuarantined
+	filterTooSmall // its capacity is smaller than the task
+	filterFull     // its free capacity is smaller than the task
+	filterFailed   // the job failed there
+	filterSuspect  // it fails tasks and is given one after a pause only
+	filterReserved // the room is held for other work
+	filterCount
+)
+
+// String names the filter for operators.
+func (f filter) String() string {
+	names := [...]string{"none", "leaving", "unreachable", "quarantined", "too-small",
+		"full", "job-failed-here", "suspect", "reserved"}
+	return names[f]
+}
+
+// query is what a task asks of a worker.
+type query struct {
+	job   *job
+	class *class
+	size  model.Resources // to be granted
+	ends  time.Time       // expected; zero: a service, never
+}
+
+// endless is the expected end of a service.
+const endless = 100 * 365 * 24 * time.Hour
+
+// query describes the next task of the job.
+func (s *Scheduler) query(j *job) *query {
+	c := j.class
+	run := time.Duration(endless)
+	if c.key.kind != model.KindService {
+		run = c.estimate.runtime(j.Runtime, s.opts)
+	}
+	return &query{job: j, class: c, size: s.grantSize(c), ends: s.cluster.now.Add(run)}
+}
+
+// grantSize returns the size to grant to the class's tasks: what was learned, unless that
+// is larger than any worker or than the quota.
+func (s *Scheduler) grantSize(c *class) model.Resources {
+	size := c.estimate.grant(c.key.size, s.opts)
+	if size.Fits(c.key.size) {
+		return size
+	}
+	if !underQuota(size, c.branch.Quota) || s.cluster.places(size, 1) == 0 {
+		return c.key.size
+	}
+	return size
+}
+
+// check returns the filter that turns the worker down, or filterNone.
+func (c *cluster) check(w *worker, q *query) filter {
+	switch {
+	case !w.known || w.Unreachable:
+		return filterUnreachable
+	case w.Leaving:
+		return filterLeaving
+	case w.health.quarantined:
+		return filterQuarantined
+	case !q.size.Fits(w.Capacity):
+		return filterTooSmall
+	case !q.size.Fits(w.free()):
+		return filterFull
+	}
+	return c.checkSoft(w, q)
+}
+
+// checkSoft asks the filters that free capacity says nothing of.
+func (c *cluster) checkSoft(w *worker, q *query) filter {
+	switch {
+	case q.job.failedHere(w) && len(q.job.failedOn)*2 <= len(c.ring):
+		return filterFailed
+	case c.now.Before(w.health.suspectUntil):
+		return filterSuspect
+	case !w.roomBeside(q):
+		return filterReserved
+	}
+	return filterNone
+}
+
+// checkPlan asks the filters that matter for a worker on which room is to be made.
+func (c *cluster) checkPlan(w *worker, q *query) filter {
+	switch {
+	case q.job.failedHere(w):
+		return filterFailed
+	case c.now.Before(w.health.suspectUntil):
+		return filterSuspect
+	}
+	return filterNone
+}
+
+// roomBeside reports whether the task would leave alone what is held on the worker for
+// work that it does not outrank.
+func (w *worker) roomBeside(q *query) bool {
+	for _, h := range w.holds {
+		if h.yields(q) {
+			continue
+		}
+		if !q.size.Fits(h.spare) {
+			return false
+		}
+	}
+	return true
+}
+
+// yields reports whether the hold does not stand in the way of the task: it is its own,
+// the task goes before it, or is expected to end before it is needed.
+func (h *hold) yields(q *query) bool {
+	return h.class == q.class || q.class.level < h.class.level || q.ends.Before(h.from)
+}
+
+// Held lists the holds of the query's class.
+func (c *cluster) Held(q *query) []*hold { return q.class.holds }
+
+// Scan visits workers of the domain with room for the query, from a position of the index
+// on and wrapping, until visit returns false. It spends a bounded number of steps.
+func (c *cluster) Scan(d *domain, start int, q *query, visit func(*worker) bool) {
+	budget := scanBudget
+	if !d.walk(c, start, len(d.tree.workers), q, &budget, visit) {
+		return
+	}
+	d.walk(c, 0, start, q, &budget, visit)
+}
+
+// walk visits the leaves from start to end and reports whether to go on.
+func (d *domain) walk(c *cluster, start, end int, q *query, budget *int, visit func(*worker) bool) bool {
+	for pos := start; pos < end; pos++ {
+		pos = d.tree.next(pos, q.size, budget)
+		if pos < 0 || pos >= end {
+			return true
+		}
+		w := d.tree.workers[pos]
+		if c.checkSoft(w, q) == filterNone && !visit(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// neverFits says why no task of the class can ever run; empty: it can.
+func (s *Scheduler) neverFits(c *class) string {
+	need := max(c.key.tasks, 1)
+	switch {
+	case !c.branch.listed:
+		return "the branch is not in the configuration in force"
+	case !underQuota(times(c.key.size, need), c.branch.Quota):
+		return "the branch's quota is smaller than " + atOnce(need)
+	case s.cluster.places(c.key.size, need) < need:
+		return "the workers are too small for " + atOnce(need)
+	}
+	return ""
+}
+
+func atOnce(tasks int) string {
+	if tasks == 1 {
+		return "one task"
+	}
+	return "the gang"
+}
--- /dev/null
+++ b/internal/schedule/gang.go
@@ -0,0 +1,49 @@
+package schedule
+
+// gangPolicy places all tasks of a job or none: in one failure domain where they fit,
+// else over several.
+type gangPolicy struct{ batchPolicy }
+
+func (p *gangPolicy) together(j *job) int { return j.waiting }
+
+func (p *gangPolicy) place(view State, plan Planner, q *query) []*run {
+	if len(q.job.runs) > 0 {
+		return nil // what is left of an earlier start has to end first
+	}
+	if len(view.Held(q)) == 0 {
+		if runs := p.placeInOne(view, plan, q); runs != nil {
+			return runs
+		}
+	}
+	return p.all(plan, q, func() *worker { return p.pick(view, q) })
+}
+
+// placeInOne tries the failure domains that have enough free in sum.
+func (p *gangPolicy) placeInOne(view State, plan Planner, q *query) []*run {
+	need := q.job.waiting
+	for _, d := range view.Domains() {
+		if slots(d.free, q.size) < need {
+			continue
+		}
+		if runs := p.all(plan, q, func() *worker { return p.pickIn(view, d, q) }); runs != nil {
+			return runs
+		}
+	}
+	return nil
+}
+
+// all assumes every waiting task on the workers that pick gives, or none.
+func (p *gangPolicy) all(plan Planner, q *query, pick func() *worker) []*run {
+	runs := make([]*run, 0, q.job.waiting)
+	for q.job.waiting > 0 {
+		w := pick()
+		if w == nil {
+			for _, r := range runs {
+				plan.Undo(r)
+			}
+			return nil
+		}
+		runs = append(runs, plan.Assume(q.job, w, q.size))
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/schedule/index.go
@@ -0,0 +1,127 @@
+package schedule
+
+import "filbertcross/internal/model"
+
+// fanOut is the number of children of a tree node.
+const fanOut = 16
+
+// scanBudget bounds the nodes that one search of a tree looks at.
+const scanBudget = 512
+
+// unavailable is the leaf value of a worker that takes no new task.
+var unavailable = model.Resources{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1}
+
+// tree is a tournament tree over the workers of a failure domain: each inner node holds,
+// for each component, the largest free amount below it. A search passes over whole
+// subtrees that cannot hold the task, so that its cost grows with the logarithm of the
+// number of workers.
+type tree struct {
+	workers []*worker
+	vacant  []int
+	levels  [][]model.Resources // levels[0] are the leaves
+}
+
+// add gives the worker a leaf and returns its position.
+func (t *tree) add(w *worker) int {
+	if n := len(t.vacant); n > 0 {
+		pos := t.vacant[n-1]
+		t.vacant = t.vacant[:n-1]
+		t.workers[pos] = w
+		return pos
+	}
+	t.workers = append(t.workers, w)
+	t.grow(len(t.workers))
+	return len(t.workers) - 1
+}
+
+// remove vacates a leaf.
+func (t *tree) remove(pos int) {
+	t.set(pos, unavailable)
+	t.workers[pos] = nil
+	t.vacant = append(t.vacant, pos)
+}
+
+// grow extends every level to cover the given number of leaves.
+func (t *tree) grow(leaves int) {
+	width := leaves
+	for level := 0; ; level++ {
+		fresh := level == len(t.levels)
+		if fresh {
+			t.levels = append(t.levels, nil)
+		}
+		for len(t.levels[level]) < width {
+			t.levels[level] = append(t.levels[level], unavailable)
+		}
+		if fresh && level > 0 {
+			for pos := range t.levels[level] {
+				t.levels[level][pos] = t.largest(level-1, pos)
+			}
+		}
+		if width <= fanOut {
+			return
+		}
+		width = (width + fanOut - 1) / fanOut
+	}
+}
+
+// set changes a leaf's value and the nodes above it.
+func (t *tree) set(pos int, free model.Resources) {
+	t.levels[0][pos] = free
+	for level := 1; level < len(t.levels); level++ {
+		pos /= fanOut
+		value := t.largest(level-1, pos)
+		if t.levels[level][pos] == value {
+			return
+		}
+		t.levels[level][pos] = value
+	}
+}
+
+// largest returns the componentwise maximum of a node's children, which lie on level.
+func (t *tree) largest(level, parent int) model.Resources {
+	top := unavailable
+	end := min((parent+1)*fanOut, len(t.levels[level]))
+	for _, v := range t.levels[level][parent*fanOut : end] {
+		top.MilliCPU = max(top.MilliCPU, v.MilliCPU)
+		top.MemoryMiB = max(top.MemoryMiB, v.MemoryMiB)
+		top.Accelerators = max(top.Accelerators, v.Accelerators)
+	}
+	return top
+}
+
+// next returns the first leaf at or after pos with room for size, or -1. It spends at
+// most the budget, counted in nodes.
+func (t *tree) next(pos int, size model.Resources, budget *int) int {
+	level := 0
+	for pos < t.width(level) {
+		end := min((pos/fanOut+1)*fanOut, t.width(level))
+		for pos < end && !size.Fits(t.levels[level][pos]) {
+			pos++
+			*budget--
+		}
+		if *budget <= 0 {
+			return -1
+		}
+		switch {
+		case pos < end && level == 0:
+			return pos
+		case pos < end:
+			level--
+			pos *= fanOut
+		case level+1 == len(t.levels):
+			return -1
+		default:
+			level++
+			pos = (end + fanOut - 1) / fanOut
+		}
+		*budget--
+	}
+	return -1
+}
+
+func (t *tree) width(level int) int {
+	if level >= len(t.levels) {
+		return 0
+	}
+	return len(t.levels[level])
+}
--- /dev/null
+++ b/internal/schedule/machine_test.go
@@ -0,0 +1,287 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/proptest"
+)
+
+// epoch is the driven clock's start.
+var epoch = time.Date(2026, 9, 1, 6, 0, 0, 0, time.UTC)
+
+// machine drives a Scheduler with random events and keeps a simple oracle of its own: the
+// place of each task, the capacity of each worker and the tasks still to be done.
+type machine struct {
+	s       *Scheduler
+	now     time.Time
+	workers map[model.WorkerID]Worker
+	places  map[model.TaskID]Decision // what holds capacity, with its worker and size
+	started map[model.TaskID]bool     // confirmed
+	asked   map[model.TaskID]Action   // told to stop, with how
+	jobs    map[model.JobID]model.Job
+	off     map[model.JobID]bool // cancelled, or given up as its own fault
+	ended   map[model.TaskID]bool
+	serial  int
+}
+
+func newMachine() *machine {
+	m := &machine{
+		s: New(DefaultOptions(), rand.New(rand.NewPCG(1, 2))), now: epoch,
+		workers: map[model.WorkerID]Worker{}, places: map[model.TaskID]Decision{},
+		started: map[model.TaskID]bool{}, asked: map[model.TaskID]Action{},
+		jobs: map[model.JobID]model.Job{}, off: map[model.JobID]bool{}, ended: map[model.TaskID]bool{},
+	}
+	m.s.SetBranches(m.now, []model.Branch{{ID: "a", Share: 1}, {ID: "b", Share: 2}, {ID: "c", Share: 1}})
+	return m
+}
+
+// upsert adds or changes a worker; its shape follows from its number.
+func (m *machine) upsert(n int, leaving, unreachable bool) {
+	w := Worker{
+		ID: model.WorkerID(fmt.Sprint("w", n)), Rack: fmt.Sprint("r", n/2),
+		FailureDomain: model.FailureDomain(fmt.Sprint("d", n%3)), Leaving: leaving, Unreachable: unreachable,
+		Capacity: model.Resources{MilliCPU: 4000, MemoryMiB: 8000, Accelerators: int64(n % 2)},
+	}
+	m.workers[w.ID] = w
+	m.s.UpsertWorker(m.now, w)
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.serial++
+	j := model.Job{
+		ID:        model.JobID(fmt.Sprint("j", m.serial)),
+		Branch:    rapid.SampledFrom([]model.BranchID{"a", "b", "c"}).Draw(t, "branch"),
+		Kind:      rapid.SampledFrom([]model.Kind{model.KindBatch, model.KindService, model.KindGang}).Draw(t, "kind"),
+		Tier:      model.Tier(rapid.IntRange(0, int(model.TierCount)-1).Draw(t, "tier")),
+		Tasks:     rapid.IntRange(1, 6).Draw(t, "tasks"),
+		Size:      model.Resources{MilliCPU: 1000 * rapid.Int64Range(1, 5).Draw(t, "cpu"), MemoryMiB: 1000},
+		Runtime:   time.Minute,
+		Workload:  model.WorkloadID(fmt.Sprint("wl", rapid.IntRange(0, 3).Draw(t, "workload"))),
+		Submitted: m.now, Restartable: rapid.IntRange(0, 9).Draw(t, "restartable") > 0,
+	}
+	if rapid.Bool().Draw(t, "deadline") {
+		j.Deadline = m.now.Add(10 * time.Minute)
+	}
+	if status := m.s.Submit(m.now, j); status.Code == Invalid {
+		t.Fatalf("submit: %+v", status)
+	}
+	m.jobs[j.ID] = j
+}
+
+// granted sums what the oracle knows to hold capacity on a worker.
+func (m *machine) granted(id model.WorkerID) model.Resources {
+	var sum model.Resources
+	for _, d := range m.places {
+		if d.Worker == id {
+			sum = sum.Add(d.Size)
+		}
+	}
+	return sum
+}
+
+// decide takes decisions and checks each against the oracle.
+func (m *machine) decide(t *rapid.T, limit int) []Decision {
+	out := m.s.Decide(m.now, limit)
+	if len(out) > limit {
+		t.Fatalf("%d decisions, limit %d", len(out), limit)
+	}
+	for _, d := range out {
+		switch d.Action {
+		case ActionPlace, ActionProbe:
+			m.checkPlace(t, d)
+		case ActionPreempt, ActionStop, ActionMove:
+			m.checkStop(t, d)
+		case ActionThrottle:
+			if !m.started[d.Task] {
+				t.Fatalf("throttles %s, which does not run", d.Task)
+			}
+		}
+	}
+	return out
+}
+
+func (m *machine) checkPlace(t *rapid.T, d Decision) {
+	if at, ok := m.places[d.Task]; ok {
+		t.Fatalf("%s placed on %s while on %s", d.Task, d.Worker, at.Worker)
+	}
+	if m.ended[d.Task] || m.off[d.Job] {
+		t.Fatalf("%s placed after its end", d.Task)
+	}
+	w := m.workers[d.Worker]
+	if w.Leaving || w.Unreachable {
+		t.Fatalf("%s placed on %s, which takes nothing", d.Task, d.Worker)
+	}
+	if quarantined := slices.Contains(m.s.Quarantined(), d.Worker); quarantined != (d.Action == ActionProbe) {
+		t.Fatalf("action %d on %s, quarantined: %t", d.Action, d.Worker, quarantined)
+	}
+	m.places[d.Task] = d
+	if sum := m.granted(d.Worker); !sum.Fits(w.Capacity) {
+		t.Fatalf("%s grants %s of %s", d.Worker, sum, w.Capacity)
+	}
+}
+
+func (m *machine) checkStop(t *rapid.T, d Decision) {
+	if !m.started[d.Task] {
+		t.Fatalf("action %d for %s, which does not run", d.Action, d.Task)
+	}
+	if before, ok := m.asked[d.Task]; ok && (before == ActionStop || d.Action != ActionStop) {
+		t.Fatalf("action %d for %s after action %d", d.Action, d.Task, before)
+	}
+	j := m.jobs[d.Job]
+	if d.Action != ActionStop && !j.Restartable && j.Kind != model.KindGang {
+		t.Fatalf("stops %s, which cannot be run again", d.Task)
+	}
+	if d.Action == ActionPreempt && d.Beneficiary != "" && j.Tier == model.TierUrgent {
+		t.Fatalf("preempts urgent %s", d.Task)
+	}
+	m.asked[d.Task] = d.Action
+}
+
+// settleAll confirms or forgets what was placed; a gang's tasks go together.
+func (m *machine) answer(t *rapid.T, out []Decision) {
+	forget := map[int64]bool{}
+	for _, d := range out {
+		if d.Action != ActionPlace && d.Action != ActionProbe {
+			continue
+		}
+		drop, known := forget[d.Group]
+		if d.Group == 0 || !known {
+			drop = rapid.IntRange(0, 4).Draw(t, "forget") == 0
+			forget[d.Group] = drop
+		}
+		if drop {
+			m.s.Forget(m.now, d.Task)
+			delete(m.places, d.Task)
+			continue
+		}
+		m.s.Confirm(m.now, d.Task)
+		m.started[d.Task] = true
+	}
+}
+
+// finish ends a run and follows what the contract says of its task.
+func (m *machine) finish(id model.TaskID, outcome model.Outcome) {
+	j := m.jobs[m.places[id].Job]
+	if outcome == model.OutcomeDone || outcome == model.OutcomeCanceled || m.off[j.ID] ||
+		outcome != model.OutcomeNotStart && !j.Restartable {
+		m.ended[id] = true
+	}
+	delete(m.places, id)
+	delete(m.started, id)
+	delete(m.asked, id)
+	m.s.Finish(m.now, id, outcome)
+}
+
+// running lists the confirmed tasks in order.
+func (m *machine) running() []model.TaskID {
+	ids := make([]model.TaskID, 0, len(m.started))
+	for id := range m.started {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// obey ends the runs that the scheduler asked to stop.
+func (m *machine) obey() {
+	for _, id := range m.running() {
+		switch action, ok := m.asked[id]; {
+		case !ok:
+		case action == ActionStop:
+			m.finish(id, model.OutcomeCanceled)
+		default:
+			m.finish(id, model.OutcomePreempted)
+		}
+	}
+}
+
+func (m *machine) step(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second)
+	pick := func() model.TaskID {
+		if ids := m.running(); len(ids) > 0 {
+			return rapid.SampledFrom(ids).Draw(t, "task")
+		}
+		return ""
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0, 1:
+		m.submit(t)
+	case 2:
+		m.upsert(rapid.IntRange(0, 7).Draw(t, "worker"), rapid.Bool().Draw(t, "leaving"), rapid.Bool().Draw(t, "unreachable"))
+	case 3:
+		m.upsert(rapid.IntRange(0, 7).Draw(t, "worker"), false, false)
+	case 4:
+		if len(m.jobs) > 0 {
+			id := model.JobID(fmt.Sprint("j", rapid.IntRange(1, m.serial).Draw(t, "job")))
+			m.s.Cancel(m.now, id)
+			m.off[id] = true
+		}
+	case 5:
+		if id := pick(); id != "" {
+			m.finish(id, model.Outcome(rapid.IntRange(0, int(model.OutcomeNotStart)).Draw(t, "outcome")))
+		}
+	case 6:
+		m.obey()
+	case 7:
+		if id := pick(); id != "" {
+			used := model.Resources{
+				MilliCPU:  rapid.Int64Range(0, 8000).Draw(t, "used cpu"),
+				MemoryMiB: rapid.Int64Range(0, 8000).Draw(t, "used memory"),
+			}
+			m.s.Observe(m.now, Usage{Task: id, Worker: m.places[id].Worker, Used: used, Ran: time.Minute})
+		}
+	default:
+		m.answer(t, m.decide(t, rapid.IntRange(1, 20).Draw(t, "limit")))
+	}
+	proptest.Step()
+	if err := m.s.CheckInvariants(); err != nil {
+		t.Fatalf("invariant: %v", err)
+	}
+}
+
+// drain lets everything that can run end well, and checks that no task was lost.
+func (m *machine) drain(t *rapid.T) {
+	for n := range 8 {
+		m.upsert(n, false, false)
+	}
+	for range 400 {
+		m.now = m.now.Add(20 * time.Second)
+		for _, d := range m.decide(t, 100) {
+			if d.Action == ActionPlace || d.Action == ActionProbe {
+				m.s.Confirm(m.now, d.Task)
+				m.started[d.Task] = true
+			}
+		}
+		m.obey()
+		for _, id := range m.running() {
+			m.finish(id, model.OutcomeDone)
+		}
+	}
+	for id, j := range m.jobs {
+		e, ok := m.s.Explain(id)
+		if m.off[id] || !ok || e.Waiting == 0 || m.s.jobs[id].class.state == classParked {
+			continue
+		}
+		t.Fatalf("job %s of %+v never ends: %+v", id, j, e)
+	}
+}
+
+func TestDecisionsAgainstOracle(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		for n := range 4 {
+			m.upsert(n, false, false)
+		}
+		for range rapid.IntRange(10, 150).Draw(t, "steps") {
+			m.step(t)
+		}
+		m.drain(t)
+	})
+}
--- /dev/null
+++ b/internal/schedule/quarantine.go
@@ -0,0 +1,294 @@
+package schedule
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+const (
+	suspectJobs       = 2           // distinct jobs that failed on a worker in a row make it suspect
+	suspectBackoff    = time.Second // first pause before a suspect worker gets a task; doubles
+	suspectBackoffMax = time.Minute
+	suspectShiftMax   = 10
+	probeClasses      = 16 // classes looked at for a probe task
+	healthJobs        = 8  // failed jobs remembered for a worker
+)
+
+// health is what a worker's runs tell of it. A worker is suspect once distinct jobs fail
+// on it in a row, and gets one task after a pause then; it is quarantined once enough of
+// these jobs succeeded elsewhere. Then it gets nothing but a probe task after a back-off,
+// and is released by the probe's success.
+type health struct {
+	failed       []failure // distinct jobs since the last success
+	suspect      bool      // counted in Scheduler.suspects
+	suspectUntil time.Time // takes no task before
+	quarantined  bool
+	probing      bool
+	probeAt      time.Time
+	backoff      time.Duration
+}
+
+// failure is a job that failed on a worker.
+type failure struct {
+	job       model.JobID
+	elsewhere bool // it succeeded on another worker
+}
+
+// judge learns from the outcome of a run about its worker, job and workload.
+func (s *Scheduler) judge(r *run, outcome model.Outcome) {
+	switch outcome {
+	case model.OutcomeDone:
+		r.job.class.estimate.finished(s.cluster.now.Sub(r.started))
+		s.succeeded(r)
+	case model.OutcomeFailed:
+		s.failed(r)
+	}
+	if r.probe {
+		s.probeEnded(r.worker)
+	}
+}
+
+// succeeded notes a success: for the worker, and against the others on which the job
+// failed.
+func (s *Scheduler) succeeded(r *run) {
+	j, w := r.job, r.worker
+	r.healthy = true
+	j.crashes = 0
+	j.class.estimate.failedOn = nil
+	if len(j.succeeded) < 2 && !slices.Contains(j.succeeded, w) {
+		j.succeeded = append(j.succeeded, w)
+	}
+	if r.probe || !w.health.quarantined {
+		s.clearHealth(w)
+	}
+	for _, other := range j.failedOn {
+		if other != w {
+			s.convict(other, j.ID)
+		}
+	}
+}
+
+// convict notes that a job which failed on the worker succeeded elsewhere.
+func (s *Scheduler) convict(w *worker, id model.JobID) {
+	for pos := range w.health.failed {
+		if w.health.failed[pos].job == id {
+			w.health.failed[pos].elsewhere = true
+		}
+	}
+	s.considerQuarantine(w)
+}
+
+// failed notes a failure. It says nothing of the worker if the job or its workload fails
+// on several workers without a success.
+func (s *Scheduler) failed(r *run) {
+	j, w := r.job, r.worker
+	if !j.failedHere(w) {
+		j.failedOn = append(j.failedOn, w)
+	}
+	e := j.class.estimate
+	if !slices.Contains(e.failedOn, w.ID) && len(e.failedOn) < s.opts.JobFaultWorkers {
+		e.failedOn = append(e.failedOn, w.ID)
+	}
+	if r.probe {
+		w.health.backoff = min(2*w.health.backoff, s.opts.ProbeBackoffMax)
+		return
+	}
+	elsewhere := slices.ContainsFunc(j.succeeded, func(o *worker) bool { return o != w })
+	if len(e.failedOn) >= s.opts.JobFaultWorkers && !elsewhere {
+		return
+	}
+	s.suspect(w, j.ID, elsewhere)
+	s.considerQuarantine(w)
+}
+
+// suspect adds a failed job to what the worker is held for.
+func (s *Scheduler) suspect(w *worker, id model.JobID, elsewhere bool) {
+	h := &w.health
+	known := slices.ContainsFunc(h.failed, func(f failure) bool { return f.job == id })
+	if !known && len(h.failed) < healthJobs {
+		h.failed = append(h.failed, failure{id, elsewhere})
+	}
+	if len(h.failed) < suspectJobs {
+		return
+	}
+	if !h.suspect && s.suspects >= s.atMostOut() {
+		return
+	}
+	if !h.suspect {
+		h.suspect = true
+		s.suspects++
+	}
+	shift := min(len(h.failed)-suspectJobs, suspectShiftMax)
+	pause := min(suspectBackoff<<shift, suspectBackoffMax)
+	h.suspectUntil = s.cluster.now.Add(pause)
+	heap.Push(&s.queue.timers, timer{at: h.suspectUntil, worker: w})
+}
+
+// atMostOut is how many workers may be in quarantine at once, at least one.
+func (s *Scheduler) atMostOut() int {
+	return max(int(s.opts.QuarantineFraction*float64(len(s.cluster.ring))), 1)
+}
+
+// considerQuarantine quarantines the worker if enough jobs that failed on it succeeded
+// elsewhere.
+func (s *Scheduler) considerQuarantine(w *worker) {
+	h := &w.health
+	count := 0
+	for _, f := range h.failed {
+		if f.elsewhere {
+			count++
+		}
+	}
+	if h.quarantined || w.removed || count < s.opts.QuarantineJobs || len(s.quarantined) >= s.atMostOut() {
+		return
+	}
+	h.quarantined = true
+	h.backoff = s.opts.ProbeBackoff
+	h.probeAt = s.cluster.now.Add(h.backoff)
+	s.quarantined = append(s.quarantined, w)
+	s.stats.Quarantines++
+	s.cluster.refresh(w)
+}
+
+// clearHealth forgets what the worker was held for, and releases it.
+func (s *Scheduler) clearHealth(w *worker) {
+	h := &w.health
+	if h.suspect {
+		s.suspects--
+	}
+	if h.quarantined {
+		s.quarantined = without(s.quarantined, w)
+		s.cluster.changed = true
+	}
+	*h = health{}
+	s.cluster.refresh(w)
+}
+
+// probeEnded lets a still quarantined worker be probed again after its back-off.
+func (s *Scheduler) probeEnded(w *worker) {
+	if !w.health.quarantined {
+		return
+	}
+	w.health.probing = false
+	w.health.probeAt = s.cluster.now.Add(w.health.backoff)
+}
+
+// Quarantined lists the workers in quarantine.
+func (s *Scheduler) Quarantined() []model.WorkerID {
+	ids := make([]model.WorkerID, 0, len(s.quarantined))
+	for _, w := range s.quarantined {
+		ids = append(ids, w.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// probe starts a task on each quarantined worker whose back-off is over.
+func (s *Scheduler) probe() {
+	for _, w := range s.quarantined {
+		if len(s.out) >= s.limit {
+			return
+		}
+		h := &w.health
+		if h.probing || s.cluster.now.Before(h.probeAt) || w.Leaving || w.Unreachable || !w.known {
+			continue
+		}
+		if c := s.probeClass(w); c != nil {
+			s.startProbe(c, w)
+		}
+	}
+}
+
+// probeClass finds work that may be risked on the worker: batch that can be run again and
+// is not urgent, the least pressing first.
+func (s *Scheduler) probeClass(w *worker) *class {
+	left := probeClasses
+	fits := func(c *class) bool {
+		left--
+		j := c.head()
+		if j == nil || c.key.kind != model.KindBatch || c.key.tier == model.TierUrgent || c.level == levelLate {
+			return false
+		}
+		size := s.grantSize(c)
+		return j.Restartable && !j.failedHere(w) && size.Fits(w.free()) && c.branch.withinQuota(size)
+	}
+	for l := levelLow; l >= levelHigh; l-- {
+		for _, b := range s.queue.active[l] {
+			if c := b.queues[l][0]; left > 0 && fits(c) {
+				return c
+			}
+		}
+	}
+	for _, c := range s.queue.blocked {
+		if left > 0 && fits(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// startProbe starts the first job's next task on a quarantined worker.
+func (s *Scheduler) startProbe(c *class, w *worker) {
+	r := s.Assume(c.head(), w, s.grantSize(c))
+	r.probe = true
+	w.health.probing = true
+	s.stats.Probes++
+	s.give(r.decision(ActionProbe, 0, "probe of a quarantined worker"))
+	s.settle(c)
+}
+
+// retriesSpent counts a failed run against its task and reports whether to give the task
+// up. Failures on suspect and quarantined workers are not the task's. A service is
+// started again after a back-off however often it fails.
+func (s *Scheduler) retriesSpent(r *run) bool {
+	j := r.job
+	if j.Kind == model.KindService {
+		s.backOff(j)
+		return false
+	}
+	if s.ownFault(j) {
+		s.blame(j, "failed on several workers and succeeded on none")
+		return true
+	}
+	if r.worker.health.suspect || r.worker.health.quarantined {
+		return false
+	}
+	return j.fail(r.index) >= s.opts.TaskFailures
+}
+
+// ownFault reports whether the job failed on several workers that others succeed on.
+func (s *Scheduler) ownFault(j *job) bool {
+	if len(j.succeeded) > 0 {
+		return false
+	}
+	count := 0
+	for _, w := range j.failedOn {
+		if !w.health.quarantined && !w.health.suspect {
+			count++
+		}
+	}
+	return count >= min(s.opts.JobFaultWorkers, len(s.cluster.ring))
+}
+
+// blame ends the retries of a job for good.
+func (s *Scheduler) blame(j *job, why string) {
+	j.fault = why
+	s.stats.GivenUp += int64(j.waiting)
+	s.dropWaiting(j)
+	for _, r := range j.runs {
+		s.review(r)
+	}
+}
+
+// backOff has a failing service wait before its next start.
+func (s *Scheduler) backOff(j *job) {
+	pause := min(s.opts.RestartBackoff<<min(j.crashes, suspectShiftMax), s.opts.RestartBackoffMax)
+	j.crashes++
+	j.notBefore = s.cluster.now.Add(pause)
+	if j.heapPos >= 0 {
+		s.dequeue(j)
+	}
+}
--- /dev/null
+++ b/internal/schedule/reserve.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+const (
+	reserveSample  = 64          // workers looked at for a reservation, and four for each task
+	reserveGrace   = time.Minute // a reservation outlives its expected start so long
+	overdueDivisor = 10          // a run past its expected end is taken to need a tenth more
+)
+
+// slot is room for one task on a worker from a time on.
+type slot struct {
+	at     time.Time
+	worker *worker
+}
+
+// reserve keeps workers for the first job of a class that cannot start: a gang at once,
+// other work when it is starved or about to be late. Other tasks go there only if they are
+// expected to end before, fit beside it, or go before it by level.
+func (s *Scheduler) reserve(q *query, need int) {
+	c := q.class
+	if len(c.holds) > 0 || !s.deservesReservation(q) || !s.reservationFree(c) {
+		return
+	}
+	chosen := s.earliestSlots(q, need)
+	if len(chosen) < need {
+		return
+	}
+	at := chosen[len(chosen)-1].at
+	counts := map[*worker]int{}
+	for _, sl := range chosen {
+		counts[sl.worker]++
+	}
+	for _, sl := range chosen {
+		if n := counts[sl.worker]; n > 0 {
+			s.addHold(s.reservation(q, sl.worker, n, at))
+			counts[sl.worker] = 0
+		}
+	}
+	s.stats.Reservations++
+}
+
+// reservation returns the hold for n tasks on a worker.
+func (s *Scheduler) reservation(q *query, w *worker, n int, at time.Time) *hold {
+	size := times(q.size, n)
+	room := w.free()
+	for _, r := range w.runs {
+		if !s.expectedEnd(r).After(at) {
+			room = room.Add(r.size)
+		}
+	}
+	return &hold{
+		class: q.class, worker: w, size: size, tasks: n, spare: room.Sub(size), from: at,
+		expires: at.Add(reserveGrace), reserved: true,
+	}
+}
+
+func (s *Scheduler) deservesReservation(q *query) bool {
+	c := q.class
+	waited := s.cluster.now.Sub(q.job.Submitted)
+	starved := waited >= s.opts.StarvedAfter
+	if c.key.kind == model.KindGang {
+		return starved || !s.overShare(c.branch)
+	}
+	return starved || c.level == levelLate
+}
+
+// reservationFree reports whether the class may have a reservation, taking away that of
+// the class with the highest level if all are given and that goes after it.
+func (s *Scheduler) reservationFree(c *class) bool {
+	count := 0
+	var last *class
+	for _, other := range s.holders {
+		if !other.holds[0].reserved {
+			continue
+		}
+		count++
+		if last == nil || other.level > last.level {
+			last = other
+		}
+	}
+	if count < s.opts.Reservations {
+		return true
+	}
+	if last == nil || last.level <= c.level {
+		return false
+	}
+	s.dropHolds(last)
+	return true
+}
+
+// earliestSlots returns the need earliest slots on a sample of the workers, or fewer.
+func (s *Scheduler) earliestSlots(q *query, need int) []slot {
+	ring := s.cluster.ring
+	var all []slot
+	for range min(len(ring), reserveSample+4*need) {
+		s.cluster.cursor = (s.cluster.cursor + 1) % len(ring)
+		all = append(all, s.slotsOn(ring[s.cluster.cursor], q, need)...)
+	}
+	slices.SortStableFunc(all, func(a, b slot) int { return a.at.Compare(b.at) })
+	return all[:min(need, len(all))]
+}
+
+// slotsOn returns when the worker will have room for up to need tasks.
+func (s *Scheduler) slotsOn(w *worker, q *query, need int) []slot {
+	if !w.open() || !q.size.Fits(w.Capacity) || len(w.holds) > 0 || q.job.failedHere(w) {
+		return nil
+	}
+	ends := slices.Clone(w.runs)
+	slices.SortFunc(ends, func(a, b *run) int {
+		return cmp.Or(s.expectedEnd(a).Compare(s.expectedEnd(b)), cmp.Compare(a.id, b.id))
+	})
+	room, at := w.free(), s.cluster.now
+	var found []slot
+	for pos := 0; len(found) < need; pos++ {
+		for n := slots(room, q.size); len(found) < min(n, need); {
+			found = append(found, slot{at, w})
+		}
+		if pos == len(ends) || s.neverEnds(ends[pos]) {
+			break
+		}
+		room = room.Add(ends[pos].size)
+		at = s.expectedEnd(ends[pos])
+	}
+	return found
+}
+
+func (s *Scheduler) neverEnds(r *run) bool {
+	return r.stop == stopNone && (r.job == nil || r.job.Kind == model.KindService)
+}
+
+// expectedEnd returns when the run is expected to free its capacity.
+func (s *Scheduler) expectedEnd(r *run) time.Time {
+	now := s.cluster.now
+	if r.stop != stopNone {
+		return now
+	}
+	if s.neverEnds(r) {
+		return now.Add(endless)
+	}
+	length := r.job.class.estimate.runtime(r.job.Runtime, s.opts)
+	end := r.started.Add(length)
+	if end.Before(now) {
+		return now.Add(length / overdueDivisor)
+	}
+	return end
+}
--- /dev/null
+++ b/internal/schedule/scheduler.go
@@ -0,0 +1,474 @@
+package schedule
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// Scheduler is the Decider of a partition. The path of a task: Submit puts its job into a
+// class of the queue; Decide picks classes in order, has the class's policy choose workers
+// among those that pass the filters, and assumes the placement; Confirm or Forget ends the
+// assumption; Finish frees the capacity. It is used by one goroutine at a time.
+type Scheduler struct {
+	opts    Options
+	rng     *rand.Rand
+	cluster cluster
+	queue   queue
+
+	branches     map[model.BranchID]*branch
+	jobs         map[model.JobID]*job
+	ended        []model.JobID // the oldest first; bounded by Options.EndedJobs
+	estimates    map[workloadKey]*estimate
+	seq          int64
+	group        int64
+	turn         int // placements since the last ageing turn
+	waiting      int // tasks
+	running      int // tasks that hold capacity
+	activeWeight float64
+
+	orders      []*run // those that Decide has to look at; see wanted
+	pending     []Decision
+	holders     []*class // classes with holds
+	quarantined []*worker
+	suspects    int
+	leaving     []*worker
+	released    []*branch // usage fell since the last Decide
+	stats       Stats
+
+	out   []Decision // of the Decide call that is being served
+	limit int
+	tries int // attempts at preemption in this call
+}
+
+// workloadKey names a workload of a branch.
+type workloadKey struct {
+	branch   model.BranchID
+	workload model.WorkloadID
+}
+
+// Stats counts what the scheduler did since New.
+type Stats struct {
+	Placed       int64
+	Preempted    int64
+	Moved        int64
+	Throttled    int64
+	Probes       int64
+	Attempts     int64 // classes that Decide tried to place
+	Quarantines  int64
+	GivenUp      int64 // tasks whose retries ended
+	Reservations int64
+}
+
+// Summary is the sums that a digest carries.
+type Summary struct {
+	Free    model.Resources // on workers that take new tasks
+	Waiting int             // tasks
+	Running int             // tasks that hold capacity, also assumed ones
+}
+
+var _ Decider = (*Scheduler)(nil)
+
+// New returns a scheduler without workers, branches and jobs. The random source is used
+// by the goroutine that calls the scheduler.
+func New(opts Options, rng *rand.Rand) *Scheduler {
+	return &Scheduler{
+		opts:      opts,
+		rng:       rng,
+		cluster:   newCluster(),
+		queue:     newQueue(),
+		branches:  map[model.BranchID]*branch{},
+		jobs:      map[model.JobID]*job{},
+		estimates: map[workloadKey]*estimate{},
+	}
+}
+
+// Summary returns the sums over the partition in constant time.
+func (s *Scheduler) Summary() Summary {
+	return Summary{Free: s.cluster.free, Waiting: s.waiting, Running: s.running}
+}
+
+// Stats returns the counts since New.
+func (s *Scheduler) Stats() Stats { return s.stats }
+
+// advance moves the clock; it never goes back.
+func (s *Scheduler) advance(now time.Time) {
+	if now.After(s.cluster.now) {
+		s.cluster.now = now
+	}
+}
+
+// SetBranches replaces the branches' shares and quotas. A branch that is gone keeps its
+// running tasks; its waiting jobs are parked.
+func (s *Scheduler) SetBranches(now time.Time, branches []model.Branch) {
+	s.advance(now)
+	for _, b := range s.branches {
+		b.listed = false
+	}
+	for _, m := range branches {
+		b := s.branch(m.ID)
+		b.Branch, b.listed = m, true
+	}
+	s.activeWeight = 0
+	for _, b := range s.branches {
+		if b.waiting+b.running > 0 {
+			s.activeWeight += b.weight()
+		}
+	}
+	for _, c := range s.queue.classes {
+		if c.state != classIdle && c.state != classParked {
+			s.parkUnfit(c)
+		}
+	}
+	s.cluster.changed = true
+}
+
+// branch finds or adds a branch.
+func (s *Scheduler) branch(id model.BranchID) *branch {
+	b := s.branches[id]
+	if b == nil {
+		b = &branch{Branch: model.Branch{ID: id}}
+		s.branches[id] = b
+	}
+	return b
+}
+
+// UpsertWorker adds a worker or changes its state.
+func (s *Scheduler) UpsertWorker(now time.Time, w Worker) {
+	s.advance(now)
+	s.noteLeaving(s.cluster.update(w.ID, w))
+}
+
+// RemoveWorker forgets a worker. One on which tasks hold capacity takes nothing new and is
+// forgotten with the last of them.
+func (s *Scheduler) RemoveWorker(now time.Time, id model.WorkerID) {
+	s.advance(now)
+	w := s.cluster.workers[id]
+	if w == nil {
+		return
+	}
+	if len(w.runs) > 0 {
+		w.Unreachable, w.removed = true, true
+		s.cluster.refresh(w)
+		return
+	}
+	s.forgetWorker(w)
+}
+
+func (s *Scheduler) forgetWorker(w *worker) {
+	s.dropWorkerHolds(w)
+	s.clearHealth(w)
+	s.cluster.remove(w)
+}
+
+// Submit queues the job's tasks. A job that is known already is accepted again without
+// effect.
+func (s *Scheduler) Submit(now time.Time, m model.Job) Status {
+	s.advance(now)
+	if s.jobs[m.ID] != nil {
+		return Status{Code: Accepted}
+	}
+	if reason := invalid(m); reason != "" {
+		return Status{Code: Invalid, Reason: reason}
+	}
+	s.seq++
+	j := newJob(m, s.seq)
+	j.branch = s.branch(m.Branch)
+	j.class = s.class(j)
+	j.due = s.dueTime(j)
+	s.jobs[m.ID] = j
+	j.class.jobCount++
+	s.note(j, j.waiting, 0)
+	s.attachOrphans(j)
+	s.enqueue(j)
+	return s.admission(j.class)
+}
+
+// admission is the status of a submission to the class.
+func (s *Scheduler) admission(c *class) Status {
+	s.parkUnfit(c)
+	switch {
+	case c.state == classParked:
+		return Status{Code: NeverFits, Reason: c.why}
+	case s.cluster.free.IsZero():
+		return Status{Code: Unschedulable, Reason: "no worker has free capacity"}
+	}
+	return Status{Code: Accepted}
+}
+
+// invalid says what is wrong with the job itself; empty: nothing.
+func invalid(m model.Job) string {
+	switch {
+	case m.ID == "":
+		return "the job has no id"
+	case m.Kind != model.KindService && m.Kind != model.KindBatch && m.Kind != model.KindGang:
+		return "jobs of kind " + string(m.Kind) + " are not placed"
+	case m.Tier < model.TierUrgent || m.Tier >= model.TierCount:
+		return "the tier is unknown"
+	case m.Tasks < 1 || m.Tasks > maxTasks:
+		return "the number of tasks is out of range"
+	case m.Size.IsZero() || m.Size.Negative():
+		return "the size of a task is zero or negative"
+	}
+	return ""
+}
+
+// class finds or adds the job's class.
+func (s *Scheduler) class(j *job) *class {
+	key := classKey{
+		branch: j.Branch, workload: j.Workload, kind: j.Kind, tier: j.Tier,
+		deadline: !j.Deadline.IsZero(), size: j.Size,
+	}
+	if j.Kind == model.KindGang {
+		key.tasks = j.Tasks
+	}
+	c := s.queue.classes[key]
+	if c == nil {
+		c = &class{key: key, branch: j.branch, estimate: s.estimate(j), policy: policyOf(j.Kind, s)}
+		s.queue.classes[key] = c
+	}
+	return c
+}
+
+// estimate finds or adds what is learned of the job's workload.
+func (s *Scheduler) estimate(j *job) *estimate {
+	key := workloadKey{j.Branch, j.Workload}
+	e := s.estimates[key]
+	if e == nil {
+		e = &estimate{}
+		s.estimates[key] = e
+	}
+	return e
+}
+
+// enqueue puts the job into its class's heap if a task of it may be placed.
+func (s *Scheduler) enqueue(j *job) {
+	if j.waiting == 0 || j.closed() || j.heapPos >= 0 {
+		return
+	}
+	if j.Kind == model.KindGang && len(j.runs) > 0 {
+		return // all of its tasks have to wait before any is placed
+	}
+	if s.cluster.now.Before(j.notBefore) {
+		heap.Push(&s.queue.timers, timer{at: j.notBefore, job: j})
+		return
+	}
+	j.notBefore = time.Time{}
+	heap.Push(&j.class.jobs, j)
+	s.settle(j.class)
+}
+
+// settle brings the class's place in the queue up to date with its first job.
+func (s *Scheduler) settle(c *class) {
+	j := c.head()
+	if j == nil {
+		s.queue.withdraw(c)
+		s.dropHolds(c)
+		return
+	}
+	to, next := s.levelAt(j)
+	s.queue.setTimer(c, next)
+	same := c.seq == j.seq && c.due.Equal(j.due)
+	if c.state == classParked || same && c.state != classIdle && c.level == to {
+		return
+	}
+	if same && c.state == classBlocked {
+		c.level = to
+		return
+	}
+	s.queue.activate(c, to, j)
+}
+
+// Cancel removes a job's waiting tasks in constant time; its running ones come as
+// ActionStop from Decide.
+func (s *Scheduler) Cancel(now time.Time, id model.JobID) {
+	s.advance(now)
+	j := s.jobs[id]
+	if j == nil || j.canceled {
+		return
+	}
+	j.canceled = true
+	s.dropWaiting(j)
+	for _, r := range j.runs {
+		s.review(r)
+	}
+	s.retire(j)
+}
+
+// dropWaiting ends the job's waiting tasks.
+func (s *Scheduler) dropWaiting(j *job) {
+	s.note(j, -j.waiting, 0)
+	j.dropWaiting()
+	if j.class.waiting == 0 {
+		j.class.clear()
+	}
+	if j.heapPos <= 0 {
+		s.settle(j.class)
+	}
+}
+
+// Decide returns at most limit new decisions. A gang that is larger than limit comes over
+// several calls, the rest of it first in the next one.
+func (s *Scheduler) Decide(now time.Time, limit int) []Decision {
+	s.advance(now)
+	s.out, s.limit, s.tries = nil, limit, 0
+	s.flushPending()
+	s.runTimers()
+	s.expireHolds()
+	s.unblock()
+	s.drainWorkers()
+	s.emitOrders((limit + 1) / 2)
+	s.probe()
+	s.placeAll()
+	s.emitOrders(limit)
+	return s.take()
+}
+
+// placeAll places classes in order until nothing is left that may fit, the limit is
+// reached or too many classes failed.
+func (s *Scheduler) placeAll() {
+	for failed := 0; len(s.out) < s.limit && failed < s.opts.FailedClasses; {
+		c := s.pick()
+		if c == nil {
+			return
+		}
+		s.stats.Attempts++
+		if !s.serve(c) {
+			failed++
+		}
+	}
+}
+
+// serve places the next tasks of the class's first job and reports whether it could. A
+// class that could not is blocked, deferred or parked.
+func (s *Scheduler) serve(c *class) bool {
+	j := c.head()
+	if j == nil {
+		s.settle(c)
+		return true
+	}
+	q := s.query(j)
+	need := c.policy.together(j)
+	if !c.branch.withinQuota(times(q.size, need)) {
+		s.blockByQuota(c)
+		return false
+	}
+	if runs := c.policy.place(&s.cluster, s, q); runs != nil {
+		s.commit(c, q, runs)
+		return true
+	}
+	if s.preempt(q, need) {
+		return true
+	}
+	s.reserve(q, need)
+	s.block(c, j)
+	return false
+}
+
+// commit turns assumed runs into decisions.
+func (s *Scheduler) commit(c *class, q *query, runs []*run) {
+	group := int64(0)
+	if c.key.kind == model.KindGang {
+		s.group++
+		group = s.group
+	}
+	for _, r := range runs {
+		s.useHold(c, r)
+		s.chargeHolds(q, r)
+		s.give(r.decision(ActionPlace, group, ""))
+	}
+	s.stats.Placed += int64(len(runs))
+	s.turn++
+	s.settle(c)
+}
+
+// give adds a decision to the call's result, or keeps it for the next call.
+func (s *Scheduler) give(d Decision) {
+	if len(s.out) < s.limit {
+		s.out = append(s.out, d)
+		return
+	}
+	s.pending = append(s.pending, d)
+}
+
+// flushPending gives what the last call had no room for.
+func (s *Scheduler) flushPending() {
+	n := min(len(s.pending), s.limit)
+	s.out = append(s.out, s.pending[:n]...)
+	s.pending = s.pending[n:]
+}
+
+// take returns the call's result.
+func (s *Scheduler) take() []Decision {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Assume takes a waiting task of the job and grants it the size on the worker.
+func (s *Scheduler) Assume(j *job, w *worker, size model.Resources) *run {
+	index := j.take()
+	s.note(j, -1, 0)
+	r := &run{
+		id: j.taskID(index), jobID: j.ID, job: j, index: index, worker: w, size: size,
+		started: s.cluster.now,
+	}
+	mustFit(w, size)
+	s.hold(r)
+	return r
+}
+
+// Undo takes an assumed run back in the same decision.
+func (s *Scheduler) Undo(r *run) {
+	s.free(r)
+	r.job.giveBack(r.index)
+	s.note(r.job, 1, 0)
+}
+
+// hold makes a run hold capacity, in its worker, job and branch.
+func (s *Scheduler) hold(r *run) {
+	mustBeNew(&s.cluster, r)
+	s.cluster.grant(r)
+	if r.job == nil {
+		s.running++
+		return
+	}
+	s.join(r)
+}
+
+// join adds a run to its job and branch.
+func (s *Scheduler) join(r *run) {
+	j := r.job
+	r.posJob = len(j.runs)
+	j.runs = append(j.runs, r)
+	j.branch.usage = j.branch.usage.Add(r.size)
+	j.spread(r.worker, 1)
+	s.note(j, 0, 1)
+}
+
+// free takes a run's capacity back everywhere.
+func (s *Scheduler) free(r *run) {
+	s.cluster.revoke(r)
+	j := r.job
+	if j == nil {
+		s.running--
+		return
+	}
+	last := j.runs[len(j.runs)-1]
+	j.runs[r.posJob] = last
+	last.posJob = r.posJob
+	j.runs = j.runs[:len(j.runs)-1]
+	b := j.branch
+	b.usage = b.usage.Sub(r.size)
+	if !b.released {
+		b.released = true
+		s.released = append(s.released, b)
+	}
+	if r.stop == stopPreempted {
+		b.stopping = b.stopping.Sub(r.size)
+	}
+	j.spread(r.worker, -1)
+	s.note(j, 0, -1)
+}
--- /dev/null
+++ b/internal/schedule/service.go
@@ -0,0 +1,58 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// rackWeight makes a rack with fewer of the job's tasks win over a tighter fit.
+const rackWeight = 10
+
+// servicePolicy spreads the tasks of a service: the failure domain with the fewest of
+// them first, in it the rack with the fewest.
+type servicePolicy struct {
+	ranker
+	rng *rand.Rand
+}
+
+func (p *servicePolicy) together(*job) int { return 1 }
+
+func (p *servicePolicy) place(view State, plan Planner, q *query) []*run {
+	w := p.pick(view, q)
+	if w == nil {
+		return nil
+	}
+	return []*run{plan.Assume(q.job, w, q.size)}
+}
+
+func (p *servicePolicy) pick(view State, q *query) *worker {
+	if w := held(view, q); w != nil {
+		return w
+	}
+	score := func(w *worker) float64 {
+		return tightness(w, q.size) - rackWeight*float64(q.job.racks[w.rackKey()])
+	}
+	for _, d := range p.order(view.Domains(), q.job) {
+		start := 0
+		if n := len(d.tree.workers); n > 0 {
+			start = p.rng.IntN(n)
+		}
+		if w := p.best(view, d, start, q, score); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// order returns the failure domains, those with the fewest of the job's tasks first and
+// among equals the one with the most free processors.
+func (p *servicePolicy) order(domains []*domain, j *job) []*domain {
+	sorted := slices.Clone(domains)
+	slices.SortStableFunc(sorted, func(a, b *domain) int {
+		if d := j.domains[a] - j.domains[b]; d != 0 {
+			return d
+		}
+		return int(b.free.MilliCPU - a.free.MilliCPU)
+	})
+	return sorted
+}
