--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -49,7 +49,7 @@
 		b.stopping = b.stopping.Sub(r.size)
 	}
 	r.stop = cause
-	s.give(r.decision(action, 0, reason))
+	s.give(r, r.decision(action, 0, reason))
 }
 
 // move asks the host to checkpoint and stop a run so that its task goes on elsewhere; of
@@ -73,5 +73,5 @@
 	s.stats.Throttled++
 	d := r.decision(ActionThrottle, 0, "uses more than its grant on a full worker")
 	d.Limit = r.size
-	s.give(d)
+	s.give(r, d)
 }
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -338,5 +338,5 @@
 	s.stats.Preempted++
 	d := r.decision(ActionPreempt, 0, reason)
 	d.Beneficiary = gainer
-	s.give(d)
+	s.give(r, d)
 }
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -236,7 +236,7 @@
 	r.probe = true
 	w.health.probing = true
 	s.stats.Probes++
-	s.give(r.decision(ActionProbe, 0, "probe of a quarantined worker"))
+	s.give(r, r.decision(ActionProbe, 0, "probe of a quarantined worker"))
 	s.settle(c)
 }
 
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -30,7 +30,7 @@
 	activeWeight float64
 
 	orders      []*run // those that Decide has to look at; see wanted
-	pending     []Decision
+	pending     []pendingDecision
 	holders     []*class // classes with holds
 	quarantined []*worker
 	suspects    int
@@ -41,6 +41,8 @@
 	out   []Decision // of the Decide call that is being served
 	limit int
 	tries int // attempts at preemption in this call
+
+	waited bool // a gang was left for this call; see splits
 }
 
 // workloadKey names a workload of a branch.
@@ -49,6 +51,12 @@
 	workload model.WorkloadID
 }
 
+// pendingDecision is a decision that a call had no room for.
+type pendingDecision struct {
+	run      *run
+	decision Decision
+}
+
 // Stats counts what the scheduler did since New.
 type Stats struct {
 	Placed       int64
@@ -331,7 +339,7 @@
 func (s *Scheduler) placeAll() {
 	for failed := 0; len(s.out) < s.limit && failed < s.opts.FailedClasses; {
 		c := s.pick()
-		if c == nil {
+		if c == nil || s.splits(c) {
 			return
 		}
 		s.stats.Attempts++
@@ -341,6 +349,19 @@
 	}
 }
 
+// splits reports whether the class's next gang should wait for the next call, so that its
+// decisions come together. It waits once at most, and not if no call has room for it.
+func (s *Scheduler) splits(c *class) bool {
+	j := c.head()
+	if j == nil || s.waited {
+		s.waited = false
+		return false
+	}
+	need := c.policy.together(j)
+	s.waited = need > s.limit-len(s.out) && need <= s.limit
+	return s.waited
+}
+
 // serve places the next tasks of the class's first job and reports whether it could. A
 // class that could not is blocked, deferred or parked.
 func (s *Scheduler) serve(c *class) bool {
@@ -377,7 +398,7 @@
 	for _, r := range runs {
 		s.useHold(c, r)
 		s.chargeHolds(q, r)
-		s.give(r.decision(ActionPlace, group, ""))
+		s.give(r, r.decision(ActionPlace, group, ""))
 	}
 	s.stats.Placed += int64(len(runs))
 	s.turn++
@@ -385,19 +406,33 @@
 }
 
 // give adds a decision to the call's result, or keeps it for the next call.
-func (s *Scheduler) give(d Decision) {
+func (s *Scheduler) give(r *run, d Decision) {
 	if len(s.out) < s.limit {
 		s.out = append(s.out, d)
 		return
 	}
-	s.pending = append(s.pending, d)
+	s.pending = append(s.pending, pendingDecision{r, d})
 }
 
-// flushPending gives what the last call had no room for.
+// flushPending gives what the last call had no room for, less what does not hold any more.
 func (s *Scheduler) flushPending() {
-	n := min(len(s.pending), s.limit)
-	s.out = append(s.out, s.pending[:n]...)
-	s.pending = s.pending[n:]
+	rest := s.pending
+	s.pending = nil
+	for pos, p := range rest {
+		if len(s.out) >= s.limit {
+			s.pending = rest[pos:]
+			return
+		}
+		r := p.run
+		switch {
+		case s.cluster.runs[r.id] != r: // it ended
+		case r.confirmed || r.worker.open() && !r.job.closed():
+			s.out = append(s.out, p.decision)
+		default:
+			s.release(r)
+			s.requeue(r)
+		}
+	}
 }
 
 // take returns the call's result.
