--- /dev/null
+++ b/internal/partition/horizon.go
@@ -0,0 +1,75 @@
+package partition
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// Horizon returns the time on Options.Clock that no lease of this epoch may outlast.
+func (l *Log) Horizon() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.horizon
+}
+
+// Confirm reads the partition's record and, if it still carries the own epoch,
+// moves the horizon to the lead after the moment before the read. It costs the
+// store one read and no write.
+func (l *Log) Confirm(ctx context.Context) error {
+	l.recordMu.Lock()
+	defer l.recordMu.Unlock()
+	if err := l.closedError(); err != nil {
+		return err
+	}
+	noted := l.opts.Clock()
+	e, err := l.store.Get(ctx, recordKey(l.opts.Partition))
+	if err != nil {
+		return err
+	}
+	current, err := decode[Record](e.Value)
+	if err != nil {
+		return err
+	}
+	if current.Epoch != l.record.Epoch {
+		l.close(ErrDeposed)
+		return ErrDeposed
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed != nil {
+		return l.closed
+	}
+	l.horizon = noted.Add(l.opts.Lead)
+	return nil
+}
+
+// Settle notes in the record that no lease of an earlier epoch can be left, so
+// that the next owner need not wait for them. The caller has waited
+// Replay.PreviousLead and the drift margin since Replay.TakenAt.
+func (l *Log) Settle(ctx context.Context) error {
+	return l.changeRecord(ctx, func(r *Record) { r.PriorLead = 0 })
+}
+
+// Release gives the partition up. The caller has stopped granting leases; appends
+// are refused from now on. Another VM may then take over without waiting for
+// this one to be declared dead.
+func (l *Log) Release(ctx context.Context) error {
+	l.Close()
+	return l.changeRecord(ctx, func(r *Record) { r.Released = true })
+}
+
+func (l *Log) changeRecord(ctx context.Context, change func(*Record)) error {
+	l.recordMu.Lock()
+	defer l.recordMu.Unlock()
+	r := l.record
+	change(&r)
+	r.Stamp = uuid.NewString()
+	err := l.writeRecord(ctx, r, l.recordRevision)
+	if errors.Is(err, ErrDeposed) {
+		l.close(ErrDeposed)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/partition/takeover.go
@@ -0,0 +1,239 @@
+package partition
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/platform"
+)
+
+// DefaultRing is the number of log slots of a partition.
+const DefaultRing = 256
+
+// Options say who takes a partition over and how it writes.
+type Options struct {
+	Partition model.PartitionID
+	VM        model.VMID
+	Address   string        // of this VM's peer link
+	Lead      time.Duration // of the leases of the new epoch
+	Ring      int64         // slots; the same for all owners of a partition; 0: DefaultRing
+	// MinInterval is the least time between two writes of the log (store budget).
+	MinInterval time.Duration
+	// Clock gives readings of this VM's monotonic clock; nil: time.Now.
+	Clock func() time.Time
+	// Sleep waits; nil: a real timer.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+func (o Options) withDefaults() Options {
+	if o.Ring == 0 {
+		o.Ring = DefaultRing
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Sleep == nil {
+		o.Sleep = sleep
+	}
+	return o
+}
+
+// Replay is what a new owner learns from the log.
+type Replay struct {
+	Snapshot      []byte     // nil: none was taken
+	Records       [][]byte   // appended after the snapshot, in order
+	PreviousEpoch int64      // 0: the partition is new
+	PreviousOwner model.VMID // empty: the partition is new
+	// PreviousLead bounds the leases of all earlier epochs: they have lapsed
+	// PreviousLead after TakenAt, but for clock drift.
+	PreviousLead time.Duration
+	TakenAt      time.Time // when the answer to the takeover arrived, by Options.Clock
+}
+
+// ReadRecord returns the partition's ownership record, or platform.ErrNotFound.
+func ReadRecord(ctx context.Context, store platform.Store, id model.PartitionID) (Record, error) {
+	e, err := store.Get(ctx, recordKey(id))
+	if err != nil {
+		return Record{}, err
+	}
+	return decode[Record](e.Value)
+}
+
+// TakeOver raises the partition's epoch, seals the log behind the last entry of
+// the former owner and returns what the log holds. ErrDeposed says that another
+// VM took the partition over at the same time.
+func TakeOver(ctx context.Context, store platform.Store, o Options) (*Log, Replay, error) {
+	l := newLog(store, o.withDefaults())
+	replay, err := l.takeOver(ctx)
+	if err != nil {
+		l.Close()
+		return nil, Replay{}, err
+	}
+	return l, replay, nil
+}
+
+func newLog(store platform.Store, o Options) *Log {
+	l := &Log{opts: o, store: store, slots: map[int64]platform.Revision{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+func (l *Log) takeOver(ctx context.Context) (Replay, error) {
+	replay, err := l.raiseEpoch(ctx)
+	if err != nil {
+		return Replay{}, err
+	}
+	if err := l.read(ctx, &replay); err != nil {
+		return Replay{}, err
+	}
+	if l.seq+1-l.covered > l.opts.Ring {
+		if err := l.compact(ctx, replay); err != nil {
+			return Replay{}, err
+		}
+	}
+	return replay, l.seal(ctx, &replay)
+}
+
+func (l *Log) raiseEpoch(ctx context.Context) (Replay, error) {
+	key := recordKey(l.opts.Partition)
+	var former Record
+	current, err := l.store.Get(ctx, key)
+	switch {
+	case err == nil:
+		if former, err = decode[Record](current.Value); err != nil {
+			return Replay{}, err
+		}
+	case !errors.Is(err, platform.ErrNotFound):
+		return Replay{}, err
+	}
+	l.record = Record{
+		VM: l.opts.VM, Address: l.opts.Address, Lead: l.opts.Lead,
+		Epoch: former.Epoch + 1, PriorLead: former.longestLead(), Stamp: uuid.NewString(),
+	}
+	noted := l.opts.Clock()
+	if err := l.writeRecord(ctx, l.record, current.Revision); err != nil {
+		return Replay{}, err
+	}
+	l.horizon = noted.Add(l.opts.Lead)
+	return Replay{
+		PreviousEpoch: former.Epoch,
+		PreviousOwner: former.VM,
+		PreviousLead:  former.longestLead(),
+		TakenAt:       l.opts.Clock(),
+	}, nil
+}
+
+// writeRecord swaps the record in; a conflict is ErrDeposed.
+func (l *Log) writeRecord(ctx context.Context, r Record, expected platform.Revision) error {
+	own := func(value []byte) bool {
+		found, err := decode[Record](value)
+		return err == nil && found.Stamp == r.Stamp
+	}
+	s, err := settleWrite(ctx, l.store, l.opts.Sleep, recordKey(l.opts.Partition), encode(r), expected, own)
+	if errors.Is(err, platform.ErrConflict) {
+		return ErrDeposed
+	}
+	if err != nil {
+		return err
+	}
+	l.record, l.recordRevision = r, s.Revision
+	return nil
+}
+
+// read loads the snapshot and the entries behind it. The log is listed before
+// the snapshot is read, so that no entry can be overwritten in between unseen.
+func (l *Log) read(ctx context.Context, replay *Replay) error {
+	for {
+		slots, err := l.store.List(ctx, logPrefix(l.opts.Partition))
+		if err != nil {
+			return err
+		}
+		head, data, err := l.readSnapshot(ctx)
+		if err != nil {
+			return err
+		}
+		complete, err := l.readEntries(slots, head.Seq, replay)
+		if err != nil {
+			return err
+		}
+		if !complete {
+			continue
+		}
+		if !head.Compacted {
+			replay.Snapshot = data
+			return nil
+		}
+		c, err := decode[compacted](data)
+		replay.Snapshot = c.Snapshot
+		replay.Records = append(c.Records, replay.Records...)
+		return err
+	}
+}
+
+// readEntries collects the entries after seq in order; false says that the list
+// is older than the snapshot.
+func (l *Log) readEntries(slots []platform.Entry, seq int64, replay *Replay) (bool, error) {
+	bySeq := map[int64]entry{}
+	newest := int64(0)
+	for _, s := range slots {
+		e, err := decode[entry](s.Value)
+		if err != nil {
+			return false, err
+		}
+		bySeq[e.Seq] = e
+		l.slots[e.Seq%l.opts.Ring] = s.Revision
+		newest = max(newest, e.Seq)
+	}
+	if newest < seq {
+		return false, nil
+	}
+	l.seq = seq
+	replay.Records = nil
+	for e, ok := bySeq[l.seq+1]; ok; e, ok = bySeq[l.seq+1] {
+		if err := l.replayEntry(e, replay); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+func (l *Log) replayEntry(e entry, replay *Replay) error {
+	if e.Epoch > l.record.Epoch {
+		return ErrDeposed
+	}
+	l.seq = e.Seq
+	replay.Records = append(replay.Records, e.Records...)
+	return nil
+}
+
+// seal writes the first entry of the own epoch. Entries that the former owner
+// still got in are read, and the seal goes behind them.
+func (l *Log) seal(ctx context.Context, replay *Replay) error {
+	for {
+		found, err := l.writeEntry(ctx, entry{Seal: true})
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		e, err := decode[entry](found.Value)
+		if err != nil {
+			return err
+		}
+		if e.Seq != l.seq+1 {
+			return ErrDeposed
+		}
+		if err := l.replayEntry(e, replay); err != nil {
+			return err
+		}
+		l.slots[e.Seq%l.opts.Ring] = found.Revision
+		if l.seq+1-l.covered > l.opts.Ring {
+			return ErrLogFull // the next takeover compacts
+		}
+	}
+}
--- /dev/null
+++ b/internal/partition/wanted.go
@@ -0,0 +1,51 @@
+package partition
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+)
+
+// Info is what the assignment needs to know of a partition.
+type Info struct {
+	ID            model.PartitionID
+	FailureDomain model.FailureDomain // empty: a key partition, at home anywhere
+}
+
+// Wanted assigns each partition to a VM by rendezvous hashing over the live VMs,
+// those of the partition's own failure domain first. A suspect VM keeps what it
+// would own, since it may only be slow. The result lacks partitions while no VM is
+// live. It is the same on all VMs that see the same members.
+func Wanted(partitions []Info, members []membership.Member) map[model.PartitionID]model.VMID {
+	byDomain := map[model.FailureDomain][]string{}
+	var all []string
+	for _, m := range members {
+		if m.State != membership.Alive && m.State != membership.Suspect {
+			continue
+		}
+		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], string(m.ID))
+		all = append(all, string(m.ID))
+	}
+	everywhere := newHash(all)
+	hashes := map[model.FailureDomain]*rendezvous.Rendezvous{}
+	for domain, ids := range byDomain {
+		hashes[domain] = newHash(ids)
+	}
+	wanted := make(map[model.PartitionID]model.VMID, len(partitions))
+	for _, p := range partitions {
+		hash := hashes[p.FailureDomain]
+		if hash == nil {
+			hash = everywhere
+		}
+		if vm := hash.Lookup(string(p.ID)); vm != "" {
+			wanted[p.ID] = model.VMID(vm)
+		}
+	}
+	return wanted
+}
+
+func newHash(ids []string) *rendezvous.Rendezvous {
+	return rendezvous.New(ids, xxhash.Sum64String)
+}
