--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 build:
 	$(GO) build -o bin/filbertcross ./cmd/filbertcross
+	$(GO) build -o bin/standin ./internal/standin/cmd/standin
 
 demo: build
 	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep)
--- a/cmd/filbertcross/main.go
+++ b/cmd/filbertcross/main.go
@@ -2,4 +2,18 @@
 // the operators' commands.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"filbertcross/internal/command"
+)
+
+func main() {
+	err := command.New(os.Stdout).Run(context.Background(), os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "filbertcross:", err)
+	}
+	os.Exit(command.ExitCode(err))
+}
--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/model"
+	"filbertcross/internal/sheet"
 )
 
 // Client speaks to any VM. Safe for concurrent use.
@@ -99,17 +100,17 @@
 }
 
 // ApplySheet replaces the configuration that the operator started from.
-func (c *Client) ApplySheet(ctx context.Context, base int64, csv []byte) (SheetAccepted, error) {
+func (c *Client) ApplySheet(ctx context.Context, base int64, csv []byte, charset sheet.Charset) (SheetAccepted, error) {
 	var answer SheetAccepted
-	path := fmt.Sprintf("/v1/sheet?base=%d", base)
+	path := fmt.Sprintf("/v1/sheet?base=%d&charset=%s", base, charset)
 	err := c.do(ctx, http.MethodPut, path, http.Header{"Content-Type": {"text/csv"}}, csv, &answer)
 	return answer, err
 }
 
 // DiffSheet returns what applying the sheet would change.
-func (c *Client) DiffSheet(ctx context.Context, csv []byte) (SheetAccepted, error) {
+func (c *Client) DiffSheet(ctx context.Context, csv []byte, charset sheet.Charset) (SheetAccepted, error) {
 	var answer SheetAccepted
-	err := c.do(ctx, http.MethodPost, "/v1/sheet/diff", http.Header{"Content-Type": {"text/csv"}}, csv, &answer)
+	err := c.do(ctx, http.MethodPost, "/v1/sheet/diff?charset="+string(charset), http.Header{"Content-Type": {"text/csv"}}, csv, &answer)
 	return answer, err
 }
 
--- a/internal/api/messages.go
+++ b/internal/api/messages.go
@@ -5,6 +5,7 @@
 
 	"filbertcross/internal/model"
 	"filbertcross/internal/schedule"
+	"filbertcross/internal/sheet"
 )
 
 // Headers of requests and answers.
@@ -16,19 +17,12 @@
 
 // Problem is the body of every error answer.
 type Problem struct {
-	Error        string       `json:"error"`
-	Field        string       `json:"field,omitempty"` // the input that is wrong
-	Verdict      string       `json:"verdict"`
-	RetryAfterMs int64        `json:"retry_after_ms,omitempty"`
-	Rows         []RowProblem `json:"rows,omitempty"`      // of a sheet
-	Conflicts    []string     `json:"conflicts,omitempty"` // what another operator changed
-}
-
-// RowProblem is one mistake in a sheet.
-type RowProblem struct {
-	Row    int    `json:"row"` // 1 is the header
-	Column string `json:"column"`
-	Detail string `json:"detail"`
+	Error        string          `json:"error"`
+	Field        string          `json:"field,omitempty"` // the input that is wrong
+	Verdict      string          `json:"verdict"`
+	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+	Rows         []sheet.Problem `json:"rows,omitempty"`      // of a sheet
+	Conflicts    []string        `json:"conflicts,omitempty"` // what another operator changed
 }
 
 // SubmitJob asks for a run of a workload. Zero fields take the sheet's values.
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -22,6 +22,9 @@
 // errUsage marks a command that was called wrongly.
 var errUsage = errors.New("wrong usage")
 
+// errRefused marks input that was checked and refused.
+var errRefused = errors.New("refused")
+
 func usage(format string, args ...any) error {
 	return errors.Mark(errors.Newf(format, args...), errUsage)
 }
@@ -35,6 +38,8 @@
 		return ExitOK
 	case errors.Is(err, errUsage), errors.As(err, &settings):
 		return ExitUsage
+	case errors.Is(err, errRefused):
+		return ExitRefused
 	case errors.As(err, &status):
 		return statusExitCode(status.Status)
 	default:
--- a/internal/command/sheet.go
+++ b/internal/command/sheet.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"filbertcross/internal/api"
+	"filbertcross/internal/sheet"
 )
 
 func sheetCommand() *cli.Command {
@@ -21,20 +22,20 @@
 				Name:      "check",
 				Usage:     "check a sheet and list every mistake; asks no VM",
 				ArgsUsage: "FILE",
-				Flags:     clientFlags(),
+				Flags:     clientFlags(charsetFlag()),
 				Action:    checkSheet,
 			},
 			{
 				Name:      "diff",
 				Usage:     "show what a sheet would change",
 				ArgsUsage: "FILE",
-				Flags:     clientFlags(),
+				Flags:     clientFlags(charsetFlag()),
 				Action: func(ctx context.Context, c *cli.Command) error {
 					csv, err := readSheet(c)
 					if err != nil {
 						return err
 					}
-					diff, err := client(c).DiffSheet(ctx, csv)
+					diff, err := client(c).DiffSheet(ctx, csv, charset(c))
 					if err != nil {
 						return describeRows(err)
 					}
@@ -45,7 +46,7 @@
 				Name:      "apply",
 				Usage:     "put a sheet in force",
 				ArgsUsage: "FILE",
-				Flags: clientFlags(&cli.Int64Flag{
+				Flags: clientFlags(charsetFlag(), &cli.Int64Flag{
 					Name:     "base",
 					Usage:    "`REVISION` that the sheet was made from (0: the first); another one in force is a conflict",
 					Required: true,
@@ -55,7 +56,7 @@
 					if err != nil {
 						return err
 					}
-					accepted, err := client(c).ApplySheet(ctx, c.Int64("base"), csv)
+					accepted, err := client(c).ApplySheet(ctx, c.Int64("base"), csv, charset(c))
 					if err != nil {
 						return describeRows(err)
 					}
@@ -72,6 +73,28 @@
 	}
 }
 
+func charsetFlag() cli.Flag {
+	return &cli.StringFlag{Name: "charset", Usage: "`ENCODING` of the file: windows-1251 or windows-1252; default: UTF-8 or UTF-16 with a mark"}
+}
+
+func charset(c *cli.Command) sheet.Charset { return sheet.Charset(c.String("charset")) }
+
+func checkSheet(_ context.Context, c *cli.Command) error {
+	csv, err := readSheet(c)
+	if err != nil {
+		return err
+	}
+	parsed, report := sheet.Parse(csv, charset(c))
+	if err := report.Err(); err != nil {
+		return errors.Mark(err, errRefused)
+	}
+	lines := []string{fmt.Sprintf("%d branches, %d workloads, no mistake", len(parsed.Branches), len(parsed.Workloads))}
+	for _, notice := range report.Notices {
+		lines = append(lines, "notice: "+notice.String())
+	}
+	return write(c, report, strings.Join(lines, "\n"))
+}
+
 func readSheet(c *cli.Command) ([]byte, error) {
 	if c.NArg() != 1 {
 		return nil, usage("sheet %s takes one FILE", c.Name)
@@ -101,8 +124,8 @@
 		return err
 	}
 	var lines []string
-	for _, row := range status.Problem.Rows {
-		lines = append(lines, fmt.Sprintf("row %d, %s: %s", row.Row, row.Column, row.Detail))
+	for _, problem := range status.Problem.Rows {
+		lines = append(lines, problem.String())
 	}
 	lines = append(lines, status.Problem.Conflicts...)
 	if len(lines) == 0 {
--- /dev/null
+++ b/internal/server/control.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"filbertcross/internal/config"
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/schedule"
+)
+
+// control is the state of the worker partitions that this VM owns. Only the
+// control loop's goroutine uses it.
+type control struct {
+	settings config.Settings
+	recorder event.Recorder
+	execute  func(t *tenure, c partition.Command) // carries a command out on another goroutine
+
+	tenures  map[model.PartitionID]*tenure
+	vms      []platform.VM
+	layout   partition.Layout
+	branches []model.Branch
+}
+
+// tenure is one worker partition under one epoch.
+type tenure struct {
+	info  partition.Info
+	log   *partition.Log
+	owner *partition.Owner
+	calls map[partition.Token]chan partition.Reply // submissions and cancels that wait
+}
+
+func newControl(settings config.Settings, recorder event.Recorder) *control {
+	return &control{settings: settings, recorder: recorder, tenures: map[model.PartitionID]*tenure{}}
+}
+
+// tick lets time pass in every partition.
+func (c *control) tick(now time.Time) {
+	for _, t := range c.tenures {
+		t.owner.Tick(now)
+		c.drain(t)
+	}
+}
+
+// drain carries out what the partition's owner asks for.
+func (c *control) drain(t *tenure) {
+	for _, command := range t.owner.Commands() {
+		switch command := command.(type) {
+		case partition.Notice:
+			command.Record(c.recorder)
+		case partition.Reply:
+			t.reply(command)
+		default:
+			c.execute(t, command)
+		}
+	}
+	if t.owner.Deposed() {
+		c.drop(t)
+	}
+}
+
+func (t *tenure) reply(r partition.Reply) {
+	if waiting, ok := t.calls[r.Token]; ok {
+		delete(t.calls, r.Token)
+		waiting <- r
+	}
+}
+
+// drop forgets a partition that this VM no longer owns.
+func (c *control) drop(t *tenure) {
+	t.log.Close()
+	if c.tenures[t.info.ID] == t {
+		delete(c.tenures, t.info.ID)
+	}
+	for _, waiting := range t.calls {
+		close(waiting)
+	}
+	t.calls = nil
+}
+
+// host starts to decide for a partition that was taken over.
+func (c *control) host(now time.Time, info partition.Info, log *partition.Log, replay partition.Replay) error {
+	options := partition.DefaultOwnerOptions(info.ID, log.Epoch(), log.Lead())
+	options.PollInterval = c.settings.WorkerInterval
+	options.DriftMargin = c.settings.DriftMargin
+	seed := uint64(now.UnixNano())
+	decider := schedule.New(schedule.DefaultOptions(), rand.New(rand.NewPCG(seed, uint64(log.Epoch()))))
+	owner, err := partition.NewOwner(options, replay, log.Horizon(), decider, now)
+	if err != nil {
+		return err
+	}
+	t := &tenure{info: info, log: log, owner: owner, calls: map[partition.Token]chan partition.Reply{}}
+	c.tenures[info.ID] = t
+	owner.SetBranches(now, c.branches)
+	owner.Listed(now, c.workersOf(info.ID))
+	c.drain(t)
+	return nil
+}
+
+// workersOf returns the listed workers of a partition.
+func (c *control) workersOf(id model.PartitionID) []platform.VM {
+	var own []platform.VM
+	for _, vm := range c.vms {
+		if vm.Role != platform.RoleWorker {
+			continue
+		}
+		if home, ok := c.layout.WorkerPartition(vm); ok && home == id {
+			own = append(own, vm)
+		}
+	}
+	return own
+}
+
+// digests sums the partitions up for the heartbeats.
+func (c *control) digests() map[model.PartitionID]membership.Tenancy {
+	digests := make(map[model.PartitionID]membership.Tenancy, len(c.tenures))
+	for id, t := range c.tenures {
+		digests[id] = t.owner.Summary()
+	}
+	return digests
+}
+
+// listChanged brings the platform's list.
+type listChanged struct {
+	vms    []platform.VM
+	layout partition.Layout
+}
+
+func (m listChanged) apply(c *control, now time.Time) {
+	c.vms, c.layout = m.vms, m.layout
+	for id, t := range c.tenures {
+		t.owner.Listed(now, c.workersOf(id))
+		c.drain(t)
+	}
+}
+
+// configurationChanged brings the branches in force.
+type configurationChanged struct {
+	branches []model.Branch
+}
+
+func (m configurationChanged) apply(c *control, now time.Time) {
+	c.branches = m.branches
+	for _, t := range c.tenures {
+		t.owner.SetBranches(now, m.branches)
+		c.drain(t)
+	}
+}
+
+// ownerInput brings a result to a partition's owner, unless its tenure has ended.
+type ownerInput struct {
+	tenure *tenure
+	input  func(o *partition.Owner, now time.Time)
+}
+
+func (m ownerInput) apply(c *control, now time.Time) {
+	if c.tenures[m.tenure.info.ID] != m.tenure {
+		return
+	}
+	m.input(m.tenure.owner, now)
+	c.drain(m.tenure)
+}
--- /dev/null
+++ b/internal/server/jobs.go
@@ -0,0 +1,473 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/schedule"
+	"filbertcross/internal/verdict"
+)
+
+// Methods of the peer link.
+const (
+	methodSubmitJob   peer.Method = "job.submit"
+	methodJobStatus   peer.Method = "job.status"
+	methodCancelJob   peer.Method = "job.cancel"
+	methodListJobs    peer.Method = "job.list"
+	methodListWorkers peer.Method = "worker.list"
+)
+
+// Codes of peer errors of this package.
+const (
+	codeKeyMismatch peer.Code = 1000 + iota
+	codeUnknownJob
+	codeJobRefused
+	codeUnavailable
+	codeInDoubt
+)
+
+const (
+	jobTimeout    = 10 * time.Second
+	jobRetryAfter = time.Second
+	maxJobTasks   = 4096
+)
+
+// jobs takes, shows and cancels jobs wherever their partition is owned. Its
+// methods run on the goroutines of requests.
+type jobs struct {
+	loop      *loop
+	caller    peer.Caller
+	directory directory
+	source    model.ConfigurationSource
+	layout    func() (partition.Layout, bool)
+	tokens    atomic.Int64
+}
+
+// jobRequest names a job in a call to its partition's owner.
+type jobRequest struct {
+	Job model.JobID `json:"job"`
+}
+
+type listRequest struct {
+	Branch model.BranchID `json:"branch"`
+}
+
+func (j *jobs) register(r peer.Registry) {
+	handle(r, methodSubmitJob, j.submitHere)
+	handle(r, methodJobStatus, func(ctx context.Context, m jobRequest) (api.Job, error) { return j.statusHere(ctx, m.Job) })
+	handle(r, methodCancelJob, func(ctx context.Context, m jobRequest) (struct{}, error) {
+		return struct{}{}, j.cancelHere(ctx, m.Job)
+	})
+	handle(r, methodListJobs, func(ctx context.Context, m listRequest) ([]api.Job, error) { return j.listHere(ctx, m.Branch) })
+	handle(r, methodListWorkers, func(ctx context.Context, _ struct{}) ([]api.Worker, error) { return j.workersHere(ctx) })
+}
+
+// handle registers a handler of typed messages.
+func handle[M, R any](r peer.Registry, method peer.Method, do func(context.Context, M) (R, error)) {
+	r.Handle(method, func(ctx context.Context, params json.RawMessage) (any, error) {
+		var message M
+		if err := json.Unmarshal(params, &message); err != nil {
+			return nil, &peer.Error{Code: peer.CodeInvalid, Message: err.Error(), Verdict: verdict.NotRun}
+		}
+		return do(ctx, message)
+	})
+}
+
+// submit accepts a run of a workload and returns once it is durable.
+func (j *jobs) submit(ctx context.Context, request api.SubmitJob, key string) (api.Job, error) {
+	job, err := j.build(request, key)
+	if err != nil {
+		return api.Job{}, err
+	}
+	layout, known := j.layout()
+	if !known {
+		return api.Job{}, comeBack(verdict.NotRun, jobRetryAfter, "the partitions are not known yet")
+	}
+	home, found := j.home(layout, job)
+	if !found {
+		return api.Job{}, comeBack(verdict.NotRun, jobRetryAfter, "no partition of workers has an owner yet")
+	}
+	job.ID = partition.NewJobID(home)
+	return atOwner(ctx, j, home, methodSubmitJob, job, j.submitHere)
+}
+
+// build makes the job from the workload in force.
+func (j *jobs) build(request api.SubmitJob, key string) (model.Job, error) {
+	configuration := j.source.InForce()
+	if configuration == nil {
+		return model.Job{}, noConfiguration()
+	}
+	if _, known := configuration.Branch(request.Branch); !known {
+		return model.Job{}, refused(http.StatusNotFound, "branch", "%q is not in the sheet in force", request.Branch)
+	}
+	workload, known := configuration.Workload(request.Branch, request.Workload)
+	if !known {
+		return model.Job{}, refused(http.StatusNotFound, "workload", "%q is not a workload of %s", request.Workload, request.Branch)
+	}
+	if workload.Kind == model.KindInteractive {
+		return model.Job{}, refused(http.StatusBadRequest, "workload", "%q is interactive: send its requests to the service %s", request.Workload, workload.Service)
+	}
+	now := time.Now()
+	job := model.Job{
+		Branch:         request.Branch,
+		Workload:       request.Workload,
+		Kind:           workload.Kind,
+		Tier:           workload.Tier,
+		Tasks:          cmp.Or(request.Tasks, workload.Tasks, 1),
+		Size:           workload.Size,
+		Runtime:        workload.Runtime,
+		Submitted:      now.UTC().Round(0),
+		Deadline:       request.Deadline.UTC().Round(0),
+		IdempotencyKey: key,
+		Restartable:    !request.RunOnce,
+	}
+	if request.Deadline.IsZero() && workload.Deadline > 0 {
+		job.Deadline = job.Submitted.Add(workload.Deadline)
+	}
+	if job.Tasks < 1 || job.Tasks > maxJobTasks {
+		return model.Job{}, refused(http.StatusBadRequest, "tasks", "%d is not between 1 and %d", job.Tasks, maxJobTasks)
+	}
+	if !request.Deadline.IsZero() && request.Deadline.Before(now) {
+		return model.Job{}, refused(http.StatusBadRequest, "deadline", "%s has passed", request.Deadline.Format(time.RFC3339))
+	}
+	return job, nil
+}
+
+// home returns the partition that keeps the job: the key's, or for a job without
+// a key the better of two owned partitions drawn at random.
+func (j *jobs) home(layout partition.Layout, job model.Job) (model.PartitionID, bool) {
+	if job.IdempotencyKey != "" {
+		return layout.HomePartition(job.Branch, job.IdempotencyKey)
+	}
+	owned := map[model.PartitionID]membership.Tenancy{}
+	var ids []model.PartitionID
+	for _, m := range j.directory.view.Members() {
+		if m.State != membership.Alive {
+			continue
+		}
+		for id, tenancy := range m.Digest.Partitions {
+			if _, listed := owned[id]; !partition.IsKeyPartition(id) && !listed {
+				ids = append(ids, id)
+				owned[id] = tenancy
+			}
+		}
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	a, b := ids[rand.IntN(len(ids))], ids[rand.IntN(len(ids))]
+	if emptier(owned[b], owned[a]) {
+		return b, true
+	}
+	return a, true
+}
+
+// emptier compares two partitions by waiting tasks, then by free processors.
+func emptier(a, b membership.Tenancy) bool {
+	if a.Waiting != b.Waiting {
+		return a.Waiting < b.Waiting
+	}
+	return a.Free.MilliCPU > b.Free.MilliCPU
+}
+
+// status returns a job with its tasks.
+func (j *jobs) status(ctx context.Context, id model.JobID) (api.Job, error) {
+	home, ok := partition.JobPartition(id)
+	if !ok {
+		return api.Job{}, unknownJob(id)
+	}
+	return atOwner(ctx, j, home, methodJobStatus, jobRequest{id}, func(ctx context.Context, m jobRequest) (api.Job, error) {
+		return j.statusHere(ctx, m.Job)
+	})
+}
+
+// cancel cancels a job and returns once that is durable.
+func (j *jobs) cancel(ctx context.Context, id model.JobID) error {
+	home, ok := partition.JobPartition(id)
+	if !ok {
+		return unknownJob(id)
+	}
+	_, err := atOwner(ctx, j, home, methodCancelJob, jobRequest{id}, func(ctx context.Context, m jobRequest) (struct{}, error) {
+		return struct{}{}, j.cancelHere(ctx, m.Job)
+	})
+	return err
+}
+
+func (j *jobs) list(ctx context.Context, branch model.BranchID) ([]api.Job, error) {
+	found, err := gather(ctx, j, methodListJobs, listRequest{branch}, func(ctx context.Context) ([]api.Job, error) { return j.listHere(ctx, branch) })
+	slices.SortFunc(found, func(a, b api.Job) int { return a.Submitted.Compare(b.Submitted) })
+	return found, err
+}
+
+func (j *jobs) workers(ctx context.Context) ([]api.Worker, error) {
+	found, err := gather(ctx, j, methodListWorkers, struct{}{}, j.workersHere)
+	slices.SortFunc(found, func(a, b api.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return found, err
+}
+
+// atOwner does a call on the VM that owns the partition.
+func atOwner[M, R any](ctx context.Context, j *jobs, home model.PartitionID, method peer.Method, message M, here func(context.Context, M) (R, error)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	var answer R
+	address, local, owned := j.directory.Owner(home)
+	if !owned {
+		return answer, comeBack(verdict.NotRun, jobRetryAfter, "partition %s has no owner at the moment", home)
+	}
+	var err error
+	if local {
+		answer, err = here(ctx, message)
+	} else {
+		err = j.caller.Call(ctx, address, method, message, &answer)
+	}
+	return answer, publicError(err)
+}
+
+// gather asks every live VM and joins their lists; it fails if one does not answer.
+func gather[T any](ctx context.Context, j *jobs, method peer.Method, message any, here func(context.Context) ([]T, error)) ([]T, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	all := []T{}
+	group, ctx := errgroup.WithContext(ctx)
+	self := j.directory.view.Self().ID
+	for _, m := range j.directory.view.Members() {
+		if m.State == membership.Dead {
+			continue
+		}
+		group.Go(func() error {
+			var found []T
+			var err error
+			if m.ID == self {
+				found, err = here(ctx)
+			} else {
+				err = j.caller.Call(ctx, m.Address, method, message, &found)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, found...)
+			return errors.Wrapf(err, "%s", m.ID)
+		})
+	}
+	return all, publicError(group.Wait())
+}
+
+// publicError turns an error of a peer or of a partition into an answer.
+func publicError(err error) error {
+	var failure *peer.Error
+	if err == nil || !errors.As(err, &failure) {
+		return err
+	}
+	switch failure.Code {
+	case codeKeyMismatch:
+		return refused(http.StatusUnprocessableEntity, api.HeaderIdempotencyKey, "%s", failure.Message)
+	case codeUnknownJob:
+		return refused(http.StatusNotFound, "job", "%s", failure.Message)
+	case codeJobRefused:
+		return refused(http.StatusUnprocessableEntity, "workload", "%s", failure.Message)
+	case peer.CodeInvalid:
+		return refused(http.StatusBadRequest, "body", "%s", failure.Message)
+	default:
+		return comeBack(failure.Verdict, jobRetryAfter, "%s", failure.Message)
+	}
+}
+
+func unknownJob(id model.JobID) error {
+	return refused(http.StatusNotFound, "job", "%q is not a job's id", id)
+}
+
+// partitionError gives an error of a partition the code that travels to the caller's VM.
+func partitionError(err error) error {
+	code, v := peer.CodeInternal, verdict.MayHaveRun
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, partition.ErrKeyMismatch):
+		code, v = codeKeyMismatch, verdict.NotRun
+	case errors.Is(err, partition.ErrUnknownJob):
+		code, v = codeUnknownJob, verdict.NotRun
+	case errors.Is(err, partition.ErrInDoubt):
+		code = codeInDoubt
+	case errors.Is(err, partition.ErrDeposed):
+		code, v = peer.CodeNotOwner, verdict.NotRun
+	case errors.Is(err, platform.ErrUnavailable):
+		code, v = codeUnavailable, verdict.NotRun
+	}
+	return &peer.Error{Code: code, Message: err.Error(), Verdict: v}
+}
+
+var errNotOwner = &peer.Error{Code: peer.CodeNotOwner, Message: "this VM does not own the partition", Verdict: verdict.NotRun}
+
+// command gives the owner of a partition on this VM an input that a Reply answers.
+func (j *jobs) command(ctx context.Context, home model.PartitionID, input func(o *partition.Owner, now time.Time, token partition.Token)) (partition.Reply, error) {
+	token := partition.Token(j.tokens.Add(1))
+	answer := make(chan partition.Reply, 1)
+	owned, err := ask(ctx, j.loop, func(c *control, now time.Time) bool {
+		t, ok := c.tenures[home]
+		if !ok {
+			return false
+		}
+		t.calls[token] = answer
+		input(t.owner, now, token)
+		c.drain(t)
+		return true
+	})
+	if err != nil {
+		return partition.Reply{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.MayHaveRun}
+	}
+	if !owned {
+		return partition.Reply{}, errNotOwner
+	}
+	select {
+	case reply, ok := <-answer:
+		if !ok {
+			return partition.Reply{}, partitionError(errors.Mark(errors.New("the partition was lost meanwhile"), partition.ErrInDoubt))
+		}
+		return reply, partitionError(reply.Err)
+	case <-ctx.Done():
+		return partition.Reply{}, partitionError(errors.Mark(ctx.Err(), partition.ErrInDoubt))
+	}
+}
+
+func (j *jobs) submitHere(ctx context.Context, job model.Job) (api.Job, error) {
+	home, ok := partition.JobPartition(job.ID)
+	if !ok {
+		return api.Job{}, &peer.Error{Code: peer.CodeInvalid, Message: "the job's id names no partition", Verdict: verdict.NotRun}
+	}
+	reply, err := j.command(ctx, home, func(o *partition.Owner, now time.Time, token partition.Token) { o.Submit(now, token, job) })
+	if err != nil {
+		return api.Job{}, err
+	}
+	if code := reply.Status.Code; code == schedule.NeverFits || code == schedule.Invalid {
+		return api.Job{}, &peer.Error{Code: codeJobRefused, Message: reply.Status.Reason, Verdict: verdict.NotRun}
+	}
+	return j.statusHere(ctx, reply.Job)
+}
+
+func (j *jobs) cancelHere(ctx context.Context, id model.JobID) error {
+	home, _ := partition.JobPartition(id)
+	_, err := j.command(ctx, home, func(o *partition.Owner, now time.Time, token partition.Token) { o.Cancel(now, token, id) })
+	return err
+}
+
+func (j *jobs) statusHere(ctx context.Context, id model.JobID) (api.Job, error) {
+	home, _ := partition.JobPartition(id)
+	type result struct {
+		owned, found bool
+		status       partition.JobStatus
+	}
+	r, err := ask(ctx, j.loop, func(c *control, _ time.Time) (r result) {
+		t, ok := c.tenures[home]
+		if !ok {
+			return r
+		}
+		r.owned = true
+		r.status, r.found = t.owner.JobStatus(id)
+		return r
+	})
+	switch {
+	case err != nil:
+		return api.Job{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.NotRun}
+	case !r.owned:
+		return api.Job{}, errNotOwner
+	case !r.found:
+		return api.Job{}, partitionError(errors.Wrapf(partition.ErrUnknownJob, "%s", id))
+	}
+	return jobView(r.status), nil
+}
+
+func (j *jobs) listHere(ctx context.Context, branch model.BranchID) ([]api.Job, error) {
+	return ask(ctx, j.loop, func(c *control, _ time.Time) []api.Job {
+		var found []api.Job
+		for _, t := range c.tenures {
+			for _, job := range t.owner.Jobs(partition.JobFilter{Branch: branch}) {
+				status, _ := t.owner.JobStatus(job.ID)
+				view := jobView(status)
+				view.Tasks, view.Filters = nil, nil
+				found = append(found, view)
+			}
+		}
+		return found
+	})
+}
+
+func (j *jobs) workersHere(ctx context.Context) ([]api.Worker, error) {
+	return ask(ctx, j.loop, func(c *control, _ time.Time) []api.Worker {
+		var found []api.Worker
+		for id, t := range c.tenures {
+			for _, w := range t.owner.Workers() {
+				found = append(found, api.Worker{
+					ID:            w.ID,
+					FailureDomain: w.FailureDomain,
+					Rack:          w.Rack,
+					Partition:     id,
+					Capacity:      w.Capacity,
+					Granted:       w.Granted,
+					Tasks:         w.Tasks,
+					State:         w.State,
+				})
+			}
+		}
+		return found
+	})
+}
+
+// jobView shows a job as the HTTP interface does.
+func jobView(s partition.JobStatus) api.Job {
+	view := api.Job{
+		ID:        s.Job.ID,
+		Branch:    s.Job.Branch,
+		Workload:  s.Job.Workload,
+		Kind:      s.Job.Kind,
+		Submitted: s.Job.Submitted,
+		Deadline:  s.Job.Deadline,
+		Reason:    s.Explanation.Reason,
+		Filters:   s.Explanation.Filters,
+	}
+	for _, task := range s.Tasks {
+		view.Tasks = append(view.Tasks, api.Task{ID: task.Task, Attempt: task.Attempt, Worker: task.Worker, State: task.State})
+		switch task.State {
+		case "waiting":
+			view.Waiting++
+		case "placed", "running":
+			view.Running++
+		case model.OutcomeDone.String():
+			view.Done++
+		default:
+			view.Failed++
+		}
+	}
+	view.State = jobState(s, view)
+	return view
+}
+
+func jobState(s partition.JobStatus, view api.Job) api.JobState {
+	switch {
+	case s.Canceled:
+		return api.JobCanceled
+	case s.Ended && view.Failed > 0:
+		return api.JobFailed
+	case s.Ended:
+		return api.JobDone
+	case view.Waiting == 0:
+		return api.JobRunning
+	default:
+		return api.JobWaiting
+	}
+}
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	accepted, err := d.client(0).ApplySheet(ctx, 0, csv)
+	accepted, err := d.client(0).ApplySheet(ctx, 0, csv, "")
 	if err != nil {
 		return err
 	}
