--- a/internal/partition/fakestore_test.go
+++ b/internal/partition/fakestore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,6 +87,7 @@
 			found = append(found, e)
 		}
 	}
+	slices.SortFunc(found, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return found, nil
 }
 
--- /dev/null
+++ b/internal/partition/notice.go
@@ -0,0 +1,64 @@
+package partition
+
+import (
+	"filbertcross/internal/event"
+	"filbertcross/internal/model"
+)
+
+// NoticeKind says what a Notice tells.
+type NoticeKind int
+
+// The kinds of notice.
+const (
+	NoticePlaced NoticeKind = iota
+	NoticeStarted
+	NoticeEnded
+	NoticePreempted
+	NoticeForeignTask
+	NoticeWorkerGone
+	NoticeWorkerRestarted
+	NoticeRecovered
+	NoticeDeposed
+	NoticeInvariant
+)
+
+// Notice tells operators what the owner did. Fields that do not apply are empty.
+type Notice struct {
+	Kind        NoticeKind
+	Partition   model.PartitionID
+	Epoch       int64
+	Job         model.JobID
+	Task        model.TaskID
+	Attempt     int64
+	Worker      model.WorkerID
+	Branch      model.BranchID
+	Beneficiary model.BranchID // of a preemption
+	Outcome     model.Outcome  // of NoticeEnded
+	Reason      string
+}
+
+// Record writes the notice to the events of this process.
+func (n Notice) Record(r event.Recorder) {
+	switch n.Kind {
+	case NoticePlaced:
+		r.Record(event.TaskPlaced, n.Partition, n.Epoch, n.Task, n.Attempt, n.Worker)
+	case NoticeStarted:
+		r.Record(event.TaskStarted, n.Partition, n.Epoch, n.Task, n.Attempt, n.Worker)
+	case NoticeEnded:
+		r.Record(event.TaskEnded, n.Partition, n.Epoch, n.Task, n.Attempt, n.Worker, n.Outcome, n.Reason)
+	case NoticePreempted:
+		r.Record(event.TaskPreempted, n.Partition, n.Task, n.Worker, n.Branch, n.Beneficiary, n.Reason)
+	case NoticeForeignTask:
+		r.Record(event.ForeignTask, n.Partition, n.Epoch, n.Task, n.Attempt, n.Worker)
+	case NoticeWorkerGone:
+		r.Record(event.WorkerGone, n.Partition, n.Worker)
+	case NoticeWorkerRestarted:
+		r.Record(event.WorkerRestarted, n.Partition, n.Worker)
+	case NoticeRecovered:
+		r.Record(event.PartitionRecovered, n.Partition, n.Epoch)
+	case NoticeDeposed:
+		r.Record(event.PartitionDeposed, n.Partition, n.Epoch, n.Reason)
+	case NoticeInvariant:
+		r.Record(event.InvariantBroken, n.Partition, n.Epoch, n.Task, n.Worker, n.Reason)
+	}
+}
--- /dev/null
+++ b/internal/partition/state.go
@@ -0,0 +1,189 @@
+package partition
+
+import (
+	"slices"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// taskPhase is how far a task has come, as the log says.
+type taskPhase int
+
+const (
+	taskWaiting taskPhase = iota
+	taskOnWorker
+	taskFinal // never placed again
+)
+
+// taskState is a task as the log says.
+type taskState struct {
+	Phase      taskPhase       `cbor:"1,keyasint,omitempty"`
+	Attempt    int64           `cbor:"2,keyasint,omitempty"` // of the newest placement
+	Worker     model.WorkerID  `cbor:"3,keyasint,omitempty"`
+	Boot       string          `cbor:"4,keyasint,omitempty"`
+	Size       model.Resources `cbor:"5,keyasint,omitempty"`
+	Epoch      int64           `cbor:"6,keyasint,omitempty"`
+	Outcome    model.Outcome   `cbor:"7,keyasint,omitempty"` // of the newest attempt that ended
+	Checkpoint string          `cbor:"8,keyasint,omitempty"`
+}
+
+// jobState is a job as the log says.
+type jobState struct {
+	Job      model.Job         `cbor:"1,keyasint"`
+	Tasks    []taskState       `cbor:"2,keyasint"`
+	Canceled bool              `cbor:"3,keyasint,omitempty"`
+	HandedTo model.PartitionID `cbor:"4,keyasint,omitempty"`
+	Order    int64             `cbor:"5,keyasint"` // of submission
+	EndedAt  time.Time         `cbor:"6,keyasint"` // of its last task; zero: not ended
+}
+
+// jobKey is the idempotency key of a submission.
+type jobKey struct {
+	branch model.BranchID
+	key    string
+}
+
+// state is what the log says, applied in order. Only the owner's goroutine uses it.
+type state struct {
+	jobs  map[model.JobID]*jobState
+	keys  map[jobKey]model.JobID
+	order int64
+}
+
+func newState() *state {
+	return &state{jobs: map[model.JobID]*jobState{}, keys: map[jobKey]model.JobID{}}
+}
+
+// restoreState rebuilds the state from a snapshot and the records behind it.
+func restoreState(snapshot []byte, records [][]byte) (*state, error) {
+	s := newState()
+	if snapshot != nil {
+		jobs, err := decode[[]*jobState](snapshot)
+		if err != nil {
+			return nil, err
+		}
+		for _, j := range jobs {
+			s.add(j)
+		}
+	}
+	for _, b := range records {
+		r, err := decode[logged](b)
+		if err != nil {
+			return nil, err
+		}
+		s.apply(r)
+	}
+	return s, nil
+}
+
+// encode returns the state as a snapshot.
+func (s *state) encode() []byte { return encode(s.ordered()) }
+
+// ordered lists the jobs in the order of submission.
+func (s *state) ordered() []*jobState {
+	jobs := make([]*jobState, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *jobState) int { return int(a.Order - b.Order) })
+	return jobs
+}
+
+func (s *state) add(j *jobState) {
+	s.jobs[j.Job.ID] = j
+	s.order = max(s.order, j.Order)
+	if j.Job.IdempotencyKey != "" {
+		s.keys[jobKey{j.Job.Branch, j.Job.IdempotencyKey}] = j.Job.ID
+	}
+}
+
+// drop forgets a job and its idempotency key.
+func (s *state) drop(j *jobState) {
+	delete(s.jobs, j.Job.ID)
+	delete(s.keys, jobKey{j.Job.Branch, j.Job.IdempotencyKey})
+}
+
+// task finds a task; nil if the log does not know it.
+func (s *state) task(id model.TaskID) *taskState {
+	job, index, ok := splitTask(id)
+	if !ok {
+		return nil
+	}
+	j := s.jobs[job]
+	if j == nil || index < 0 || index >= len(j.Tasks) {
+		return nil
+	}
+	return &j.Tasks[index]
+}
+
+// apply takes one durable record in. Records of an unknown job or of an older
+// attempt change nothing.
+func (s *state) apply(r logged) {
+	switch {
+	case r.Submitted != nil:
+		s.applySubmitted(r.Submitted.Job)
+	case r.Canceled != nil:
+		if j := s.jobs[r.Canceled.Job]; j != nil {
+			j.Canceled = true
+			j.noteEnd(r.Canceled.At)
+		}
+	case r.HandedOut != nil:
+		if j := s.jobs[r.HandedOut.Job]; j != nil {
+			j.HandedTo = r.HandedOut.To
+		}
+	case r.Placed != nil:
+		s.applyPlaced(*r.Placed)
+	case r.Ended != nil:
+		s.applyEnded(*r.Ended)
+	}
+}
+
+func (s *state) applySubmitted(job model.Job) {
+	if s.jobs[job.ID] != nil {
+		return
+	}
+	s.add(&jobState{Job: job, Tasks: make([]taskState, job.Tasks), Order: s.order + 1})
+}
+
+func (s *state) applyPlaced(p taskPlaced) {
+	t := s.task(p.Task)
+	if t == nil || p.Attempt <= t.Attempt {
+		return
+	}
+	t.Phase, t.Attempt = taskOnWorker, p.Attempt
+	t.Worker, t.Boot, t.Size, t.Epoch = p.Worker, p.Boot, p.Size, p.Epoch
+}
+
+func (s *state) applyEnded(e taskEnded) {
+	t := s.task(e.Task)
+	if t == nil || e.Attempt != t.Attempt || t.Phase != taskOnWorker {
+		return
+	}
+	t.Phase, t.Outcome = taskWaiting, e.Outcome
+	if e.Final {
+		t.Phase = taskFinal
+	}
+	if e.Checkpoint != "" {
+		t.Checkpoint = e.Checkpoint
+	}
+	job, _, _ := splitTask(e.Task)
+	s.jobs[job].noteEnd(e.At)
+}
+
+// noteEnd keeps the time when the job's last task ended.
+func (j *jobState) noteEnd(at time.Time) {
+	if j.EndedAt.IsZero() && j.ended() {
+		j.EndedAt = at
+	}
+}
+
+// ended reports whether no task of the job will be placed again or is on a worker.
+func (j *jobState) ended() bool {
+	for _, t := range j.Tasks {
+		if t.Phase == taskOnWorker || (t.Phase == taskWaiting && !j.Canceled) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/partition/status.go
@@ -0,0 +1,103 @@
+package partition
+
+import (
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// JobStatus is a job as its partition knows it.
+type JobStatus struct {
+	Job         model.Job            `json:"job"`
+	Canceled    bool                 `json:"canceled"`
+	Ended       bool                 `json:"ended"`
+	HandedTo    model.PartitionID    `json:"handed_to,omitempty"`
+	Tasks       []TaskStatus         `json:"tasks"`
+	Explanation schedule.Explanation `json:"explanation"`
+}
+
+// TaskStatus is a task as its partition knows it.
+type TaskStatus struct {
+	Task    model.TaskID   `json:"task"`
+	State   string         `json:"state"` // waiting, placed, running or the outcome's name
+	Attempt int64          `json:"attempt"`
+	Worker  model.WorkerID `json:"worker,omitempty"`
+}
+
+// JobFilter selects jobs; empty fields select all.
+type JobFilter struct {
+	Branch model.BranchID
+	Live   bool // only those that have not ended
+}
+
+// JobStatus returns the status of a durable job.
+func (o *Owner) JobStatus(id model.JobID) (JobStatus, bool) {
+	j := o.state.jobs[id]
+	if j == nil {
+		return JobStatus{}, false
+	}
+	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended(), HandedTo: j.HandedTo}
+	s.Explanation, _ = o.decider.Explain(id)
+	for i, t := range j.Tasks {
+		s.Tasks = append(s.Tasks, o.taskStatus(taskID(id, i), t))
+	}
+	return s, true
+}
+
+func (o *Owner) taskStatus(id model.TaskID, t taskState) TaskStatus {
+	s := TaskStatus{Task: id, Attempt: t.Attempt, State: "waiting"}
+	switch t.Phase {
+	case taskOnWorker:
+		s.State, s.Worker = "placed", t.Worker
+		if a := o.attempts[id]; a != nil && a.phase >= attemptRunning && a.phase != attemptRecovered {
+			s.State = "running"
+		}
+	case taskFinal:
+		s.State = t.Outcome.String()
+	}
+	return s
+}
+
+// Jobs lists the selected jobs in the order of their submission.
+func (o *Owner) Jobs(f JobFilter) []model.Job {
+	var jobs []model.Job
+	for _, j := range o.state.ordered() {
+		if (f.Branch == "" || f.Branch == j.Job.Branch) && !(f.Live && j.ended()) {
+			jobs = append(jobs, j.Job)
+		}
+	}
+	return jobs
+}
+
+// Summary is what the heartbeats tell the other VMs of the partition.
+func (o *Owner) Summary() membership.Tenancy {
+	t := membership.Tenancy{Epoch: o.opts.Epoch}
+	for _, w := range o.workers {
+		if w.usable() {
+			t.Free = t.Free.Add(w.capacity.Sub(w.granted))
+		}
+	}
+	for _, j := range o.state.jobs {
+		t.Waiting += j.waiting()
+	}
+	return t
+}
+
+// waiting counts the job's tasks that wait for a placement.
+func (j *jobState) waiting() int {
+	if j.Canceled || j.HandedTo != "" {
+		return 0
+	}
+	n := 0
+	for _, t := range j.Tasks {
+		if t.Phase == taskWaiting {
+			n++
+		}
+	}
+	return n
+}
+
+// Explain says why a job waits.
+func (o *Owner) Explain(id model.JobID) (schedule.Explanation, bool) {
+	return o.decider.Explain(id)
+}
--- /dev/null
+++ b/internal/partition/submit.go
@@ -0,0 +1,172 @@
+package partition
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// Errors of submissions and cancellations.
+var (
+	// ErrKeyMismatch says that the idempotency key belongs to another submission.
+	ErrKeyMismatch = errors.New("partition: the idempotency key was used for another job")
+	// ErrUnknownJob says that this partition has no such job.
+	ErrUnknownJob = errors.New("partition: unknown job")
+)
+
+// submission is a job that waits to be durable.
+type submission struct {
+	job    model.Job
+	tokens []Token // of the callers that wait
+}
+
+// Submit takes a job whose id names this partition as its home. It is answered by a
+// Reply: without an error and with an Accepted or Unschedulable status the job is
+// durable and will be run; with another status it is refused for its reason.
+// Errors: ErrKeyMismatch, platform.ErrUnavailable and ErrDeposed (not accepted; may
+// be submitted again), ErrInDoubt (may have been accepted; submit again with the
+// same key). A repeat of an idempotency key gets the first job's id.
+func (o *Owner) Submit(now time.Time, token Token, job model.Job) {
+	o.now = now
+	switch first, known := o.first(job); {
+	case o.deposed:
+		o.emit(Reply{Token: token, Job: job.ID, Err: ErrDeposed})
+	case known:
+		o.repeat(token, first, job)
+	case o.storeRefuses():
+		o.emit(Reply{Token: token, Job: job.ID, Err: refusal()})
+	default:
+		o.accept(token, job)
+	}
+	o.advance()
+}
+
+// first finds the job that was submitted before with the same id or key.
+func (o *Owner) first(job model.Job) (model.Job, bool) {
+	id := job.ID
+	if job.IdempotencyKey != "" {
+		key := jobKey{job.Branch, job.IdempotencyKey}
+		if earlier, ok := o.state.keys[key]; ok {
+			id = earlier
+		} else if earlier, ok := o.keys[key]; ok {
+			id = earlier
+		}
+	}
+	if j := o.job(id); j != nil {
+		return *j, true
+	}
+	return model.Job{}, false
+}
+
+func (o *Owner) repeat(token Token, first, job model.Job) {
+	if !sameContent(first, job) {
+		o.emit(Reply{Token: token, Job: first.ID, Err: ErrKeyMismatch})
+		return
+	}
+	if s := o.submissions[first.ID]; s != nil {
+		s.tokens = append(s.tokens, token)
+		return
+	}
+	o.emit(Reply{Token: token, Job: first.ID})
+}
+
+// sameContent compares what the caller asked for. The id and the times are given by
+// the VM that took the submission and differ in a repeat.
+func sameContent(a, b model.Job) bool {
+	for _, j := range []*model.Job{&a, &b} {
+		j.ID = ""
+		j.Submitted, j.Deadline = time.Time{}, time.Time{}
+	}
+	return a == b
+}
+
+// accept queues the job and logs it. It may be placed before it is durable, since
+// its placement stands behind it in the log.
+func (o *Owner) accept(token Token, job model.Job) {
+	status := o.decider.Submit(o.now, job)
+	if status.Code == schedule.Invalid || status.Code == schedule.NeverFits && o.knowsWorkers() {
+		o.decider.Cancel(o.now, job.ID)
+		o.emit(Reply{Token: token, Job: job.ID, Status: status})
+		return
+	}
+	s := &submission{job: job, tokens: []Token{token}}
+	o.submissions[job.ID] = s
+	if job.IdempotencyKey != "" {
+		o.keys[jobKey{job.Branch, job.IdempotencyKey}] = job.ID
+	}
+	o.log(&item{
+		records: []logged{{Submitted: &jobSubmitted{Job: job}}},
+		durable: func() { o.answer(s, nil) },
+		failed: func(err error) {
+			o.decider.Cancel(o.now, job.ID)
+			o.answer(s, err)
+		},
+	})
+}
+
+func (o *Owner) answer(s *submission, err error) {
+	delete(o.submissions, s.job.ID)
+	delete(o.keys, jobKey{s.job.Branch, s.job.IdempotencyKey})
+	for _, token := range s.tokens {
+		o.emit(Reply{Token: token, Job: s.job.ID, Err: err})
+	}
+}
+
+// knowsWorkers reports whether every listed worker has told its capacity, so that
+// "never fits" is not said for want of reports.
+func (o *Owner) knowsWorkers() bool {
+	for _, w := range o.workers {
+		if w.boot == "" {
+			return false
+		}
+	}
+	return len(o.workers) > 0
+}
+
+// Cancel ends a job. It is answered by a Reply once the cancellation is durable;
+// running tasks are stopped after that. Errors as of Submit, and ErrUnknownJob.
+func (o *Owner) Cancel(now time.Time, token Token, id model.JobID) {
+	o.now = now
+	j := o.state.jobs[id]
+	switch {
+	case o.deposed:
+		o.emit(Reply{Token: token, Job: id, Err: ErrDeposed})
+	case j == nil:
+		o.emit(Reply{Token: token, Job: id, Err: ErrUnknownJob})
+	case j.Canceled || j.ended():
+		o.emit(Reply{Token: token, Job: id})
+	case o.storeRefuses():
+		o.emit(Reply{Token: token, Job: id, Err: refusal()})
+	default:
+		o.cancel(token, id)
+	}
+	o.advance()
+}
+
+func (o *Owner) cancel(token Token, id model.JobID) {
+	o.log(&item{
+		records: []logged{{Canceled: &jobCanceled{Job: id, At: o.now.UTC()}}},
+		durable: func() {
+			o.decider.Cancel(o.now, id)
+			o.emit(Reply{Token: token, Job: id})
+		},
+		failed: func(err error) { o.emit(Reply{Token: token, Job: id, Err: err}) },
+	})
+}
+
+// dropEndedJobs forgets jobs whose retention is over. The next snapshot lacks them;
+// a replay of older records brings them back until they are dropped again.
+func (o *Owner) dropEndedJobs() {
+	if o.now.Sub(o.swept) < sweepEvery {
+		return
+	}
+	o.swept = o.now
+	for _, j := range o.state.jobs {
+		if !j.EndedAt.IsZero() && o.now.Sub(j.EndedAt) > o.opts.RetainEnded {
+			o.state.drop(j)
+		}
+	}
+}
--- a/internal/partition/takeover.go
+++ b/internal/partition/takeover.go
@@ -12,7 +12,7 @@
 )
 
 // DefaultRing is the number of log slots of a partition.
-const DefaultRing = 256
+const DefaultRing = 512
 
 // Options say who takes a partition over and how it writes.
 type Options struct {
