--- /dev/null
+++ b/internal/schedule/baseline/onebranch.go
@@ -0,0 +1,51 @@
+package baseline
+
+import (
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// pooled is the branch under which OneBranch submits every job.
+const pooled model.BranchID = "pooled"
+
+// OneBranch hides the branches from a Decider, which so decides without fair share and
+// quotas. Its decisions name the jobs' own branches.
+type OneBranch struct {
+	schedule.Decider
+	branches map[model.JobID]model.BranchID
+}
+
+// NewOneBranch wraps the Decider.
+func NewOneBranch(inner schedule.Decider) *OneBranch {
+	return &OneBranch{
+		Decider:  inner,
+		branches: make(map[model.JobID]model.BranchID),
+	}
+}
+
+// SetBranches implements schedule.Decider; it drops shares and quotas.
+func (b *OneBranch) SetBranches(now time.Time, _ []model.Branch) {
+	b.Decider.SetBranches(now, []model.Branch{{ID: pooled, Share: 1}})
+}
+
+// Submit implements schedule.Decider.
+func (b *OneBranch) Submit(now time.Time, job model.Job) schedule.Status {
+	b.branches[job.ID] = job.Branch
+	job.Workload = model.WorkloadID(string(job.Branch) + "/" + string(job.Workload))
+	job.Branch = pooled
+	return b.Decider.Submit(now, job)
+}
+
+// Decide implements schedule.Decider.
+func (b *OneBranch) Decide(now time.Time, limit int) []schedule.Decision {
+	out := b.Decider.Decide(now, limit)
+	for i := range out {
+		out[i].Branch = b.branches[out[i].Job]
+		if out[i].Beneficiary != "" {
+			out[i].Beneficiary = out[i].Branch
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/schedule/proof/cases/scenario.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/schedule"
+)
+
+// cell is a user's cluster with the workloads of its branches.
+type cell struct {
+	name     string
+	workers  int
+	rackSize int
+	domains  int
+	capacity model.Resources
+	accEvery int // one worker in so many has accelerators; 0: none
+	branches int
+	streams  []stream
+}
+
+// stream is a workload that each branch submits at a rate.
+type stream struct {
+	workload model.Workload
+	load     float64       // share of the cell's processors offered by all branches at the day's mean
+	initial  int           // jobs of each branch at the start
+	truly    time.Duration // run time; 0: runs to the end of the scenario
+	once     bool          // a task that may have run is not run again
+}
+
+// arrival is a job with what only the fakes know of it.
+type arrival struct {
+	job      model.Job
+	trueSize model.Resources
+	trueRun  time.Duration // at full speed; 0: to the end
+	cancelAt time.Time     // zero: never
+}
+
+// outage takes workers away for a time.
+type outage struct {
+	at, until time.Time
+	notice    time.Duration // announced as leaving so long before at; 0: a failure
+	workers   []int
+}
+
+// scenario is one case: everything that happens, whatever the Decider does.
+type scenario struct {
+	name     string
+	cell     cell
+	branches []model.Branch
+	workers  []schedule.Worker
+	arrivals []*arrival // by time
+	outages  []outage
+	bad      map[model.WorkerID]bool // fail all that they start
+	flooder  model.BranchID
+	end      time.Time
+}
+
+const (
+	scenarioLength = 20 * time.Minute
+	mebibytesPerGB = 1024
+	badEvery       = 5
+)
+
+var scenarioStart = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func size(cores float64, gigabytes, accelerators int64) model.Resources {
+	return model.Resources{
+		MilliCPU:     int64(cores * 1000),
+		MemoryMiB:    gigabytes * mebibytesPerGB,
+		Accelerators: accelerators,
+	}
+}
+
+func cells() []cell {
+	workload := func(id model.WorkloadID, kind model.Kind, tier model.Tier, tasks int, size model.Resources, runtime, deadline time.Duration) model.Workload {
+		return model.Workload{ID: id, Kind: kind, Tier: tier, Tasks: tasks, Size: size, Runtime: runtime, Deadline: deadline}
+	}
+	return []cell{
+		{
+			name: "Aulaplan", workers: 50, rackSize: 8, domains: 3, capacity: size(32, 128, 0), branches: 6,
+			streams: []stream{
+				{workload: workload("check", model.KindBatch, model.TierUrgent, 1, size(1, 1, 0), 10*time.Second, 20*time.Second), load: 0.10, truly: 8 * time.Second},
+				{workload: workload("rebuild", model.KindBatch, model.TierNormal, 8, size(4, 12, 0), 2*time.Minute, 10*time.Minute), load: 0.35, truly: 100 * time.Second},
+				{workload: workload("archive", model.KindBatch, model.TierLow, 20, size(2, 10, 0), 3*time.Minute, 0), load: 0.35, truly: 150 * time.Second},
+				{workload: workload("sync", model.KindService, model.TierHigh, 20, size(0.5, 2, 0), 0, 0), initial: 2},
+			},
+		},
+		{
+			name: "Hoogvlucht", workers: 50, rackSize: 6, domains: 4, capacity: size(64, 128, 0), accEvery: 5, branches: 6,
+			streams: []stream{
+				{workload: workload("forecast", model.KindBatch, model.TierUrgent, 1, size(4, 6, 0), 20*time.Second, 40*time.Second), load: 0.15, truly: 15 * time.Second},
+				{workload: workload("clearance", model.KindBatch, model.TierHigh, 1, size(1, 2, 0), 5*time.Second, time.Minute), load: 0.02, truly: 4 * time.Second, once: true},
+				{workload: workload("ensemble", model.KindGang, model.TierNormal, 8, size(8, 16, 0), time.Minute, 12*time.Minute), load: 0.25, truly: 50 * time.Second},
+				{workload: workload("training", model.KindBatch, model.TierNormal, 2, size(4, 16, 1), 2*time.Minute, 15*time.Minute), load: 0.02, truly: 110 * time.Second},
+				{workload: workload("reanalysis", model.KindBatch, model.TierLow, 16, size(8, 20, 0), 4*time.Minute, 0), load: 0.35, truly: 200 * time.Second},
+				{workload: workload("watch", model.KindService, model.TierHigh, 20, size(1, 2, 0), 0, 0), initial: 2},
+			},
+		},
+	}
+}
+
+// listWorkers lays the cell's workers out in racks, and the racks in failure domains.
+func listWorkers(c cell) []schedule.Worker {
+	var out []schedule.Worker
+	for i := range c.workers {
+		rack := i / c.rackSize
+		w := schedule.Worker{
+			ID:            model.WorkerID(fmt.Sprintf("w%03d", i)),
+			FailureDomain: model.FailureDomain(fmt.Sprintf("d%d", rack%c.domains)),
+			Rack:          fmt.Sprintf("r%d", rack),
+			Capacity:      c.capacity,
+		}
+		if c.accEvery > 0 && i%c.accEvery == 0 {
+			w.Capacity.Accelerators = 4
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// ordinaryDay is a peak of the cell's day at ten times the rate: the offered load rises to
+// twice the mean of the streams and falls to nothing within the scenario.
+func ordinaryDay(name string, c cell, seed uint64) *scenario {
+	s := &scenario{
+		name:    name,
+		cell:    c,
+		workers: listWorkers(c),
+		bad:     make(map[model.WorkerID]bool),
+		end:     scenarioStart.Add(scenarioLength),
+	}
+	for i := range c.branches {
+		id := model.BranchID(fmt.Sprintf("b%d", i))
+		s.branches = append(s.branches, model.Branch{ID: id, Share: int64(1 + i%3)})
+	}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	for _, st := range c.streams {
+		for _, b := range s.branches {
+			s.addStream(rng, st, b.ID, st.load/float64(c.branches))
+		}
+	}
+	s.sort()
+	return s
+}
+
+// addStream adds a branch's arrivals of a stream: a Poisson process with the day's curve.
+func (s *scenario) addStream(rng *rand.Rand, st stream, branch model.BranchID, load float64) {
+	w := st.workload
+	for range st.initial {
+		s.add(st, branch, scenarioStart)
+	}
+	if load == 0 {
+		return
+	}
+	work := float64(w.Tasks) * float64(w.Size.MilliCPU) * st.truly.Seconds()
+	rate := load * float64(s.cell.capacity.MilliCPU) * float64(s.cell.workers) / work // jobs a second
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / (2 * rate)
+		if at >= scenarioLength.Seconds() {
+			return
+		}
+		phase := at / scenarioLength.Seconds()
+		if rng.Float64() < math.Sin(phase*math.Pi) {
+			s.add(st, branch, scenarioStart.Add(time.Duration(at*float64(time.Second))))
+		}
+	}
+}
+
+func (s *scenario) add(st stream, branch model.BranchID, at time.Time) *arrival {
+	w := st.workload
+	a := &arrival{
+		job: model.Job{
+			ID:          model.JobID(fmt.Sprintf("p~%s-%s-%d", branch, w.ID, len(s.arrivals))),
+			Branch:      branch,
+			Workload:    w.ID,
+			Kind:        w.Kind,
+			Tier:        w.Tier,
+			Tasks:       w.Tasks,
+			Size:        w.Size,
+			Runtime:     w.Runtime,
+			Submitted:   at,
+			Restartable: !st.once,
+		},
+		trueSize: w.Size,
+		trueRun:  st.truly,
+	}
+	if w.Deadline > 0 {
+		a.job.Deadline = at.Add(w.Deadline)
+	}
+	s.arrivals = append(s.arrivals, a)
+	return a
+}
+
+func (s *scenario) sort() {
+	slices.SortStableFunc(s.arrivals, func(a, b *arrival) int {
+		return a.job.Submitted.Compare(b.job.Submitted)
+	})
+}
