--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) tool wire diff ./internal/server
 
 # test runs every test with the race detector and fixed seeds.
 test: lint
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -37,7 +37,8 @@
 		number("max-queue-requests", "`COUNT` of requests that wait for a slot on this VM", &s.MaxQueueRequests),
 		number64("max-queue-bytes", "`BYTES` of the waiting requests' bodies", &s.MaxQueueBytes),
 		number("event-ring", "`COUNT` of events kept for the time line", &s.EventRing),
-		duration("drain-timeout", "`DURATION` after which a graceful stop gives up", &s.DrainTimeout),
+		duration("drain-delay", "`DURATION` between not ready and refusing requests", &s.DrainDelay),
+		duration("drain-timeout", "`DURATION` after which a step of a graceful stop gives up", &s.DrainTimeout),
 		text("log-level", "`LEVEL`: debug, info, warn or error", &s.LogLevel),
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -34,7 +34,8 @@
 	MaxQueueRequests int                 `json:"max_queue_requests"` // waiting for a slot on this VM
 	MaxQueueBytes    int64               `json:"max_queue_bytes"`    // of their bodies
 	EventRing        int                 `json:"event_ring"`         // events kept for the time line
-	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a graceful stop gives up
+	DrainDelay       time.Duration       `json:"drain_delay"`        // between not ready and refusing requests, for the balancer to notice
+	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a step of a graceful stop gives up
 	LogLevel         string              `json:"log_level"`          // debug, info, warn or error
 }
 
@@ -62,6 +63,7 @@
 		MaxQueueRequests: 4096,
 		MaxQueueBytes:    64 << 20,
 		EventRing:        4096,
+		DrainDelay:       2 * time.Second,
 		DrainTimeout:     30 * time.Second,
 		LogLevel:         "info",
 	}
@@ -102,6 +104,7 @@
 	v.between("--lease-lead", s.LeaseLead, time.Second, time.Hour)
 	v.between("--drift-margin", s.DriftMargin, 0, time.Minute)
 	v.between("--default-deadline", s.DefaultDeadline, time.Millisecond, s.MaxDeadline)
+	v.between("--drain-delay", s.DrainDelay, 0, time.Minute)
 	v.between("--drain-timeout", s.DrainTimeout, 0, time.Hour)
 	v.require("--lease-lead", s.LeaseLead > 2*s.WorkerInterval, "must be more than twice --worker-interval, or leases lapse between polls")
 	v.positive("--store-writes", int64(s.StoreWrites))
--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -216,7 +216,7 @@
 		a.recorder.Record(event.TakeoverFailed, info.ID, err)
 		return
 	}
-	a.recorder.Record(event.PartitionTaken, info.ID, log.Epoch(), replay.PreviousOwner, time.Since(begun))
+	a.recorder.Record(event.PartitionTaken, info.ID, log.Epoch(), replay.PreviousOwner, len(replay.Records), time.Since(begun).Milliseconds())
 	a.host.Host(info, log, replay)
 }
 
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -24,6 +24,7 @@
 	vms      []platform.VM
 	layout   partition.Layout
 	branches []model.Branch
+	publish  func(map[model.PartitionID]membership.Tenancy) // takes the digests after every tick
 }
 
 // tenure is one worker partition under one epoch.
@@ -32,6 +33,7 @@
 	log   *partition.Log
 	owner *partition.Owner
 	calls map[partition.Token]chan partition.Reply // submissions and cancels that wait
+	ended func()                                   // called once when the tenure ends
 }
 
 func newControl(settings config.Settings, recorder event.Recorder) *control {
@@ -44,6 +46,7 @@
 		t.owner.Tick(now)
 		c.drain(t)
 	}
+	c.publish(c.digests())
 }
 
 // drain carries out what the partition's owner asks for.
@@ -80,10 +83,11 @@
 		close(waiting)
 	}
 	t.calls = nil
+	t.ended()
 }
 
 // host starts to decide for a partition that was taken over.
-func (c *control) host(now time.Time, info partition.Info, log *partition.Log, replay partition.Replay) error {
+func (c *control) host(now time.Time, info partition.Info, log *partition.Log, replay partition.Replay, ended func()) error {
 	options := partition.DefaultOwnerOptions(info.ID, log.Epoch(), log.Lead())
 	options.PollInterval = c.settings.WorkerInterval
 	options.DriftMargin = c.settings.DriftMargin
@@ -93,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	t := &tenure{info: info, log: log, owner: owner, calls: map[partition.Token]chan partition.Reply{}}
+	t := &tenure{info: info, log: log, owner: owner, calls: map[partition.Token]chan partition.Reply{}, ended: ended}
 	c.tenures[info.ID] = t
 	owner.SetBranches(now, c.branches)
 	owner.Listed(now, c.workersOf(info.ID))
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -31,6 +31,9 @@
 		Tags:           map[string]string{"vm": settings.Name, "failure_domain": string(settings.FailureDomain)},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}, nil
 }
--- /dev/null
+++ b/internal/server/providers.go
@@ -0,0 +1,155 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+
+	"filbertcross/internal/backend"
+	"filbertcross/internal/config"
+	"filbertcross/internal/event"
+	"filbertcross/internal/event/timeline"
+	"filbertcross/internal/front"
+	"filbertcross/internal/ledger"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+)
+
+func provideStore(s config.Settings) platform.Store {
+	return platform.NewHTTPStore(s.StoreURL, s.StoreTimeout)
+}
+
+func provideVMList(s config.Settings) platform.VMList {
+	return platform.NewHTTPVMList(s.VMListURL, s.StoreTimeout)
+}
+
+func provideWorkers(s config.Settings) *platform.HTTPWorkers {
+	return platform.NewHTTPWorkers(s.WorkerTimeout)
+}
+
+// idSuffix is how much of a random id tells two starts of one VM apart.
+const idSuffix = 8
+
+func provideSelf(s config.Settings) membership.Member {
+	return membership.Member{
+		ID:            model.VMID(s.Name + "-" + uuid.NewString()[:idSuffix]),
+		Address:       s.PeerAddress,
+		HTTPAddress:   s.HTTPAddress,
+		FailureDomain: s.FailureDomain,
+	}
+}
+
+func provideClock() *event.Clock { return event.NewClock(time.Now) }
+
+func provideLog(s config.Settings, self membership.Member, clock *event.Clock, logger logr.Logger) *event.Log {
+	return event.NewLog(event.LogOptions{
+		VM:            self.ID,
+		FailureDomain: self.FailureDomain,
+		Clock:         clock,
+		Logger:        logger,
+		RingEntries:   s.EventRing,
+	})
+}
+
+func provideScope(m *metrics) tally.Scope { return m.scope }
+
+func providePeerServer(clock *event.Clock, recorder event.Recorder) *peer.Server {
+	return peer.NewServer(peer.Options{Clock: clock}, recorder)
+}
+
+func providePeerClient(clock *event.Clock, recorder event.Recorder) *peer.Client {
+	return peer.NewClient(peer.Options{Clock: clock}, recorder)
+}
+
+func provideMembership(s config.Settings, self membership.Member, clock *event.Clock, caller peer.Caller, server *peer.Server, d *digester, recorder event.Recorder) *membership.Membership {
+	born := clock.Now()
+	m := membership.New(membership.Options{Interval: s.Heartbeat, Seed: uint64(born), Born: born}, self, caller, d.Digest, recorder)
+	m.Register(server)
+	return m
+}
+
+func provideControl(s config.Settings, recorder event.Recorder, e *executor, d *digester) *control {
+	c := newControl(s, recorder)
+	c.execute = e.Execute
+	c.publish = func(digests map[model.PartitionID]membership.Tenancy) { d.workers.Store(&digests) }
+	return c
+}
+
+func provideLoop(c *control, e *executor) *loop {
+	l := newLoop(c)
+	e.post = l.Post
+	return l
+}
+
+func providePoller(s config.Settings, list platform.VMList, recorder event.Recorder, m *membership.Membership, b *backend.Manager, e *executor, a *assigner, l *loop, st *status) *poller {
+	return &poller{settings: s, list: list, recorder: recorder, listeners: []listener{
+		m.Update,
+		func(vms []platform.VM) { b.Update(time.Now(), vms) },
+		e.SetList,
+		a.SetList,
+		func(vms []platform.VM) {
+			if layout, known := a.Layout(); known {
+				l.Post(listChanged{vms: vms, layout: layout})
+			}
+			st.listed.Store(true)
+		},
+	}}
+}
+
+func provideConfigurations(store platform.Store, d *digester) configurations {
+	c := newStoredConfiguration(store)
+	var source model.ConfigurationSource = c
+	d.source.Store(&source)
+	return c
+}
+
+func provideBackends(s config.Settings, view membership.View, caller peer.Caller, server *peer.Server, recorder event.Recorder, scope tally.Scope, d *digester) *backend.Manager {
+	m := backend.NewManager(backend.Options{
+		Queue: backend.QueueLimits{Requests: s.MaxQueueRequests, Bytes: s.MaxQueueBytes},
+	}, view, caller, recorder, scope)
+	m.Register(server)
+	d.backends.Store(m)
+	return m
+}
+
+func provideLedger(store platform.Store) ledger.Client { return storedLedger{store: store} }
+
+func provideFront(s config.Settings, router backend.Router, keys ledger.Client, source model.ConfigurationSource, view membership.View, recorder event.Recorder, scope tally.Scope) *front.Handler {
+	return front.New(front.Options{
+		DefaultDeadline: s.DefaultDeadline,
+		MaxDeadline:     s.MaxDeadline,
+		BodyLimit:       s.MaxBody,
+		AnswerLimit:     s.MaxBody,
+	}, router, keys, source, view, recorder, scope)
+}
+
+func provideJobs(l *loop, caller peer.Caller, server *peer.Server, view membership.View, source model.ConfigurationSource, a *assigner) *jobs {
+	j := &jobs{loop: l, caller: caller, directory: directory{view}, source: source, layout: a.Layout}
+	j.register(server)
+	return j
+}
+
+func provideStatus(source model.ConfigurationSource) *status { return &status{source: source} }
+
+func provideOperators(j *jobs, s *sheets, source model.ConfigurationSource, log *event.Log, caller peer.Caller, server *peer.Server, view membership.View, m *metrics, st *status) *operators {
+	timeline.Register(server, log)
+	return &operators{
+		jobs:      j,
+		sheets:    s,
+		source:    source,
+		log:       log,
+		collector: timeline.NewCollector(caller, log),
+		view:      view,
+		metrics:   m.handler,
+		ready:     st.Ready,
+	}
+}
+
+func provideHandler(o *operators, f *front.Handler, recorder event.Recorder) http.Handler {
+	return newHandler(o, f, recorder)
+}
--- /dev/null
+++ b/internal/server/wire.go
@@ -0,0 +1,76 @@
+//go:build wireinject
+
+package server
+
+import (
+	"github.com/go-logr/logr"
+	"github.com/google/wire"
+
+	"filbertcross/internal/backend"
+	"filbertcross/internal/config"
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+)
+
+// Build makes the parts of a VM from its settings; nothing runs before Run.
+func Build(settings config.Settings, logger logr.Logger) (*Server, error) {
+	panic(wire.Build(providers))
+}
+
+// providers builds the parts of a VM; wire_gen.go calls them in order.
+var providers = wire.NewSet(
+	platformSet, linkSet, controlSet, requestSet, operatorSet,
+	wire.Struct(new(Server), "*"),
+)
+
+var platformSet = wire.NewSet(
+	provideStore,
+	provideVMList,
+	provideWorkers,
+	wire.Bind(new(platform.Workers), new(*platform.HTTPWorkers)),
+)
+
+var linkSet = wire.NewSet(
+	provideSelf,
+	provideClock,
+	provideLog,
+	wire.Bind(new(event.Recorder), new(*event.Log)),
+	newMetrics,
+	provideScope,
+	providePeerServer,
+	providePeerClient,
+	wire.Bind(new(peer.Caller), new(*peer.Client)),
+	newDigester,
+	provideMembership,
+	wire.Bind(new(membership.View), new(*membership.Membership)),
+)
+
+var controlSet = wire.NewSet(
+	newExecutor,
+	provideControl,
+	provideLoop,
+	newHosting,
+	wire.Bind(new(tenancies), new(*hosting)),
+	newAssigner,
+	providePoller,
+)
+
+var requestSet = wire.NewSet(
+	provideConfigurations,
+	wire.Bind(new(model.ConfigurationSource), new(configurations)),
+	provideBackends,
+	wire.Bind(new(backend.Router), new(*backend.Manager)),
+	provideLedger,
+	provideFront,
+)
+
+var operatorSet = wire.NewSet(
+	provideJobs,
+	wire.Struct(new(sheets), "*"),
+	provideStatus,
+	provideOperators,
+	provideHandler,
+)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -10,6 +10,9 @@
 // RefusedHeader marks an answer of a backend server that did not run the request.
 const RefusedHeader = "Filbertcross-Refused"
 
+// requestIDHeader names a request; a backend server repeats it in its answer.
+const requestIDHeader = "Filbertcross-Request-Id"
+
 // BackendOptions describe a stand-in for a backend server.
 type BackendOptions struct {
 	ID          string
@@ -83,6 +86,7 @@
 		b.refuse(w)
 		return
 	}
+	w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
 	b.run(r)
 	time.Sleep(b.opts.ServiceTime + fault.delay)
 	if fault.loseAnswer {
@@ -91,7 +95,7 @@
 	writeJSON(w, http.StatusOK, BackendAnswer{
 		Server:  b.opts.ID,
 		Path:    r.URL.Path,
-		Request: r.Header.Get("Filbertcross-Request-Id"),
+		Request: r.Header.Get(requestIDHeader),
 		Booking: r.URL.Query().Get("booking"),
 	})
 }
--- a/internal/standin/demo/checks.go
+++ b/internal/standin/cluster/checks.go
@@ -1,4 +1,4 @@
-package main
+package cluster
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"filbertcross/internal/standin"
 )
 
-// checks collects what held and what did not.
-type checks struct {
+// Checks collects what held and what did not. Safe for concurrent use.
+type Checks struct {
 	mu      sync.Mutex
 	results []result
 }
@@ -21,15 +21,18 @@
 	detail string
 }
 
-func (c *checks) expect(name string, ok bool, detail string) {
+// Expect notes whether something held.
+func (c *Checks) Expect(name string, ok bool, detail string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.results = append(c.results, result{name: name, ok: ok, detail: detail})
 }
 
-func (c *checks) fail(name, detail string) { c.expect(name, false, detail) }
+// Fail notes that something did not hold.
+func (c *Checks) Fail(name, detail string) { c.Expect(name, false, detail) }
 
-func (c *checks) failed() bool {
+// Failed reports whether anything did not hold.
+func (c *Checks) Failed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.results {
@@ -40,7 +43,8 @@
 	return false
 }
 
-func (c *checks) print() {
+// Print writes a line for each check.
+func (c *Checks) Print() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fmt.Println("\nsummary")
@@ -53,8 +57,8 @@
 	}
 }
 
-// overlap returns two runs of one task that overlap in time, if there are any.
-func overlap(runs []standin.Run) (a, b standin.Run, found bool) {
+// Overlap returns two runs of one task that overlap in time, if there are any.
+func Overlap(runs []standin.Run) (a, b standin.Run, found bool) {
 	byTask := map[model.TaskID][]standin.Run{}
 	for _, run := range runs {
 		byTask[run.Task] = append(byTask[run.Task], run)
@@ -71,8 +75,8 @@
 	return a, b, false
 }
 
-// overCapacity returns a worker that ran more than its capacity at once.
-func overCapacity(runs []standin.Run, capacity model.Resources) (model.WorkerID, bool) {
+// OverCapacity returns a worker that ran more than its capacity at once.
+func OverCapacity(runs []standin.Run, capacity model.Resources) (model.WorkerID, bool) {
 	byWorker := map[model.WorkerID][]standin.Run{}
 	for _, run := range runs {
 		byWorker[run.Worker] = append(byWorker[run.Worker], run)
--- a/internal/standin/demo/load.go
+++ b/internal/standin/cluster/load.go
@@ -1,9 +1,10 @@
-package main
+package cluster
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,25 +15,26 @@
 	"filbertcross/internal/verdict"
 )
 
-// load sends checks and bookings to the VMs as the platform's balancer would:
+// Load sends checks and bookings to the VMs as the platform's balancer would:
 // in turn, to those whose readiness answers, knowing nothing else.
-type load struct {
+type Load struct {
 	client *http.Client
 	urls   []string // of the VMs
 	ready  []atomic.Bool
 
 	mu       sync.Mutex
-	tally    tally
+	tally    Tally
 	verdicts map[string]verdict.Verdict // of each booking
 }
 
-// tally counts the answers of a load.
-type tally struct {
-	sent, done, notRun, mayHaveRun, noAnswer, wrong int
+// Tally counts the answers of a load.
+type Tally struct {
+	Sent, Done, NotRun, MayHaveRun, NoAnswer, Wrong int
 }
 
-func newLoad(urls []string) *load {
-	return &load{
+// NewLoad returns a load on the VMs at the given URLs; none counts as ready yet.
+func NewLoad(urls []string) *Load {
+	return &Load{
 		client:   &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		urls:     urls,
 		ready:    make([]atomic.Bool, len(urls)),
@@ -45,8 +47,8 @@
 	readinessTimeout  = 300 * time.Millisecond
 )
 
-// watchReadiness polls each VM's readiness until the context ends.
-func (l *load) watchReadiness(ctx context.Context) {
+// WatchReadiness polls each VM's readiness until the context ends.
+func (l *Load) WatchReadiness(ctx context.Context) {
 	poll := &http.Client{Timeout: readinessTimeout}
 	for i, url := range l.urls {
 		go func() {
@@ -62,8 +64,8 @@
 	}
 }
 
-// run sends requests at a steady rate until the context ends, then waits for the answers.
-func (l *load) run(ctx context.Context, perSecond int, label string) {
+// Run sends requests at a steady rate until the context ends, then waits for the answers.
+func (l *Load) Run(ctx context.Context, perSecond int, label string) {
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	var answers sync.WaitGroup
@@ -82,7 +84,7 @@
 		go func() {
 			defer answers.Done()
 			if n%4 == 0 {
-				l.book(url, fmt.Sprintf("%s-%d", label, n))
+				l.Book(url, fmt.Sprintf("%s-%d", label, n))
 				return
 			}
 			l.check(url, fmt.Sprintf("hall-%s-%d", label, n))
@@ -90,7 +92,7 @@
 	}
 }
 
-func (l *load) pick(n int) (string, bool) {
+func (l *Load) pick(n int) (string, bool) {
 	for i := range l.urls {
 		candidate := (n + i) % len(l.urls)
 		if l.ready[candidate].Load() {
@@ -101,15 +103,15 @@
 }
 
 // check asks for a hall's availability; the answer must name that hall.
-func (l *load) check(url, hall string) {
+func (l *Load) check(url, hall string) {
 	req, _ := http.NewRequest(http.MethodGet, url+"/v1/branches/sofia-academy/services/zalibook/availability/"+hall, nil)
 	answer, v, err := l.send(req)
 	wrong := v == verdict.Done && answer.Path != "/availability/"+hall
 	l.count(v, err, wrong)
 }
 
-// book files a booking under its own idempotency key.
-func (l *load) book(url, booking string) (standin.BackendAnswer, verdict.Verdict) {
+// Book files a booking under its own idempotency key.
+func (l *Load) Book(url, booking string) (standin.BackendAnswer, verdict.Verdict) {
 	req, _ := http.NewRequest(http.MethodPost, url+"/v1/branches/sofia-academy/services/zalibook/bookings?booking="+booking, nil)
 	req.Header.Set(api.HeaderIdempotencyKey, booking)
 	answer, v, err := l.send(req)
@@ -120,7 +122,7 @@
 	return answer, v
 }
 
-func (l *load) send(req *http.Request) (standin.BackendAnswer, verdict.Verdict, error) {
+func (l *Load) send(req *http.Request) (standin.BackendAnswer, verdict.Verdict, error) {
 	req.Header.Set("Filbertcross-Deadline", "5s")
 	resp, err := l.client.Do(req)
 	if err != nil {
@@ -138,34 +140,52 @@
 	return answer, v, nil
 }
 
-func (l *load) count(v verdict.Verdict, err error, wrong bool) {
+func (l *Load) count(v verdict.Verdict, err error, wrong bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tally.sent++
+	l.tally.Sent++
 	switch {
 	case wrong:
-		l.tally.wrong++
+		l.tally.Wrong++
 	case err != nil:
-		l.tally.noAnswer++
+		l.tally.NoAnswer++
 	case v == verdict.Done:
-		l.tally.done++
+		l.tally.Done++
 	case v == verdict.NotRun:
-		l.tally.notRun++
+		l.tally.NotRun++
 	default:
-		l.tally.mayHaveRun++
+		l.tally.MayHaveRun++
 	}
 }
 
-// counts returns the tally so far and starts a new one.
-func (l *load) counts() tally {
+// Counts returns the tally so far and starts a new one.
+func (l *Load) Counts() Tally {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	counts := l.tally
-	l.tally = tally{}
+	l.tally = Tally{}
 	return counts
 }
 
-func (t tally) String() string {
+// Verdicts returns the verdict of each booking so far.
+func (l *Load) Verdicts() map[string]verdict.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.verdicts)
+}
+
+// Ready reports whether every VM answered its last readiness check.
+func (l *Load) Ready() bool {
+	for i := range l.ready {
+		if !l.ready[i].Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// String writes the counts in one line.
+func (t Tally) String() string {
 	return fmt.Sprintf("%d sent: %d done, %d not run, %d may have run, %d without an answer, %d wrong",
-		t.sent, t.done, t.notRun, t.mayHaveRun, t.noAnswer, t.wrong)
+		t.Sent, t.Done, t.NotRun, t.MayHaveRun, t.NoAnswer, t.Wrong)
 }
--- a/internal/standin/demo/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -1,4 +1,4 @@
-package main
+package cluster
 
 import (
 	"net"
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// processes are the children of the demo; it signals no others.
-type processes struct {
-	dir string // of the log files
+// Processes are the children of a run; it signals no others. Safe for concurrent use.
+type Processes struct {
+	Dir string // of the log files
 
 	mu    sync.Mutex
 	procs map[string]*process
@@ -25,14 +25,15 @@
 	done chan struct{} // closed when it has ended
 }
 
-func newProcesses() (*processes, error) {
-	dir, err := os.MkdirTemp("", "filbertcross-demo-")
-	return &processes{dir: dir, procs: map[string]*process{}}, err
+// NewProcesses returns no processes yet; their logs go to a new directory.
+func NewProcesses() (*Processes, error) {
+	dir, err := os.MkdirTemp("", "filbertcross-run-")
+	return &Processes{Dir: dir, procs: map[string]*process{}}, err
 }
 
-// start runs a binary whose output goes to a log file named after it.
-func (p *processes) start(name, binary string, args ...string) error {
-	log, err := os.Create(filepath.Join(p.dir, name+".log"))
+// Start runs a binary whose output goes to a log file named after it.
+func (p *Processes) Start(name, binary string, args ...string) error {
+	log, err := os.Create(filepath.Join(p.Dir, name+".log"))
 	if err != nil {
 		return err
 	}
@@ -54,14 +55,15 @@
 	return nil
 }
 
-func (p *processes) signal(name string, sig syscall.Signal) {
+// Signal sends a signal to a process started before.
+func (p *Processes) Signal(name string, sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.procs[name].cmd.Process.Signal(sig)
 }
 
-// wait reports whether the process ended by itself, with its exit code.
-func (p *processes) wait(name string, timeout time.Duration) (int, bool) {
+// Wait reports whether the process ended by itself, with its exit code.
+func (p *Processes) Wait(name string, timeout time.Duration) (int, bool) {
 	p.mu.Lock()
 	proc := p.procs[name]
 	p.mu.Unlock()
@@ -73,7 +75,8 @@
 	}
 }
 
-func (p *processes) killAll() {
+// KillAll kills every process and waits for its end.
+func (p *Processes) KillAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, proc := range p.procs {
@@ -84,7 +87,8 @@
 	}
 }
 
-func (p *processes) alive() int {
+// Alive counts the processes that have not ended.
+func (p *Processes) Alive() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	count := 0
@@ -98,8 +102,8 @@
 	return count
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(count int) ([]string, error) {
+// FreeAddresses returns loopback addresses that were free a moment ago.
+func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
 	for range count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -18,6 +18,7 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/standin"
+	"filbertcross/internal/standin/cluster"
 	"filbertcross/internal/verdict"
 )
 
@@ -37,9 +38,9 @@
 // demo is one run.
 type demo struct {
 	bin, sheet string
-	procs      *processes
-	checks     checks
-	load       *load
+	procs      *cluster.Processes
+	checks     cluster.Checks
+	load       *cluster.Load
 
 	storeURL, listURL string
 	vmHTTP            []string // host:port
@@ -48,7 +49,7 @@
 }
 
 func newDemo(bin, sheet string) (*demo, error) {
-	procs, err := newProcesses()
+	procs, err := cluster.NewProcesses()
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +89,7 @@
 }
 
 func (d *demo) startStandins(ctx context.Context) error {
-	addresses, err := freeAddresses(2 + vmCount*(workersPerDomain+backendsPerVM))
+	addresses, err := cluster.FreeAddresses(2 + vmCount*(workersPerDomain+backendsPerVM))
 	if err != nil {
 		return err
 	}
@@ -96,7 +97,7 @@
 	addresses = addresses[2:]
 	d.workers, d.backends = addresses[:vmCount*workersPerDomain], addresses[vmCount*workersPerDomain:]
 	standinBinary := filepath.Join(d.bin, "standin")
-	err = d.procs.start("platform", standinBinary, "platform",
+	err = d.procs.Start("platform", standinBinary, "platform",
 		"--store", strings.TrimPrefix(d.storeURL, "http://"), "--list", strings.TrimPrefix(d.listURL, "http://"))
 	if err != nil {
 		return err
@@ -134,10 +135,10 @@
 			return err
 		}
 	}
-	if err := d.procs.start("workers-"+domain, standinBinary, workerArgs...); err != nil {
+	if err := d.procs.Start("workers-"+domain, standinBinary, workerArgs...); err != nil {
 		return err
 	}
-	return d.procs.start("backends-"+domain, standinBinary, backendArgs...)
+	return d.procs.Start("backends-"+domain, standinBinary, backendArgs...)
 }
 
 func (d *demo) list(vm platform.VM, domain, rack string) error {
@@ -151,7 +152,7 @@
 }
 
 func (d *demo) startVMs(ctx context.Context) error {
-	addresses, err := freeAddresses(2 * vmCount)
+	addresses, err := cluster.FreeAddresses(2 * vmCount)
 	if err != nil {
 		return err
 	}
@@ -163,7 +164,7 @@
 		if err := d.list(row, domain, ""); err != nil {
 			return err
 		}
-		err := d.procs.start(name, filepath.Join(d.bin, "filbertcross"), "serve",
+		err := d.procs.Start(name, filepath.Join(d.bin, "filbertcross"), "serve",
 			"--name", name, "--failure-domain", domain,
 			"--http-address", httpAddress, "--peer-address", peerAddress,
 			"--store-url", d.storeURL, "--vm-list-url", d.listURL,
@@ -174,7 +175,7 @@
 		d.vmHTTP = append(d.vmHTTP, httpAddress)
 		urls = append(urls, "http://"+httpAddress)
 	}
-	d.load = newLoad(urls)
+	d.load = cluster.NewLoad(urls)
 	return await(ctx, "the VMs to answer", func() bool {
 		for _, url := range urls {
 			if get(url+"/healthz", nil) != nil {
@@ -209,40 +210,33 @@
 		}
 		return err == nil && inForce == vmCount
 	})
-	d.checks.expect("the sheet is in force everywhere within 6 s", err == nil && time.Since(begun) < 6*time.Second,
+	d.checks.Expect("the sheet is in force everywhere within 6 s", err == nil && time.Since(begun) < 6*time.Second,
 		fmt.Sprintf("revision %d after %v", accepted.Revision, time.Since(begun).Round(time.Millisecond)))
 	if err != nil {
 		return err
 	}
-	go d.load.watchReadiness(context.WithoutCancel(ctx))
-	return await(ctx, "every VM to be ready", func() bool {
-		for i := range d.load.ready {
-			if !d.load.ready[i].Load() {
-				return false
-			}
-		}
-		return true
-	})
+	go d.load.WatchReadiness(context.WithoutCancel(ctx))
+	return await(ctx, "every VM to be ready", d.load.Ready)
 }
 
 func (d *demo) answerChecks(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	d.load.run(bounded, loadPerSecond, "quiet")
-	counts := d.load.counts()
-	d.checks.expect("every check and booking is answered, its own answer", counts.done == counts.sent && counts.sent > 0, counts.String())
+	d.load.Run(bounded, loadPerSecond, "quiet")
+	counts := d.load.Counts()
+	d.checks.Expect("every check and booking is answered, its own answer", counts.Done == counts.Sent && counts.Sent > 0, counts.String())
 	return nil
 }
 
 func (d *demo) bookTwice(context.Context) error {
-	first, firstVerdict := d.load.book("http://"+d.vmHTTP[0], "hall-204-monday")
-	second, secondVerdict := d.load.book("http://"+d.vmHTTP[1], "hall-204-monday")
+	first, firstVerdict := d.load.Book("http://"+d.vmHTTP[0], "hall-204-monday")
+	second, secondVerdict := d.load.Book("http://"+d.vmHTTP[1], "hall-204-monday")
 	same := first == second && firstVerdict == verdict.Done && secondVerdict == verdict.Done
 	ran, err := d.ran()
 	if err != nil {
 		return err
 	}
-	d.checks.expect("one booking sent twice through two VMs runs once, same answer", same && ran["hall-204-monday"] == 1,
+	d.checks.Expect("one booking sent twice through two VMs runs once, same answer", same && ran["hall-204-monday"] == 1,
 		fmt.Sprintf("ran %d time(s); %v, %v", ran["hall-204-monday"], firstVerdict, secondVerdict))
 	return nil
 }
@@ -264,7 +258,7 @@
 		if err != nil {
 			return err
 		}
-		d.checks.expect(fmt.Sprintf("%s submitted twice with one key is one job", job.Workload), again.ID == accepted.ID, string(accepted.ID))
+		d.checks.Expect(fmt.Sprintf("%s submitted twice with one key is one job", job.Workload), again.ID == accepted.ID, string(accepted.ID))
 		d.jobs = append(d.jobs, accepted.ID)
 	}
 	return nil
@@ -275,16 +269,16 @@
 	defer cancel()
 	go func() {
 		time.Sleep(time.Second)
-		d.procs.signal(vmName(2), syscall.SIGKILL)
+		d.procs.Signal(vmName(2), syscall.SIGKILL)
 		time.Sleep(2 * time.Second)
-		d.procs.signal(vmName(1), syscall.SIGSTOP)
+		d.procs.Signal(vmName(1), syscall.SIGSTOP)
 		time.Sleep(3 * time.Second)
-		d.procs.signal(vmName(1), syscall.SIGCONT)
+		d.procs.Signal(vmName(1), syscall.SIGCONT)
 	}()
-	d.load.run(bounded, loadPerSecond, "faults")
-	counts := d.load.counts()
-	d.checks.expect("no caller gets another's answer under a kill and a freeze", counts.wrong == 0, counts.String())
-	d.checks.expect("service goes on under a kill and a freeze", counts.done*10 >= counts.sent*8, fmt.Sprintf("%d of %d done", counts.done, counts.sent))
+	d.load.Run(bounded, loadPerSecond, "faults")
+	counts := d.load.Counts()
+	d.checks.Expect("no caller gets another's answer under a kill and a freeze", counts.Wrong == 0, counts.String())
+	d.checks.Expect("service goes on under a kill and a freeze", counts.Done*10 >= counts.Sent*8, fmt.Sprintf("%d of %d done", counts.Done, counts.Sent))
 	return nil
 }
 
@@ -298,7 +292,7 @@
 			return err == nil && job.State == want[i]
 		})
 		detail := fmt.Sprintf("%d waiting, %d running, %d done %s", job.Waiting, job.Running, job.Done, job.Reason)
-		d.checks.expect(fmt.Sprintf("%s is %s", demoJobs[i].Workload, want[i]), err == nil, detail)
+		d.checks.Expect(fmt.Sprintf("%s is %s", demoJobs[i].Workload, want[i]), err == nil, detail)
 	}
 	return nil
 }
@@ -312,14 +306,14 @@
 		}
 		runs = append(runs, own...)
 	}
-	a, b, found := overlap(runs)
+	a, b, found := cluster.Overlap(runs)
 	detail := fmt.Sprintf("%d runs", len(runs))
 	if found {
 		detail = fmt.Sprintf("%+v and %+v", a, b)
 	}
-	d.checks.expect("no task ran in two places at once", !found && len(runs) > 0, detail)
-	worker, over := overCapacity(runs, workerCapacity)
-	d.checks.expect("no worker was given more than it has", !over, string(worker))
+	d.checks.Expect("no task ran in two places at once", !found && len(runs) > 0, detail)
+	worker, over := cluster.OverCapacity(runs, workerCapacity)
+	d.checks.Expect("no worker was given more than it has", !over, string(worker))
 	return d.checkBookings()
 }
 
@@ -330,9 +324,8 @@
 		return err
 	}
 	twice, lied, lost := 0, 0, 0
-	d.load.mu.Lock()
-	defer d.load.mu.Unlock()
-	for booking, v := range d.load.verdicts {
+	verdicts := d.load.Verdicts()
+	for booking, v := range verdicts {
 		if ran[booking] > 1 {
 			twice++
 		}
@@ -343,10 +336,10 @@
 			lost++
 		}
 	}
-	total := fmt.Sprintf("of %d bookings", len(d.load.verdicts))
-	d.checks.expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
-	d.checks.expect("no booking told 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
-	d.checks.expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
+	total := fmt.Sprintf("of %d bookings", len(verdicts))
+	d.checks.Expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
+	d.checks.Expect("no booking told 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
+	d.checks.Expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
 	return nil
 }
 
@@ -359,7 +352,7 @@
 			return nil, err
 		}
 		if counts.Peak > slots {
-			d.checks.fail("no backend server has more requests than slots", fmt.Sprintf("%s had %d", counts.ID, counts.Peak))
+			d.checks.Fail("no backend server has more requests than slots", fmt.Sprintf("%s had %d", counts.ID, counts.Peak))
 		}
 		for booking, n := range counts.Bookings {
 			ran[booking] += n
@@ -379,7 +372,7 @@
 	for _, line := range lines[max(0, len(lines)-timelineLines):] {
 		fmt.Println("   ", line)
 	}
-	d.checks.expect("the time line has events of both VMs left", strings.Contains(string(text), vmName(0)) && strings.Contains(string(text), vmName(1)),
+	d.checks.Expect("the time line has events of both VMs left", strings.Contains(string(text), vmName(0)) && strings.Contains(string(text), vmName(1)),
 		fmt.Sprintf("%d lines", len(lines)))
 	var counts standin.Counts
 	if err := get(d.storeURL+"/counts", &counts); err != nil {
@@ -396,21 +389,21 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		d.load.run(bounded, loadPerSecond, "stop")
+		d.load.Run(bounded, loadPerSecond, "stop")
 	}()
 	time.Sleep(500 * time.Millisecond)
 	for _, i := range []int{1, 0} {
-		d.procs.signal(vmName(i), syscall.SIGTERM)
-		code, ended := d.procs.wait(vmName(i), 20*time.Second)
-		d.checks.expect(vmName(i)+" stops by itself, exit code 0", ended && code == 0, fmt.Sprintf("exit code %d", code))
+		d.procs.Signal(vmName(i), syscall.SIGTERM)
+		code, ended := d.procs.Wait(vmName(i), 20*time.Second)
+		d.checks.Expect(vmName(i)+" stops by itself, exit code 0", ended && code == 0, fmt.Sprintf("exit code %d", code))
 	}
 	cancel()
 	<-finished
-	counts := d.load.counts()
-	cut := counts.noAnswer + counts.mayHaveRun + counts.wrong
-	d.checks.expect("a graceful stop cuts off no request", cut == 0 && counts.done > 0, counts.String())
+	counts := d.load.Counts()
+	cut := counts.NoAnswer + counts.MayHaveRun + counts.Wrong
+	d.checks.Expect("a graceful stop cuts off no request", cut == 0 && counts.Done > 0, counts.String())
 	if err := d.checkBookings(); err != nil {
-		d.checks.fail("the backend servers' account after the stop", err.Error())
+		d.checks.Fail("the backend servers' account after the stop", err.Error())
 	}
 }
 
--- a/internal/standin/demo/main.go
+++ b/internal/standin/demo/main.go
@@ -32,12 +32,12 @@
 }
 
 func (d *demo) main(ctx context.Context, keep bool) int {
-	defer d.procs.killAll()
+	defer d.procs.KillAll()
 	bounded, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
 	err := d.run(bounded)
 	if err != nil {
-		d.checks.fail("the demo ran to its end", err.Error())
+		d.checks.Fail("the demo ran to its end", err.Error())
 	}
 	if keep {
 		d.printCommands()
@@ -46,11 +46,11 @@
 	if err == nil && !keep {
 		d.stopGracefully(bounded)
 	}
-	d.procs.killAll()
-	d.checks.expect("no process is left behind", d.procs.alive() == 0, fmt.Sprintf("%d alive", d.procs.alive()))
-	d.checks.print()
-	if d.checks.failed() {
-		fmt.Println("logs are in", d.procs.dir)
+	d.procs.KillAll()
+	d.checks.Expect("no process is left behind", d.procs.Alive() == 0, fmt.Sprintf("%d alive", d.procs.Alive()))
+	d.checks.Print()
+	if d.checks.Failed() {
+		fmt.Println("logs are in", d.procs.Dir)
 		return 1
 	}
 	return 0
