--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -13,6 +13,15 @@
 	Leaving       // stopping on request: given no new work
 )
 
+// String names the state.
+func (s State) String() string {
+	names := [...]string{"alive", "suspect", "dead", "leaving"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
 // Member is one entry VM as seen from this one.
 type Member struct {
 	ID            model.VMID          `json:"id"`
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"strconv"
 	"sync"
@@ -41,11 +42,19 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		started:  time.Now(),
-		prefix:   uuid.NewString() + "-",
+		prefix:   newPrefix(),
 		links:    map[string]*link{},
 	}
 }
 
+// prefixBytes is the random part of an id; half a UUID keeps the messages short.
+const prefixBytes = 8
+
+func newPrefix() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[prefixBytes:]) + "-"
+}
+
 // Close breaks all connections; calls under way may have run.
 func (c *Client) Close() { c.cancel() }
 
