--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -81,6 +81,7 @@
 	deaf     bool // says that it does not hear this VM
 	refused  bool // the last heartbeat to it found nobody listening
 
+	asked   time.Duration // first heartbeat sent to the address
 	heard   time.Duration // last heartbeat or answer
 	reached time.Duration // last time that a helper reached it
 	meanGap time.Duration // between heartbeats
@@ -224,10 +225,13 @@
 	return d.intervals(maxDeadIntervals)
 }
 
-// unheard tells whether a VM that is known has been silent for suspiciously long.
+// unheard tells whether a VM that this one sends to has been silent for suspiciously long.
 func (d *detector) unheard(now time.Duration, address string) bool {
 	n, ok := d.neighbors[address]
-	return ok && n.ID != "" && now-n.heard >= d.intervals(suspectIntervals)
+	if !ok || n.asked == 0 {
+		return false
+	}
+	return now-max(n.heard, n.asked) >= d.intervals(suspectIntervals)
 }
 
 // failed takes a heartbeat that had no answer; refused says that nobody listens there.
@@ -267,6 +271,9 @@
 		}
 		if d.due(now, address, n) {
 			n.sent = now
+			if n.asked == 0 {
+				n.asked = now
+			}
 			commands = append(commands, command{address: address})
 		}
 		if d.wantsProbes(now, n) {
@@ -293,7 +300,7 @@
 }
 
 // due tells whether a heartbeat is to be sent now: by the lower address of each pair
-// every interval, by the other one when it hears nothing or is not heard.
+// every interval, by the other one when it hears nothing.
 func (d *detector) due(now time.Duration, address string, n *neighbor) bool {
 	since := now - n.sent
 	switch {
@@ -304,7 +311,7 @@
 	case d.self.Address < address:
 		return since >= d.interval()
 	default:
-		return since >= d.interval() && (n.deaf)
+		return since >= d.interval() && now-n.heard >= d.intervals(lateIntervals)
 	}
 }
 
