Slot ownership, permits between VMs, handover, leaving servers, ejection

Change: rendezvous ownership of slots, permits borrowed by power of two choices and delivered to whoever is next in the fair queue, counts of slots in use told to a server's new owner, words on leaving servers passed on with their remaining life, stalls and refusals counted by the owner's ejector.

Proofs seen failing, each with one mechanism broken in a scratch edit: without the former owner's count: 'granted true with 0 free'; Add without the grants in use: 'b3 holds 0, want 1'; a permit granted twice: 'granted true with 1 free, twice true'; share left out of the virtual time: 'served 245.2 of 491.4, want 327.6'; late requests popped: 'popped 2, want 2 in time'; the oldest evicted: 'evicted 1, not the newest of its branch'; cancelled requests still charged: 'served 490.4 of 490.4, want 327.0'; the ejection's bound left out: '3 servers out, counted 3'.

--- a/internal/backend/ejector.go
+++ b/internal/backend/ejector.go
@@ -55,7 +55,7 @@
 	switch o {
 	case OutcomeAnswered:
 		e.restore(h)
-	case OutcomeFailed, OutcomeTimeout:
+	case OutcomeFailed, OutcomeTimeout, OutcomeRefused:
 		h.failures++
 		e.eject(now, h)
 	}
--- /dev/null
+++ b/internal/backend/ejector_test.go
@@ -0,0 +1,63 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/proptest"
+)
+
+// TestEjector drives the ejector with random outcomes: only servers that failed
+// in a row are out, never more than the allowed part, none for ever.
+func TestEjector(t *testing.T) {
+	options := EjectionOptions{Failures: 3, Part: 0.25, Shortest: 4 * time.Second, Longest: 6 * time.Second}
+	proptest.Check(t, func(t *rapid.T) {
+		const servers = 8
+		e, now := NewEjector(options), epoch
+		failures := map[ServerID]int{}
+		for i := range servers {
+			e.Add(ServerID(fmt.Sprint(i)))
+		}
+		server := rapid.Custom(func(t *rapid.T) ServerID {
+			return ServerID(fmt.Sprint(rapid.IntRange(0, servers-1).Draw(t, "server")))
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"fail": func(t *rapid.T) {
+				id := server.Draw(t, "id")
+				failures[id]++
+				e.Observe(now, id, OutcomeFailed)
+			},
+			"answer": func(t *rapid.T) {
+				id := server.Draw(t, "id")
+				failures[id] = 0
+				e.Observe(now, id, OutcomeAnswered)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				proptest.Step()
+				out := 0
+				for i := range servers {
+					id := ServerID(fmt.Sprint(i))
+					limit, later := e.Limit(now, id, 8), e.Limit(now.Add(options.Longest), id, 8)
+					if limit < 8 {
+						out++
+					}
+					if limit < 8 && failures[id] < options.Failures {
+						t.Fatalf("%s is out after %d failures", id, failures[id])
+					}
+					if later < 1 {
+						t.Fatalf("%s is not probed after the longest ejection", id)
+					}
+				}
+				if out > servers/4 || out != e.Out() {
+					t.Fatalf("%d servers out, counted %d", out, e.Out())
+				}
+			},
+		})
+	})
+}
--- a/internal/backend/fair_queue.go
+++ b/internal/backend/fair_queue.go
@@ -143,6 +143,14 @@
 	return Item[T]{}, late, false
 }
 
+// Peek returns the request that is next in order, late or not.
+func (q *FairQueue[T]) Peek() (Item[T], bool) {
+	if len(q.waiting) == 0 {
+		return Item[T]{}, false
+	}
+	return *q.waiting[0].head(), true
+}
+
 // Expire takes out the requests at the heads of their branches that are late.
 func (q *FairQueue[T]) Expire(now time.Time) []Item[T] {
 	var late []Item[T]
--- /dev/null
+++ b/internal/backend/fair_queue_test.go
@@ -0,0 +1,167 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/proptest"
+)
+
+// Bounds of the queue under test.
+const (
+	testQueueRequests = 6
+	testQueueBytes    = 1000
+)
+
+// TestFairQueue drives the queue with random events against one plain list per
+// branch: first come first served within a branch, nobody twice, nobody late,
+// and the bounds kept.
+func TestFairQueue(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		queue := NewFairQueue[int](QueueLimits{Requests: testQueueRequests, Bytes: testQueueBytes})
+		waiting := map[model.BranchID][]Item[int]{}
+		now, serial := epoch, 0
+		drop := func(item Item[int]) {
+			list := waiting[item.Branch]
+			for i := range list {
+				if list[i].ID == item.ID {
+					waiting[item.Branch] = append(list[:i:i], list[i+1:]...)
+					return
+				}
+			}
+			t.Fatalf("%s left the queue twice", item.ID)
+		}
+		push := func(t *rapid.T) {
+			serial++
+			item := Item[int]{
+				ID:     PermitID(fmt.Sprint(serial)),
+				Branch: model.BranchID(fmt.Sprintf("branch-%d", rapid.IntRange(0, 4).Draw(t, "branch"))),
+				Share:  rapid.Int64Range(1, 4).Draw(t, "share"),
+				Cost:   1,
+				Bytes:  rapid.Int64Range(0, testQueueBytes/4).Draw(t, "bytes"),
+				Latest: now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "s")) * time.Second),
+			}
+			evicted, ok := queue.Push(item)
+			for _, e := range evicted {
+				if list := waiting[e.Branch]; e.ID != list[len(list)-1].ID {
+					t.Fatalf("evicted %s, not the newest of its branch", e.ID)
+				}
+				drop(e)
+			}
+			if ok {
+				waiting[item.Branch] = append(waiting[item.Branch], item)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": push, "push again": push, "push more": push,
+			"pop": func(t *rapid.T) {
+				item, late, ok := queue.Pop(now)
+				for _, l := range late {
+					if !now.After(l.Latest) {
+						t.Fatalf("%s called late in time", l.ID)
+					}
+					drop(l)
+				}
+				if !ok {
+					return
+				}
+				if first := waiting[item.Branch][0]; first.ID != item.ID || now.After(item.Latest) {
+					t.Fatalf("popped %s, want %s in time", item.ID, first.ID)
+				}
+				drop(item)
+			},
+			"cancel": func(t *rapid.T) {
+				branch := model.BranchID(fmt.Sprintf("branch-%d", rapid.IntRange(0, 4).Draw(t, "branch")))
+				if list := waiting[branch]; len(list) > 0 {
+					item := rapid.SampledFrom(list).Draw(t, "item")
+					if !queue.Remove(item.ID) || queue.Remove(item.ID) {
+						t.Fatalf("%s not removed exactly once", item.ID)
+					}
+					drop(item)
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "s")) * time.Second)
+				for _, item := range queue.Expire(now) {
+					drop(item)
+				}
+			},
+			"": func(t *rapid.T) {
+				proptest.Step()
+				length, bytes := 0, int64(0)
+				for _, list := range waiting {
+					length += len(list)
+					for _, item := range list {
+						bytes += item.Bytes
+					}
+				}
+				if queue.Len() != length || queue.Bytes() != bytes || length > testQueueRequests || bytes > testQueueBytes {
+					t.Fatalf("%d requests and %d bytes, want %d and %d", queue.Len(), queue.Bytes(), length, bytes)
+				}
+			},
+		})
+	})
+}
+
+// TestFairQueueShares keeps all branches waiting, the first flooding and the last
+// away for the first half, and counts the slot time that each is served afterwards.
+func TestFairQueueShares(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		shares := rapid.SliceOfN(rapid.Int64Range(1, 8), 2, 6).Draw(t, "shares")
+		queue := NewFairQueue[int](QueueLimits{Requests: 200, Bytes: testQueueBytes})
+		served := make([]float64, len(shares))
+		waiting := make([]int, len(shares))
+		serial, total := 0, int64(0)
+		push := func(i int) {
+			serial++
+			cost := rapid.Float64Range(0.5, 2).Draw(t, "cost")
+			item := Item[int]{
+				ID: PermitID(fmt.Sprint(serial)), Branch: model.BranchID(fmt.Sprint(i)),
+				Share: shares[i], Cost: cost, Latest: epoch, Value: i,
+			}
+			evicted, ok := queue.Push(item)
+			if ok {
+				waiting[i]++
+			}
+			for _, e := range evicted {
+				waiting[e.Value]--
+			}
+		}
+		for i := range shares {
+			total += shares[i]
+		}
+		const rounds = 800
+		sum := 0.0
+		for round := range rounds {
+			proptest.Step()
+			for i := range shares {
+				away := i == len(shares)-1 && round < rounds/2
+				for !away && waiting[i] < 1+i%2 {
+					push(i)
+				}
+			}
+			push(0) // floods
+			push(1)
+			if last := PermitID(fmt.Sprint(serial)); queue.Remove(last) { // cancelled
+				waiting[1]--
+			}
+			item, _, _ := queue.Pop(epoch)
+			waiting[item.Value]--
+			if round >= rounds/2 {
+				served[item.Value] += item.Cost
+				sum += item.Cost
+			}
+		}
+		for i, share := range shares {
+			want := sum * float64(share) / float64(total)
+			// Start-time fair queueing is at most one largest request per branch off.
+			if slack := 2 * float64(1+len(shares)); served[i] < want-slack || served[i] > want+slack {
+				t.Fatalf("branch %d of shares %v was served %.1f of %.1f, want %.1f", i, shares, served[i], sum, want)
+			}
+		}
+	})
+}
--- a/internal/backend/manager.go
+++ b/internal/backend/manager.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +11,7 @@
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 )
@@ -23,84 +24,116 @@
 	view     membership.View
 	caller   peer.Caller
 	recorder event.Recorder
-	scope    tally.Scope
-
-	sequence atomic.Int64 // of permits
-
-	mu      sync.RWMutex
-	servers map[ServerID]Server // listed
-	leaving map[ServerID]bool   // listed as leaving
-	pools   map[string]*pool
+	metrics  metrics
+	loads    *peerLoads
+	self     model.VMID
+	sequence atomic.Int64  // of permits
+	told     chan struct{} // wakes the gossip
+
+	mu        sync.RWMutex
+	directory *Directory
+	ownership *Ownership
+	signature []string  // of the members that may own servers, at the last assignment
+	assigned  time.Time // when the servers were assigned last
+	stopping  bool
+	pools     map[string]*pool
 }
 
 var _ Router = (*Manager)(nil)
 
 // NewManager returns a manager that knows no server until Update.
 func NewManager(options Options, view membership.View, caller peer.Caller, recorder event.Recorder, scope tally.Scope) *Manager {
+	options = options.withDefaults()
 	return &Manager{
-		options:  options.withDefaults(),
-		view:     view,
-		caller:   caller,
-		recorder: recorder,
-		scope:    scope.SubScope("backend"),
-		servers:  make(map[ServerID]Server),
-		leaving:  make(map[ServerID]bool),
-		pools:    make(map[string]*pool),
+		options:   options,
+		view:      view,
+		caller:    caller,
+		recorder:  recorder,
+		metrics:   newMetrics(scope.SubScope("backend")),
+		loads:     newPeerLoads(),
+		self:      view.Self().ID,
+		told:      make(chan struct{}, 1),
+		directory: NewDirectory(options.LeavingHold),
+		ownership: NewOwnership(nil),
+		pools:     make(map[string]*pool),
 	}
 }
 
-// Update takes the platform's list of VMs.
-func (m *Manager) Update(_ time.Time, list []platform.VM) {
+// Update takes the platform's list of VMs. Servers that it shows as leaving get
+// nothing new from the moment it returns, and the peers are told.
+func (m *Manager) Update(now time.Time, list []platform.VM) {
 	m.mu.Lock()
-	m.servers = make(map[ServerID]Server)
-	m.leaving = make(map[ServerID]bool)
-	for _, vm := range list {
-		if vm.Role != platform.RoleBackend {
-			continue
-		}
-		s := serverOf(vm)
-		m.servers[s.ID] = s
-		if vm.Leaving {
-			m.leaving[s.ID] = true
-		}
-		if _, ok := m.pools[s.Service]; !ok {
-			m.pools[s.Service] = newPool(&m.options, s.Service)
-		}
-	}
+	news := m.directory.Update(now, list)
+	m.reassign(now)
 	m.mu.Unlock()
-	m.assign()
+	m.noteLeaving(news, "list")
 }
 
-// assign gives every pool the servers that this VM owns now.
-func (m *Manager) assign() {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	for _, p := range m.pools {
-		p.assign(m.servers, m.leaving)
+// noteLeaving records the news and has them passed on at once.
+func (m *Manager) noteLeaving(news []ServerID, source string) {
+	if len(news) == 0 {
+		return
+	}
+	for _, id := range news {
+		m.recorder.Record(event.ServerLeaving, string(id), source)
+	}
+	select {
+	case m.told <- struct{}{}:
+	default:
 	}
 }
 
-// assign is the thin version: every listed server is used from here.
-func (p *pool) assign(servers map[ServerID]Server, leaving map[ServerID]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Now()
-	for id := range p.servers {
-		if s, ok := servers[id]; !ok || s.Service != p.service || leaving[id] {
-			delete(p.servers, id)
-			p.table.Remove(id)
-			p.ejector.Remove(id)
+// reassign gives every pool its usable servers and those of them that this VM
+// owns now. It is called with mu held.
+func (m *Manager) reassign(now time.Time) {
+	m.ownership = NewOwnership(m.owners())
+	opens := now
+	if m.ownership.Members() > 1 && m.options.Policy == PolicyPermits {
+		opens = now.Add(m.options.Handover)
+	}
+	usable := m.directory.Usable(now)
+	for service := range usable {
+		if _, ok := m.pools[service]; !ok {
+			m.pools[service] = newPool(&m.options, service, m.recorder)
 		}
 	}
-	for id, s := range servers {
-		if s.Service != p.service || leaving[id] {
-			continue
+	for service, p := range m.pools {
+		p.setServers(now, usable[service], m.owned(usable[service]), opens)
+	}
+}
+
+// owners returns the members without this VM if it is stopping.
+func (m *Manager) owners() []membership.Member {
+	var owners []membership.Member
+	for _, member := range m.view.Members() {
+		if member.ID != m.self || !m.stopping {
+			owners = append(owners, member)
 		}
-		p.servers[id] = s
-		p.ejector.Add(id)
-		p.table.Add(id, s.Slots, now)
 	}
-	p.dispatch(now)
+	return owners
+}
+
+// owned returns the slots that this VM may use of each server it owns.
+func (m *Manager) owned(servers []Server) map[ServerID]int {
+	owned := make(map[ServerID]int)
+	for _, s := range servers {
+		switch {
+		case m.options.Policy == PolicyLocal:
+			owned[s.ID] = m.localLimit(s)
+		case m.ownership.Owner(s) == m.self:
+			owned[s.ID] = s.Slots
+		}
+	}
+	return owned
+}
+
+// localLimit is this VM's part of a server's slots, rounded up.
+func (m *Manager) localLimit(s Server) int {
+	if m.options.LocalLimit > 0 {
+		return min(s.Slots, m.options.LocalLimit)
+	}
+	members := max(1, m.ownership.Members())
+	return (s.Slots + members - 1) / members
 }
 
 func (m *Manager) pool(service string) *pool {
@@ -115,7 +148,14 @@
 	if p == nil {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: m.options.RetryAfterMin}
 	}
-	return p.acquire(ctx, ask, m.permitID(), m.view.Self().ID, func() {})
+	for {
+		w := newWaiter(ask, m.permitID(), m.self, m.options.Now().Add(m.options.Lease))
+		permit, err := p.acquire(ctx, w, func() { m.borrow(p) })
+		if err != nil || !m.isLeaving(permit.Server.ID) {
+			return permit, err
+		}
+		permit.Release(OutcomeUnused) // it began to leave after the grant
+	}
 }
 
 // Check returns the refusal that Acquire would give at once, if any.
@@ -129,21 +169,37 @@
 	return p.check(m.options.Now(), ask)
 }
 
+func (m *Manager) isLeaving(id ServerID) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.directory.Leaving(m.options.Now(), id)
+}
+
+// permitID returns an id that no other VM and no restart gives.
 func (m *Manager) permitID() PermitID {
-	return PermitID(fmt.Sprintf("%s/%d", m.view.Self().ID, m.sequence.Add(1)))
+	return PermitID(string(m.self) + "/" + strconv.FormatInt(m.sequence.Add(1), 36))
 }
 
-// FreeSlots returns the free slots of the owned servers by service, for the digest.
+// FreeSlots returns the free slots of the services of which this VM owns any, for
+// the digest.
 func (m *Manager) FreeSlots() map[string]int {
 	free := make(map[string]int)
-	m.eachPool(func(p *pool) { free[p.service] = p.table.Free(m.options.Now()) })
+	m.eachPool(func(p *pool) {
+		if len(p.slots) > 0 {
+			free[p.service] = p.spare(m.options.Now())
+		}
+	})
 	return free
 }
 
 // Queued returns the requests that wait on this VM by service, for the digest.
 func (m *Manager) Queued() map[string]int {
 	queued := make(map[string]int)
-	m.eachPool(func(p *pool) { queued[p.service] = p.queue.Len() })
+	m.eachPool(func(p *pool) {
+		if n := p.queue.Len(); n > 0 {
+			queued[p.service] = n
+		}
+	})
 	return queued
 }
 
@@ -157,12 +213,3 @@
 		p.mu.Unlock()
 	}
 }
-
-// Register adds the handlers that other VMs call.
-func (m *Manager) Register(peer.Registry) {}
-
-// Run follows the members until the context ends.
-func (m *Manager) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// Bounds of the control side.
+const (
+	tickInterval   = 20 * time.Millisecond  // between two looks at what is due by time
+	gossipInterval = time.Second            // between two rounds of words on leaving servers
+	gossipFanout   = 3                      // VMs told in a round
+	callTimeout    = 500 * time.Millisecond // for a call to a peer, besides what it may wait
+	releaseTries   = 3                      // after which a permit's lease has to end it
+	handoverLife   = 2                      // handovers for which a former owner's word holds
+	maxBorrows     = 256                    // permits of one service asked of peers at once
+	idleWait       = 200 * time.Millisecond // longest wait in another VM's queue while own slots turn over
+	stallFactor    = 8                      // likely service times without an answer that count as a stall
+	maxWaits       = 4                      // such waits of one service at once
+)
+
 // minimumCost is the least slot time that fair queueing charges for a request.
 const minimumCost = 100 * time.Microsecond
 
@@ -10,8 +24,10 @@
 	Policy        Policy           // who owns the slots; default PolicyPermits
 	Queue         QueueLimits      // of each service on this VM
 	Ejection      EjectionOptions  // of failing servers
-	LeaseMargin   time.Duration    // by which a permit outlasts its request's deadline
+	Lease         time.Duration    // after which a permit ends by itself; longer than any request
 	Handover      time.Duration    // before a new owner grants slots of which the former owner says nothing
+	StallAfter    time.Duration    // after which a request without an answer counts against its server
+	RefusedHold   time.Duration    // for which a slot is spared after its server refused a request
 	LeavingHold   time.Duration    // for which a peer's word that a server is leaving holds
 	RetryAfterMin time.Duration    // shortest advice to come back
 	RetryAfterMax time.Duration    // longest advice to come back
@@ -36,8 +52,10 @@
 	defaultEjectionPart     = 0.25
 	defaultEjectionShortest = time.Second
 	defaultEjectionLongest  = 30 * time.Second
-	defaultLeaseMargin      = 500 * time.Millisecond
+	defaultLease            = 150 * time.Second
 	defaultHandover         = time.Second
+	defaultStallAfter       = 500 * time.Millisecond
+	defaultRefusedHold      = 20 * time.Millisecond
 	defaultLeavingHold      = 30 * time.Second
 	defaultRetryAfterMin    = 50 * time.Millisecond
 	defaultRetryAfterMax    = 10 * time.Second
@@ -50,8 +68,10 @@
 	orDefault(&o.Ejection.Part, defaultEjectionPart)
 	orDefault(&o.Ejection.Shortest, defaultEjectionShortest)
 	orDefault(&o.Ejection.Longest, defaultEjectionLongest)
-	orDefault(&o.LeaseMargin, defaultLeaseMargin)
+	orDefault(&o.Lease, defaultLease)
 	orDefault(&o.Handover, defaultHandover)
+	orDefault(&o.StallAfter, defaultStallAfter)
+	orDefault(&o.RefusedHold, defaultRefusedHold)
 	orDefault(&o.LeavingHold, defaultLeavingHold)
 	orDefault(&o.RetryAfterMin, defaultRetryAfterMin)
 	orDefault(&o.RetryAfterMax, defaultRetryAfterMax)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -6,29 +6,38 @@
 	"sync"
 	"time"
 
+	"filbertcross/internal/event"
 	"filbertcross/internal/model"
 )
 
-// pool shares the slots that this VM owns of one service among the requests
-// that wait here. Safe for concurrent use.
+// pool shares the slots that this VM owns of one service, and the permits that it
+// borrows, among the requests that wait here. Safe for concurrent use.
 type pool struct {
 	options *Options
 	service string
+	record  func(def *event.Def, values ...any)
 
 	mu       sync.Mutex
-	servers  map[ServerID]Server // all of the service, owned here or not
+	servers  map[ServerID]Server // usable ones of the service, owned here or not
+	slots    map[ServerID]int    // of owned servers: slots that may be used when healthy
 	table    *SlotTable
 	queue    *FairQueue[*waiter]
 	times    ServiceTime
 	branches map[model.BranchID]*ServiceTime
 	ejector  *Ejector
+	barred   map[PermitID]time.Time    // released before they were granted
+	notes    map[ServerID]handoverNote // of former owners
+	lost     map[ServerID]*lostServer  // to be handed over
+	borrows  int                       // permits being asked of other VMs
+	borrowed int                       // permits of other VMs in use here
 }
 
-// waiter is a request that waits for a slot.
+// waiter is a request that waits for a slot, here or on the VM that asks for a permit.
 type waiter struct {
 	ask     Ask
 	id      PermitID
 	holder  model.VMID
+	lease   time.Time       // end of the grant's lease
 	settled chan settlement // receives exactly once, unless the waiter cancels
 }
 
@@ -38,25 +47,33 @@
 	refusal *Refusal
 }
 
-func newPool(options *Options, service string) *pool {
+func newPool(options *Options, service string, recorder event.Recorder) *pool {
 	return &pool{
 		options:  options,
 		service:  service,
+		record:   recorder.Record,
 		servers:  make(map[ServerID]Server),
+		slots:    make(map[ServerID]int),
 		table:    NewSlotTable(),
 		queue:    NewFairQueue[*waiter](options.Queue),
 		branches: make(map[model.BranchID]*ServiceTime),
 		ejector:  NewEjector(options.Ejection),
+		barred:   make(map[PermitID]time.Time),
+		notes:    make(map[ServerID]handoverNote),
+		lost:     make(map[ServerID]*lostServer),
 	}
 }
 
-// acquire waits for a slot. queued is called once if the request has to wait.
-func (p *pool) acquire(ctx context.Context, ask Ask, id PermitID, holder model.VMID, queued func()) (*Permit, error) {
-	w := &waiter{ask: ask, id: id, holder: holder, settled: make(chan settlement, 1)}
+func newWaiter(ask Ask, id PermitID, holder model.VMID, lease time.Time) *waiter {
+	return &waiter{ask: ask, id: id, holder: holder, lease: lease, settled: make(chan settlement, 1)}
+}
+
+// acquire waits for a slot. queued is called once if the waiter has to wait.
+func (p *pool) acquire(ctx context.Context, w *waiter, queued func()) (*Permit, error) {
 	if !p.enter(w) {
 		queued()
 	}
-	late := time.NewTimer(time.Until(ask.Deadline))
+	late := time.NewTimer(w.ask.Deadline.Sub(p.options.Now()))
 	defer late.Stop()
 	select {
 	case s := <-w.settled:
@@ -80,6 +97,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
+	if _, barred := p.barred[w.id]; barred {
+		w.settled <- settlement{refusal: p.refusal(now, w.ask, ReasonCanceled)}
+		return true
+	}
 	if p.queue.Len() == 0 && p.grant(now, w) {
 		return true
 	}
@@ -93,7 +114,7 @@
 		Share:  w.ask.Share,
 		Cost:   p.cost(w.ask.Branch),
 		Bytes:  w.ask.Bytes,
-		Latest: w.ask.Deadline.Add(-p.times.Mean()),
+		Latest: w.ask.Deadline.Add(-p.times.Likely()),
 		Value:  w,
 	}
 	evicted, ok := p.queue.Push(item)
@@ -111,13 +132,19 @@
 	if len(p.servers) == 0 {
 		return p.refusal(now, ask, ReasonNoServer)
 	}
-	wait := p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), p.table.Slots())
-	if now.Add(wait + p.times.Mean()).After(ask.Deadline) {
+	if now.Add(p.wait(ask) + p.times.Likely()).After(ask.Deadline) {
 		return p.refusal(now, ask, ReasonLate)
 	}
 	return nil
 }
 
+// wait estimates how long a new request of the branch waits: the queue drains at
+// the rate of the permits that are in use.
+func (p *pool) wait(ask Ask) time.Duration {
+	inUse := max(1, p.table.Granted()+p.borrowed)
+	return p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), inUse)
+}
+
 // cost is the slot time that a request of the branch is expected to take, in seconds.
 func (p *pool) cost(branch model.BranchID) float64 {
 	mean := p.times.Mean()
@@ -129,13 +156,13 @@
 
 // grant gives the waiter a free slot of an owned server.
 func (p *pool) grant(now time.Time, w *waiter) bool {
-	g := Grant{ID: w.id, Holder: w.holder, Until: w.ask.Deadline.Add(p.options.LeaseMargin)}
+	g := Grant{ID: w.id, Holder: w.holder, Until: w.lease}
 	g, ok := p.table.Grant(now, g, w.ask.Avoid)
 	if !ok {
 		return false
 	}
-	permit := &Permit{Server: p.servers[g.Server]}
-	permit.release = func(o Outcome) { p.release(g.ID, o, p.options.Now().Sub(now), w.ask.Branch) }
+	permit := &Permit{ID: w.id, Server: p.servers[g.Server]}
+	permit.release = func(o Outcome) { p.release(w.id, o, p.options.Now().Sub(now), w.ask.Branch) }
 	w.settled <- settlement{permit: permit}
 	return true
 }
@@ -152,17 +179,25 @@
 	}
 }
 
-// release ends a grant of an owned server and passes the slot on.
+// release ends a grant and passes the slot on. A permit that is not known is
+// barred, in case its release has overtaken the request for it.
 func (p *pool) release(id PermitID, o Outcome, held time.Duration, branch model.BranchID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
 	g, ok := p.table.Release(id)
 	if !ok {
+		p.queue.Remove(id)
+		p.barred[id] = now.Add(p.options.Lease)
 		return
 	}
 	p.observe(o, held, branch)
-	p.judge(now, g.Server, o)
+	if o == OutcomeRefused {
+		p.table.Withhold(now, g.Server, now.Add(max(p.times.Likely(), p.options.RefusedHold)))
+	}
+	if o != OutcomeTimeout { // counted by tick when it was overdue
+		p.judge(now, g.Server, o)
+	}
 	p.dispatch(now)
 }
 
@@ -182,17 +217,22 @@
 
 // judge tells the ejector the outcome and follows its decision.
 func (p *pool) judge(now time.Time, id ServerID, o Outcome) {
+	before := p.ejector.Ejected(id)
 	p.ejector.Observe(now, id, o)
 	p.limit(now, id)
+	switch after := p.ejector.Ejected(id); {
+	case after && !before:
+		p.record(event.ServerEjected, string(id), p.service, p.ejector.Out())
+	case before && !after:
+		p.record(event.ServerRestored, string(id), p.service)
+	}
 }
 
-// limit sets how many slots of the server may be used.
+// limit sets how many slots of an owned server may be used now.
 func (p *pool) limit(now time.Time, id ServerID) {
-	s, known := p.servers[id]
-	if !known {
-		return
+	if slots, owned := p.slots[id]; owned {
+		p.table.SetLimit(id, p.ejector.Limit(now, id, slots))
 	}
-	p.table.SetLimit(id, p.ejector.Limit(now, id, s.Slots))
 }
 
 // cancel takes the waiter out of the queue, or gives back what it was granted meanwhile.
@@ -222,8 +262,7 @@
 // refusal says when to come back: after the queue has drained as far as the
 // branch's place in it, spread by jitter.
 func (p *pool) refusal(now time.Time, ask Ask, reason Reason) *Refusal {
-	wait := p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), p.table.Slots())
-	wait = min(max(wait, p.options.RetryAfterMin), p.options.RetryAfterMax)
+	wait := min(max(p.wait(ask), p.options.RetryAfterMin), p.options.RetryAfterMax)
 	jitter := time.Duration(rand.Int64N(int64(wait)/2 + 1))
 	return &Refusal{Reason: reason, RetryAfter: wait + jitter}
 }
--- /dev/null
+++ b/internal/backend/pool_slots.go
@@ -0,0 +1,135 @@
+package backend
+
+import (
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/model"
+)
+
+// handoverNote is a former owner's word on the slots that its permits use.
+type handoverNote struct {
+	held  int
+	until time.Time
+}
+
+// lost is a server whose slots this VM no longer owns but still uses.
+type lostServer struct {
+	server Server
+	told   int       // slots in use as the new owner was told last
+	at     time.Time // when it was told
+}
+
+// setServers takes the usable servers of the service and those of them that
+// this VM owns, with the number of slots that it may use of each. Slots of newly
+// owned servers are granted from opens on, or as soon as their former owner says
+// how many it still uses.
+func (p *pool) setServers(now time.Time, usable []Server, owned map[ServerID]int, opens time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.servers
+	p.servers = make(map[ServerID]Server, len(usable))
+	for _, s := range usable {
+		p.servers[s.ID] = s
+	}
+	for id, s := range known {
+		if _, kept := owned[id]; !kept && p.table.Owns(id) {
+			p.disown(s)
+		}
+	}
+	for id, slots := range owned {
+		p.own(now, id, slots, opens)
+	}
+	p.dispatch(now)
+}
+
+func (p *pool) own(now time.Time, id ServerID, slots int, opens time.Time) {
+	p.slots[id] = slots
+	if !p.table.Owns(id) {
+		delete(p.lost, id)
+		p.ejector.Add(id)
+		p.table.Add(id, slots, opens)
+		if note, ok := p.notes[id]; ok && now.Before(note.until) {
+			p.table.SetForeign(id, note.held, note.until)
+		}
+	}
+	p.limit(now, id)
+}
+
+// disown stops grants of the server's slots at once; those in use stay counted
+// until they are released, and the new owner is told of them.
+func (p *pool) disown(s Server) {
+	p.table.Remove(s.ID)
+	p.ejector.Remove(s.ID)
+	delete(p.slots, s.ID)
+	delete(p.notes, s.ID)
+	if _, usable := p.servers[s.ID]; usable {
+		p.lost[s.ID] = &lostServer{server: s, told: -1}
+	}
+}
+
+// handovers returns what the new owners of lost servers are to be told: a changed
+// count, and the same one again after a while.
+func (p *pool) handovers(now time.Time, again time.Duration) map[ServerID]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	news := make(map[ServerID]int)
+	for id, l := range p.lost {
+		held := p.table.Held(id)
+		if held == l.told && now.Sub(l.at) < again {
+			continue
+		}
+		news[id] = held
+		l.told, l.at = held, now
+	}
+	return news
+}
+
+// told forgets a lost server of which nothing is in use, once the new owner knows.
+func (p *pool) told(id ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.lost[id]; ok && l.told == 0 && p.table.Held(id) == 0 {
+		delete(p.lost, id)
+	}
+}
+
+// takeOver takes the former owner's word; it may come before this VM knows that
+// it is the new owner.
+func (p *pool) takeOver(now time.Time, id ServerID, held int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	note := handoverNote{held: held, until: now.Add(handoverLife * p.options.Handover)}
+	p.notes[id] = note
+	if p.table.Owns(id) {
+		p.table.SetForeign(id, note.held, note.until)
+		p.dispatch(now)
+	}
+}
+
+// tick does what is due by time: leases and deadlines that end, ejections that
+// turn into probes.
+func (p *pool) tick(now time.Time, gone func(model.VMID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.table.Expire(now, gone) {
+		p.record(event.PermitExpired, string(g.Server), string(g.ID), string(g.Holder))
+	}
+	stalled := max(stallFactor*p.times.Likely(), p.options.StallAfter)
+	for _, g := range p.table.Overdue(now.Add(-stalled)) {
+		p.judge(now, g.Server, OutcomeTimeout)
+	}
+	for id, until := range p.barred {
+		if now.After(until) {
+			delete(p.barred, id)
+		}
+	}
+	for id := range p.slots {
+		if p.ejector.Ejected(id) {
+			p.limit(now, id)
+		}
+	}
+	p.refuse(now, p.queue.Expire(now), ReasonLate)
+	p.queue.Forget()
+	p.dispatch(now)
+}
--- a/internal/backend/router.go
+++ b/internal/backend/router.go
@@ -41,6 +41,7 @@
 
 // Permit is the right to send one request to a backend server.
 type Permit struct {
+	ID      PermitID
 	Server  Server
 	release func(Outcome)
 }
--- /dev/null
+++ b/internal/backend/run.go
@@ -0,0 +1,174 @@
+package backend
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+)
+
+// Run follows the members, leases and deadlines until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	gossip := time.NewTicker(gossipInterval)
+	defer gossip.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			m.tick(m.options.Now())
+		case <-m.told:
+			m.gossip(m.peers())
+		case <-gossip.C:
+			m.gossip(someOf(m.peers(), gossipFanout))
+		}
+	}
+}
+
+// tick does what is due by time in every pool.
+func (m *Manager) tick(now time.Time) {
+	members := m.view.Members()
+	m.follow(now, members)
+	dead := make(map[model.VMID]bool)
+	for _, member := range members {
+		dead[member.ID] = member.State == membership.Dead
+	}
+	for _, p := range m.allPools() {
+		p.tick(now, func(vm model.VMID) bool { return dead[vm] })
+		m.borrow(p)
+		m.handOver(p, now)
+		m.metrics.pool(p, now)
+	}
+}
+
+// follow reassigns the servers when the owners have changed, or when a peer's word
+// on a leaving server has ended.
+func (m *Manager) follow(now time.Time, members []membership.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	signature := ownersSignature(members)
+	if slices.Equal(signature, m.signature) && now.Sub(m.assigned) < gossipInterval {
+		return
+	}
+	m.signature, m.assigned = signature, now
+	m.reassign(now)
+}
+
+// ownersSignature names the members that may own servers.
+func ownersSignature(members []membership.Member) []string {
+	var names []string
+	for _, member := range members {
+		if member.State == membership.Alive || member.State == membership.Suspect {
+			names = append(names, string(member.ID))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (m *Manager) allPools() []*pool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	pools := make([]*pool, 0, len(m.pools))
+	for _, p := range m.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// handOver tells the new owners how many slots of the servers that this VM has
+// lost its permits still use.
+func (m *Manager) handOver(p *pool, now time.Time) {
+	for id, held := range p.handovers(now, m.options.Handover/2) {
+		owner, found := m.ownerOf(p.service, id)
+		if !found {
+			continue
+		}
+		request := HandoverRequest{Service: p.service, Server: id, From: m.self, Held: held}
+		go func() {
+			if m.call(owner, MethodHandover, request) != nil {
+				return
+			}
+			m.recorder.Record(event.SlotsHandedOver, string(id), string(owner.ID), held)
+			if held == 0 {
+				p.told(id)
+			}
+		}()
+	}
+}
+
+// ownerOf returns the member that owns the server now, if it is another one.
+func (m *Manager) ownerOf(service string, id ServerID) (membership.Member, bool) {
+	m.mu.RLock()
+	var owner model.VMID
+	for _, s := range m.directory.Usable(m.options.Now())[service] {
+		if s.ID == id {
+			owner = m.ownership.Owner(s)
+		}
+	}
+	m.mu.RUnlock()
+	for _, member := range m.view.Members() {
+		if member.ID == owner && owner != m.self {
+			return member, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// gossip tells the members which servers are leaving, if any are.
+func (m *Manager) gossip(to []membership.Member) {
+	servers := m.toldLeaving()
+	if len(servers) == 0 {
+		return
+	}
+	for _, member := range to {
+		go func() { _ = m.call(member, MethodLeaving, LeavingRequest{Servers: servers}) }()
+	}
+}
+
+// peers returns the other members that are not dead.
+func (m *Manager) peers() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(m.view.Members()), func(member membership.Member) bool {
+		return member.ID == m.self || member.State == membership.Dead
+	})
+}
+
+func someOf(members []membership.Member, n int) []membership.Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(n, len(members))]
+}
+
+// Drain gives the owned servers to the other VMs and waits until no permit of
+// them is in use and every handover is told.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	m.stopping = true
+	m.reassign(m.options.Now())
+	m.mu.Unlock()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		if m.drained() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+func (m *Manager) drained() bool {
+	busy := false
+	m.eachPool(func(p *pool) {
+		busy = busy || p.table.Granted() > 0 || p.borrowed > 0 || p.queue.Len() > 0 || len(p.lost) > 0
+	})
+	return !busy
+}
--- a/internal/backend/slot_table.go
+++ b/internal/backend/slot_table.go
@@ -15,7 +15,10 @@
 	ID     PermitID
 	Server ServerID
 	Holder model.VMID // the VM that sends the request
-	Until  time.Time  // end of the lease
+	Since  time.Time
+	Until  time.Time // end of the lease
+
+	overdue bool // reported by Overdue
 }
 
 // SlotTable counts the slots of the servers that this VM owns. A server's
@@ -32,15 +35,20 @@
 	id      ServerID
 	limit   int       // slots that may be in use at once; 0 closes the server
 	held    int       // grants of this table
-	foreign int       // still in use by the former owner's permits
 	opens   time.Time // no grant before
+	foreign int       // in use by the former owner's permits, as far as known
+	until   time.Time // end of the former owner's word
 }
 
 func (c *slotCount) free(now time.Time) int {
 	if now.Before(c.opens) {
 		return 0
 	}
-	return max(0, c.limit-c.held-c.foreign)
+	used := c.held
+	if now.Before(c.until) {
+		used += c.foreign
+	}
+	return max(0, c.limit-used)
 }
 
 // NewSlotTable returns an empty table.
@@ -54,7 +62,7 @@
 	if _, known := t.servers[id]; known {
 		return
 	}
-	c := &slotCount{id: id, limit: limit, opens: opens}
+	c := &slotCount{id: id, limit: limit, opens: opens, held: t.Held(id)}
 	t.servers[id] = c
 	t.order = append(t.order, c)
 }
@@ -66,15 +74,22 @@
 	}
 }
 
-// SetForeign notes how many slots the former owner's permits still use and
-// opens the server at the given moment.
-func (t *SlotTable) SetForeign(id ServerID, foreign int, opens time.Time) {
+// SetForeign opens the server at once, less the slots that the former owner's
+// permits use according to its word, which holds until the given moment.
+func (t *SlotTable) SetForeign(id ServerID, foreign int, until time.Time) {
 	if c, ok := t.servers[id]; ok {
 		c.foreign = foreign
-		c.opens = opens
+		c.until = until
+		c.opens = time.Time{}
 	}
 }
 
+// Owns reports whether the server is in the table.
+func (t *SlotTable) Owns(id ServerID) bool {
+	_, ok := t.servers[id]
+	return ok
+}
+
 // Remove forgets a server. Its grants stay releasable.
 func (t *SlotTable) Remove(id ServerID) {
 	c, ok := t.servers[id]
@@ -102,6 +117,7 @@
 	}
 	c.held++
 	g.Server = c.id
+	g.Since = now
 	t.grants[g.ID] = g
 	return g, true
 }
@@ -151,6 +167,36 @@
 	return ended
 }
 
+// Overdue returns, once each, the grants in use since before the given moment.
+func (t *SlotTable) Overdue(before time.Time) []Grant {
+	var overdue []Grant
+	for id, g := range t.grants {
+		if g.overdue || !g.Since.Before(before) {
+			continue
+		}
+		g.overdue = true
+		t.grants[id] = g
+		overdue = append(overdue, g)
+	}
+	return overdue
+}
+
+// Withhold counts one more slot of the server as in use until the given moment,
+// as after the server itself has refused a request.
+func (t *SlotTable) Withhold(now time.Time, id ServerID, until time.Time) {
+	c, ok := t.servers[id]
+	if !ok {
+		return
+	}
+	if !now.Before(c.until) {
+		c.foreign, c.until = 0, until
+	}
+	c.foreign++
+	if until.After(c.until) {
+		c.until = until
+	}
+}
+
 // Held returns the number of grants on the server, owned or not.
 func (t *SlotTable) Held(id ServerID) int {
 	if c, ok := t.servers[id]; ok {
@@ -165,6 +211,9 @@
 	return held
 }
 
+// Granted returns the number of grants.
+func (t *SlotTable) Granted() int { return len(t.grants) }
+
 // Free returns the number of slots that can be granted now.
 func (t *SlotTable) Free(now time.Time) int {
 	free := 0
