--- a/internal/event/catalogue_partition.go
+++ b/internal/event/catalogue_partition.go
@@ -2,14 +2,6 @@
 
 // Events of partitions and leases.
 var (
-	PartitionTaken = Define(Def{ID: 3001, Name: "partition-taken", Level: Info,
-		Text: "This VM owns the partition from this epoch on.",
-		Does: "Nothing.",
-		Keys: []string{"partition", "epoch", "previous_owner", "records", "ms"}})
-	PartitionReleased = Define(Def{ID: 3002, Name: "partition-released", Level: Info,
-		Text: "This VM gave the partition up for another one.",
-		Does: "Nothing.",
-		Keys: []string{"partition", "epoch"}})
 	PartitionDeposed = Define(Def{ID: 3003, Name: "partition-deposed", Level: Warn,
 		Text: "Another VM owns the partition; this one stopped deciding for it.",
 		Does: "Nothing once; if it repeats, look for paused VMs or a slow store.",
@@ -18,10 +10,6 @@
 		Text: "All tasks of earlier epochs are adopted or proved not running.",
 		Does: "Nothing.",
 		Keys: []string{"partition", "epoch"}})
-	TakeoverFailed = Define(Def{ID: 3005, Name: "takeover-failed", Level: Warn,
-		Text: "Taking the partition over failed; it is tried again.",
-		Does: "Check the store if it repeats.",
-		Keys: []string{"partition", "error"}})
 	TaskPlaced = Define(Def{ID: 3010, Name: "task-placed", Level: Debug,
 		Text: "The placement is durable.",
 		Does: "Nothing.",
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -13,12 +13,18 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/proptest"
+	"filbertcross/internal/schedule"
 )
 
 const testLead = 10 * time.Second
 
 var errTimeout = errors.New("no answer")
 
+// fataler is a test or a property's check.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
 // op is a command on its way: first its effect at the store or worker, then the
 // result's delivery to the owner. Either may be delayed for any time.
 type op struct {
@@ -45,7 +51,7 @@
 	listed  []bool
 	cut     map[[2]int]bool // VM (by index) and worker: no call gets through
 	vms     []*testVM
-	decider func() *firstFit
+	decider func() schedule.Decider
 
 	jobs     map[model.JobID]model.Job
 	acked    map[model.JobID]bool
@@ -61,7 +67,7 @@
 		now: time.Unix(1000, 0), store: newFakeStore(), cut: map[[2]int]bool{},
 		jobs: map[model.JobID]model.Job{}, acked: map[model.JobID]bool{},
 		canceled: map[model.JobID]map[model.TaskID]int64{}, asked: map[Token]model.JobID{},
-		begun: map[model.TaskID]map[int64]bool{}, decider: newFirstFit,
+		begun: map[model.TaskID]map[int64]bool{}, decider: func() schedule.Decider { return newFirstFit() },
 	}
 	for i := range workers {
 		w.workers = append(w.workers, &fakeWorker{id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true,
@@ -222,7 +228,7 @@
 }
 
 // check is the oracle.
-func (w *world) check(t *rapid.T) {
+func (w *world) check(t fataler) {
 	if w.broken != "" {
 		t.Fatalf("an owner's invariant: %s", w.broken)
 	}
@@ -249,7 +255,7 @@
 	}
 }
 
-func (w *world) noteRun(t *rapid.T, ref platform.TaskRef, task *fakeTask) {
+func (w *world) noteRun(t fataler, ref platform.TaskRef, task *fakeTask) {
 	if w.begun[ref.Task] == nil {
 		w.begun[ref.Task] = map[int64]bool{}
 	}
@@ -297,7 +303,7 @@
 
 // settle heals everything and lets a new owner finish all work; acknowledged jobs
 // must then be known and ended.
-func (w *world) settle(t *rapid.T) {
+func (w *world) settle(t fataler) {
 	w.store.plan, w.store.down, w.cut = nil, false, map[[2]int]bool{}
 	w.store.land()
 	w.takeOver()
@@ -328,7 +334,7 @@
 }
 
 // brisk lets a VM work for some rounds; operations of the held kind stay on their way.
-func (w *world) brisk(t *rapid.T, index, rounds int, gap time.Duration, held string) {
+func (w *world) brisk(t fataler, index, rounds int, gap time.Duration, held string) {
 	vm := w.vms[index]
 	for range rounds {
 		w.tick(vm)
