--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -101,3 +101,40 @@
 func (o *Owner) Explain(id model.JobID) (schedule.Explanation, bool) {
 	return o.decider.Explain(id)
 }
+
+// WorkerStatus is a worker as its partition knows it.
+type WorkerStatus struct {
+	ID            model.WorkerID
+	FailureDomain model.FailureDomain
+	Rack          string
+	Capacity      model.Resources
+	Granted       model.Resources // to attempts that may be running
+	Tasks         int             // attempts that may be running
+	State         string          // ready, leaving, silent, unlisted or reconciling
+}
+
+// Workers lists the workers by id.
+func (o *Owner) Workers() []WorkerStatus {
+	var list []WorkerStatus
+	for _, w := range o.sortedWorkers() {
+		list = append(list, WorkerStatus{
+			ID: w.id, FailureDomain: w.domain, Rack: w.rack, Capacity: w.capacity,
+			Granted: w.granted, Tasks: len(w.attempts), State: w.state(),
+		})
+	}
+	return list
+}
+
+func (w *worker) state() string {
+	switch {
+	case !w.listed:
+		return "unlisted"
+	case w.silent:
+		return "silent"
+	case !w.reconciled:
+		return "reconciling"
+	case w.leaving:
+		return "leaving"
+	}
+	return "ready"
+}
