--- /dev/null
+++ b/internal/schedule/bench_test.go
@@ -0,0 +1,156 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// benchWaiting is the number of waiting tasks in the benchmarks.
+const benchWaiting = 100_000
+
+// benchScheduler returns a scheduler whose workers are full of 20 branches' batch tasks,
+// with benchWaiting more of them waiting, in jobs of ten.
+func benchScheduler(workers int) (*Scheduler, []model.TaskID) {
+	s := New(DefaultOptions(), rand.New(rand.NewPCG(1, 2)))
+	var branches []model.Branch
+	for n := range 20 {
+		branches = append(branches, model.Branch{ID: branchName(n), Share: int64(1 + n%3)})
+	}
+	s.SetBranches(epoch, branches)
+	for n := range workers {
+		s.UpsertWorker(epoch, Worker{
+			ID: model.WorkerID(fmt.Sprint("w", n)), Rack: fmt.Sprint("r", n/8),
+			FailureDomain: model.FailureDomain(fmt.Sprint("d", n*9/workers)),
+			Capacity:      model.Resources{MilliCPU: 64_000, MemoryMiB: 128 << 10, Accelerators: int64(n % 2)},
+		})
+	}
+	for n := range (benchWaiting + 20*workers) / 10 {
+		s.Submit(epoch, benchJob(n))
+	}
+	return s, benchFill(s)
+}
+
+func branchName(n int) model.BranchID { return model.BranchID(fmt.Sprint("b", n)) }
+
+// benchJob returns one of 100 workloads' jobs, with sizes from 2 to 8 cores.
+func benchJob(n int) model.Job {
+	return model.Job{
+		ID: model.JobID(fmt.Sprint("j", n)), Branch: branchName(n % 20), Kind: model.KindBatch,
+		Workload: model.WorkloadID(fmt.Sprint("wl", n%100)), Tier: model.TierNormal, Tasks: 10,
+		Size:    model.Resources{MilliCPU: int64(2000 * (1 + n%4)), MemoryMiB: int64(4096 * (1 + n/4%3))},
+		Runtime: time.Hour, Submitted: epoch.Add(time.Duration(n)), Restartable: true,
+	}
+}
+
+// benchFill places until nothing fits and returns what runs.
+func benchFill(s *Scheduler) []model.TaskID {
+	var running []model.TaskID
+	for {
+		out := s.Decide(epoch, 1000)
+		if len(out) == 0 {
+			return running
+		}
+		for _, d := range out {
+			s.Confirm(epoch, d.Task)
+			running = append(running, d.Task)
+		}
+	}
+}
+
+// BenchmarkDecide ends one task of a full cluster and decides, 100,000 tasks waiting.
+func BenchmarkDecide(b *testing.B) {
+	for _, workers := range []int{50, 500, 3700} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			s, running := benchScheduler(workers)
+			rng := rand.New(rand.NewPCG(3, 4))
+			placed, refill := 0, 1_000_000
+			b.ResetTimer()
+			for b.Loop() {
+				victim := rng.IntN(len(running))
+				s.Finish(epoch, running[victim], model.OutcomeDone)
+				running[victim] = running[len(running)-1]
+				running = running[:len(running)-1]
+				for _, d := range s.Decide(epoch, 100) {
+					s.Confirm(epoch, d.Task)
+					running = append(running, d.Task)
+					placed++
+				}
+				if s.waiting < benchWaiting {
+					s.Submit(epoch, benchJob(refill))
+					refill++
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(placed, 1)), "ns/placement")
+		})
+	}
+}
+
+// BenchmarkDecideIdle decides with nothing to place, 100,000 tasks waiting.
+func BenchmarkDecideIdle(b *testing.B) {
+	s, _ := benchScheduler(3700)
+	for b.Loop() {
+		s.Decide(epoch, 100)
+	}
+}
+
+// BenchmarkCancelWave cancels 10,000 waiting jobs, then starts an urgent one.
+func BenchmarkCancelWave(b *testing.B) {
+	const wave = 10_000
+	for b.Loop() {
+		b.StopTimer()
+		s, _ := benchScheduler(500)
+		urgent := benchJob(2_000_000)
+		urgent.Tier, urgent.Tasks = model.TierUrgent, 1
+		b.StartTimer()
+		for n := range wave {
+			s.Cancel(epoch, benchJob(1000+n).ID)
+		}
+		cancelled := b.Elapsed()
+		s.Submit(epoch, urgent)
+		out := s.Decide(epoch, 100)
+		if len(out) == 0 || out[0].Job == "" {
+			b.Fatal("nothing decided after the wave")
+		}
+		b.ReportMetric(float64(cancelled.Nanoseconds())/float64(b.N*wave), "ns/cancel")
+	}
+}
+
+// BenchmarkMemory reports the bytes that the state takes for a waiting task, in jobs of
+// one and of ten tasks, and for a worker.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		s := New(DefaultOptions(), rand.New(rand.NewPCG(1, 2)))
+		s.UpsertWorker(epoch, Worker{ID: "w", Capacity: model.Resources{MilliCPU: 64_000, MemoryMiB: 1 << 17}})
+		for _, tasks := range []int{1, 10} {
+			before := heapBytes()
+			for n := range benchWaiting / tasks {
+				j := benchJob(n)
+				j.ID += model.JobID(fmt.Sprint("/", tasks))
+				j.Tasks = tasks
+				s.Submit(epoch, j)
+			}
+			b.ReportMetric((heapBytes()-before)/benchWaiting, fmt.Sprint("B/task-in-jobs-of-", tasks))
+		}
+		before := heapBytes()
+		for n := range 3700 {
+			s.UpsertWorker(epoch, Worker{
+				ID: model.WorkerID(fmt.Sprint("w", n)), Rack: fmt.Sprint("r", n/8), FailureDomain: "d",
+				Capacity: model.Resources{MilliCPU: 64_000, MemoryMiB: 1 << 17},
+			})
+		}
+		b.ReportMetric((heapBytes()-before)/3700, "B/worker")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -20,7 +20,6 @@
 // victim is a run that may be preempted, with what that costs.
 type victim struct {
 	run   *run
-	runs  []*run  // all that stop with it: more than one for a gang
 	above bool    // its branch is above its share
 	claim level   // of its job
 	lost  float64 // work since the start, in seconds times dominant share
@@ -73,14 +72,13 @@
 	c := q.class
 	c.scanning = false
 	need = min(need, c.waiting-c.heldFor)
-	if need <= 0 || c.scanned >= len(s.cluster.ring) {
+	if need <= 0 || c.scanned >= len(s.cluster.ring) || !s.hasVictims(q) {
 		return false
 	}
-	if s.tries >= s.opts.PreemptPerDecide {
+	if !s.takeTry(c) {
 		c.scanning = true
 		return false
 	}
-	s.tries++
 	plans := s.plans(q, need)
 	chosen, found := choose(plans, need)
 	if !found {
@@ -94,6 +92,61 @@
 	return true
 }
 
+// takeTry takes one of the call's attempts at preemption; work that is not urgent leaves
+// most of them to urgent work.
+func (s *Scheduler) takeTry(c *class) bool {
+	limit := s.opts.PreemptPerDecide
+	if c.claim() != levelUrgent {
+		limit /= 4
+	}
+	if s.tries >= limit {
+		return false
+	}
+	s.tries++
+	return true
+}
+
+// hasVictims reports, from the branches' sums alone, whether a search for victims may
+// find any.
+func (s *Scheduler) hasVictims(q *query) bool {
+	c := q.class
+	below := !s.overShare(c.branch)
+	after := s.weighted(c.branch, q.size)
+	for _, b := range s.branches {
+		if b.running == 0 {
+			continue
+		}
+		highest := b.highestRunning()
+		switch {
+		case b == c.branch:
+			if c.claim() < highest {
+				return true
+			}
+		case c.claim() == levelUrgent:
+			if highest > levelUrgent && (below || s.above(b)) {
+				return true
+			}
+		case below && s.above(b) && c.claim() < highest:
+			return true
+		case below && s.above(b) && c.claim() == highest:
+			if after < s.weighted(b, model.Resources{}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// highestRunning returns the highest level at which tasks of the branch started to run.
+func (b *branch) highestRunning() level {
+	for t := model.TierLow; t > model.TierUrgent; t-- {
+		if b.tiers[t] > 0 {
+			return levelOf(t)
+		}
+	}
+	return levelUrgent
+}
+
 // plans looks round the ring for workers on which victims make room.
 func (s *Scheduler) plans(q *query, need int) []plan {
 	ring := s.cluster.ring
@@ -203,18 +256,26 @@
 	if j == nil || j == q.job || !j.Restartable || j.closed() {
 		return victim{}, false
 	}
-	v := victim{run: r, runs: []*run{r}, claim: s.claimOf(j), above: s.above(j.branch)}
-	if j.Kind == model.KindGang {
-		v.runs = j.runs
+	v := victim{run: r, claim: s.claimOf(j), above: s.above(j.branch)}
+	if !s.mayPreempt(q.class, v) {
+		return victim{}, false
 	}
-	for _, other := range v.runs {
+	for _, other := range v.all() {
 		if !other.confirmed || other.stop != stopNone || other.probe {
 			return victim{}, false
 		}
 		ran := s.cluster.now.Sub(other.started).Seconds()
 		v.lost += max(ran, 0) * dominant(other.size, s.cluster.total)
 	}
-	return v, s.mayPreempt(q.class, v)
+	return v, true
+}
+
+// all lists the runs that stop with the victim: for a gang all of them.
+func (v *victim) all() []*run {
+	if v.run.job.Kind == model.KindGang {
+		return v.run.job.runs
+	}
+	return v.run.job.runs[v.run.posJob : v.run.posJob+1]
 }
 
 // claimOf is the claim of a running job.
@@ -317,7 +378,7 @@
 	size := times(q.size, p.tasks)
 	room := p.room()
 	for _, v := range p.victims {
-		for _, r := range v.runs {
+		for _, r := range v.all() {
 			s.evict(r, q.class.branch.ID, "makes room for work with a higher claim")
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -36,6 +36,8 @@
 	suspects    int
 	leaving     []*worker
 	released    []*branch // usage fell since the last Decide
+	gained      []*worker // gained room before this Decide
+	round       int64     // counts Decide calls
 	stats       Stats
 
 	out   []Decision // of the Decide call that is being served
@@ -339,14 +341,22 @@
 func (s *Scheduler) placeAll() {
 	for failed := 0; len(s.out) < s.limit && failed < s.opts.FailedClasses; {
 		c := s.pick()
-		if c == nil || s.splits(c) {
+		if c == nil {
 			return
 		}
+		if s.splits(c) {
+			break
+		}
+		if s.stillFull(c) {
+			s.block(c, c.head())
+			continue
+		}
 		s.stats.Attempts++
 		if !s.serve(c) {
 			failed++
 		}
 	}
+	s.keepGained()
 }
 
 // splits reports whether the class's next gang should wait for the next call, so that its
--- a/internal/schedule/share.go
+++ b/internal/schedule/share.go
@@ -7,13 +7,14 @@
 // divided by its weight.
 type branch struct {
 	model.Branch
-	listed    bool            // in the configuration in force
-	usage     model.Resources // granted to its runs
-	stopping  model.Resources // part of usage that preemption is taking away
-	held      model.Resources // kept for its tasks on workers that preemption empties
-	waiting   int             // tasks
-	running   int             // tasks that hold capacity
-	released  bool            // usage fell since the last Decide
+	listed    bool                 // in the configuration in force
+	usage     model.Resources      // granted to its runs
+	stopping  model.Resources      // part of usage that preemption is taking away
+	held      model.Resources      // kept for its tasks on workers that preemption empties
+	waiting   int                  // tasks
+	running   int                  // tasks that hold capacity
+	tiers     [model.TierCount]int // tasks that hold capacity by tier
+	released  bool                 // usage fell since the last Decide
 	queues    [levelCount]classHeap
 	activePos [levelCount]int // position in queue.active; -1: not in it
 }
@@ -86,6 +87,7 @@
 	j.class.waiting += waiting
 	b.waiting += waiting
 	b.running += running
+	b.tiers[j.Tier] += running
 	s.waiting += waiting
 	s.running += running
 	after := b.waiting+b.running > 0
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -11,14 +11,46 @@
 // again; shares change without any capacity being freed.
 const preemptRetry = time.Second
 
-// freedPairs bounds the comparisons of freed workers with blocked classes in one Decide;
-// above it all blocked classes are tried again.
-const freedPairs = 1 << 14
-
-// pick returns the class to serve next, or nil: the lowest level first; on a level the
-// branch with the smallest weighted dominant share, but on levelLate the class with the
-// least slack. A branch above its share goes back to its tier with late work, so that a
-// flood of deadlines takes nothing from others. Every AgeingTurn placements the job that
+// gainedPairs bounds the comparisons of workers that gained room with blocked classes for
+// one placement; above it all blocked classes are tried again.
+const gainedPairs = 1 << 12
+
+// turnKey orders classes: the lowest level first; on a level the branch with the smallest
+// weighted dominant share, but on levelLate the class with the least slack.
+type turnKey struct {
+	level level
+	share float64
+	due   time.Time
+	seq   int64
+}
+
+func (a turnKey) before(b turnKey) bool {
+	switch {
+	case a.level != b.level:
+		return a.level < b.level
+	case a.share != b.share:
+		return a.share < b.share
+	case !a.due.Equal(b.due):
+		return a.due.Before(b.due)
+	}
+	return a.seq < b.seq
+}
+
+// key returns the class's place in the order. A branch above its share goes back to its
+// tier with late work, so that a flood of deadlines takes nothing from others.
+func (s *Scheduler) key(c *class) turnKey {
+	k := turnKey{level: c.level, due: c.due, seq: c.seq}
+	if c.level == levelLate && !s.overShare(c.branch) {
+		return k
+	}
+	if c.level == levelLate {
+		k.level = levelOf(c.key.tier)
+	}
+	k.share = s.weighted(c.branch, model.Resources{})
+	return k
+}
+
+// pick returns the class to serve next, or nil. Every AgeingTurn placements the job that
 // waits longest goes first if it is starved.
 func (s *Scheduler) pick() *class {
 	if s.turn >= s.opts.AgeingTurn {
@@ -27,49 +59,49 @@
 			return c
 		}
 	}
-	for l := levelUrgent; l < levelCount; l++ {
-		if c := s.pickOn(l); c != nil {
-			return c
-		}
+	c, key := s.pickActive()
+	if gained := s.pickGained(c, key); gained != nil {
+		s.revive(gained)
+		gained.revived = s.round
+		return gained
 	}
-	return nil
+	return c
 }
 
-// pickOn returns the class to serve on one level, or nil.
-func (s *Scheduler) pickOn(l level) *class {
+// pickActive returns the first of the active classes, or nil.
+func (s *Scheduler) pickActive() (*class, turnKey) {
 	var top *class
-	topShare := 0.0
-	consider := func(b *branch, c *class) {
-		share := s.weighted(b, model.Resources{})
-		if l == levelLate {
-			share = 0
-		}
-		if top == nil || share < topShare || share == topShare && before(c, top) {
-			top, topShare = c, share
-		}
-	}
-	for _, b := range s.queue.active[l] {
-		if l != levelLate || !s.overShare(b) {
-			consider(b, b.queues[l][0])
+	var topKey turnKey
+	for l := levelUrgent; l < levelCount; l++ {
+		if top != nil && topKey.level < l {
+			break
 		}
-	}
-	if l < levelHigh {
-		return top
-	}
-	for _, b := range s.queue.active[levelLate] {
-		if c := b.queues[levelLate][0]; levelOf(c.key.tier) == l && s.overShare(b) {
-			consider(b, c)
+		for _, b := range s.queue.active[l] {
+			c := b.queues[l][0]
+			if key := s.key(c); top == nil || key.before(topKey) {
+				top, topKey = c, key
+			}
 		}
 	}
-	return top
+	return top, topKey
 }
 
-// before orders classes of equal share.
-func before(a, b *class) bool {
-	if !a.due.Equal(b.due) {
-		return a.due.Before(b.due)
+// pickGained returns the first of the blocked classes that fits on a worker which gained
+// room since the last Decide, if it goes before the given class; else nil.
+func (s *Scheduler) pickGained(top *class, topKey turnKey) *class {
+	if len(s.gained) == 0 {
+		return nil
 	}
-	return a.seq < b.seq
+	var first *class
+	for _, c := range s.queue.blocked {
+		if c.quota || c.tried == s.round || !s.fitsGained(s.grantSize(c)) {
+			continue
+		}
+		if key := s.key(c); top == nil || key.before(topKey) {
+			top, topKey, first = c, key, c
+		}
+	}
+	return first
 }
 
 // starved returns the active class whose first job waits longest, if that is longer than
@@ -102,6 +134,7 @@
 		return
 	}
 	c.quota = false
+	c.tried = s.round
 	s.queue.shelve(c, classBlocked, "no worker has room now")
 	if s.mayGain(c) {
 		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
@@ -122,18 +155,19 @@
 	if s.cluster.changed {
 		s.reconsiderParked()
 	}
-	all := s.cluster.changed || len(s.cluster.freed)*len(s.queue.blocked) > freedPairs
+	s.startRound()
+	all := s.cluster.changed || len(s.gained)*len(s.queue.blocked) > gainedPairs
 	for pos := 0; pos < len(s.queue.blocked); {
-		if c := s.queue.blocked[pos]; all || s.mayFit(c) {
-			s.revive(c) // the last of the list is at pos now
+		c := s.queue.blocked[pos]
+		if !all && !(c.quota && c.branch.released) {
+			pos++
 			continue
 		}
-		pos++
+		s.revive(c) // the last of the list is at pos now
 	}
-	for _, w := range s.cluster.freed {
-		w.freed = false
+	if all {
+		s.gained = s.gained[:0]
 	}
-	s.cluster.freed = s.cluster.freed[:0]
 	s.cluster.changed = false
 	for _, b := range s.released {
 		b.released = false
@@ -141,13 +175,32 @@
 	s.released = s.released[:0]
 }
 
-// mayFit reports whether what was freed since the last Decide may help a blocked class.
-func (s *Scheduler) mayFit(c *class) bool {
-	if c.quota {
-		return c.branch.released
+// startRound takes over the list of workers that gained room since the last Decide.
+func (s *Scheduler) startRound() {
+	s.round++
+	s.gained, s.cluster.freed = s.cluster.freed, s.gained[:0]
+	for _, w := range s.gained {
+		w.freed = false
+	}
+}
+
+// keepGained leaves the list of workers that gained room to the next Decide, since this
+// one ended early.
+func (s *Scheduler) keepGained() {
+	for _, w := range s.gained {
+		s.cluster.noteFreed(w)
 	}
-	size := s.grantSize(c)
-	for _, w := range s.cluster.freed {
+}
+
+// stillFull reports whether the class was revived in this round only for workers that
+// gained room, and none of them has enough left.
+func (s *Scheduler) stillFull(c *class) bool {
+	return c.revived == s.round && !s.fitsGained(s.grantSize(c))
+}
+
+// fitsGained reports whether a worker that gained room has enough of it.
+func (s *Scheduler) fitsGained(size model.Resources) bool {
+	for _, w := range s.gained {
 		if size.Fits(w.free()) {
 			return true
 		}
