Oracle: counts of Explain, gangs that lost a task for good; findings

Cause: the oracle asked that waiting, running and done sum to all tasks, which a task given up for good rightly breaks; it now compares each count with its own.

--- a/internal/schedule/baseline/queue.go
+++ b/internal/schedule/baseline/queue.go
@@ -152,6 +152,9 @@
 		return
 	}
 	q.end(t)
+	if outcome == model.OutcomeDone {
+		t.job.done++
+	}
 }
 
 // runsAgain reports whether a task is queued again after a run with this outcome.
@@ -195,7 +198,7 @@
 		Job:     id,
 		Waiting: j.waiting,
 		Running: unfinished - j.waiting,
-		Done:    len(j.tasks) - unfinished,
+		Done:    j.done,
 		Reason:  "capacity",
 	}, true
 }
--- a/internal/schedule/baseline/state.go
+++ b/internal/schedule/baseline/state.go
@@ -33,6 +33,7 @@
 	model.Job
 	tasks    []*task
 	waiting  int
+	done     int
 	canceled bool
 }
 
--- a/internal/schedule/proof/record.go
+++ b/internal/schedule/proof/record.go
@@ -39,7 +39,8 @@
 	model.Job
 	tasks     []*taskRecord
 	canceled  bool
-	failed    bool // a run of one of its tasks failed
+	failed    bool // a run of one of its tasks failed, or its gang lost a task for good
+	done      int  // tasks that ended as done
 	oversized bool // a run used more than it was granted
 }
 
--- a/internal/schedule/proof/settle.go
+++ b/internal/schedule/proof/settle.go
@@ -28,7 +28,8 @@
 		o.endRuns(now)
 	}
 	if t := o.owed(); t != nil {
-		o.violated(RuleLost, t.id, t.worker, "still in phase %d after %d rounds", t.phase, settleRounds)
+		e, _ := o.inner.Explain(t.job.ID)
+		o.violated(RuleLost, t.id, t.worker, "still in phase %d after %d rounds; explained by %+v", t.phase, settleRounds, e)
 	}
 	return now
 }
