schedule: suspect workers get one task at a time; behaviour tests with a driven clock

A job kept from workers it failed on is put behind its class a bounded number of times; unbounded, placeAll did not end (the test hung).

--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -17,11 +17,10 @@
 
 // estimate is what was learned of a workload from its usage reports and ended runs.
 type estimate struct {
-	peak     amount
-	reports  int
-	run      time.Duration // smoothed
-	runs     int
-	failedOn []model.WorkerID // distinct workers since the last success, a bounded number
+	peak    amount
+	reports int
+	run     time.Duration // smoothed
+	runs    int
 }
 
 // amount is a smoothed model.Resources without accelerators, which are never corrected.
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -53,7 +53,7 @@
 		RestartBackoffMax:  5 * time.Minute,
 		QuarantineJobs:     2,
 		QuarantineFraction: 0.25,
-		ProbeBackoff:       30 * time.Second,
+		ProbeBackoff:       time.Minute,
 		ProbeBackoffMax:    30 * time.Minute,
 		HealthyAfter:       30 * time.Second,
 		Correct:            true,
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	suspectJobs       = 2           // distinct jobs that failed on a worker in a row make it suspect
-	suspectBackoff    = time.Second // first pause before a suspect worker gets a task; doubles
-	suspectBackoffMax = time.Minute
+	suspectJobs       = 2                // distinct jobs that failed on a worker in a row make it suspect
+	provenFor         = 10 * time.Minute // after a success; before one or later, one job is enough
+	suspectBackoff    = 5 * time.Second  // first pause before a suspect worker gets a task; doubles
+	suspectBackoffMax = 2 * time.Minute
 	suspectShiftMax   = 10
 	probeClasses      = 16 // classes looked at for a probe task
 	healthJobs        = 8  // failed jobs remembered for a worker
@@ -28,6 +29,7 @@
 	quarantined  bool
 	probing      bool
 	probeAt      time.Time
+	lastSuccess  time.Time
 	backoff      time.Duration
 }
 
@@ -57,12 +59,12 @@
 	j, w := r.job, r.worker
 	r.healthy = true
 	j.crashes = 0
-	j.class.estimate.failedOn = nil
 	if len(j.succeeded) < 2 && !slices.Contains(j.succeeded, w) {
 		j.succeeded = append(j.succeeded, w)
 	}
 	if r.probe || !w.health.quarantined {
 		s.clearHealth(w)
+		w.health.lastSuccess = s.cluster.now
 	}
 	for _, other := range j.failedOn {
 		if other != w {
@@ -81,26 +83,18 @@
 	s.considerQuarantine(w)
 }
 
-// failed notes a failure. It says nothing of the worker if the job or its workload fails
-// on several workers without a success.
+// failed notes a failure. Whether it is the worker's or the job's is known once the job
+// succeeds elsewhere or fails there too.
 func (s *Scheduler) failed(r *run) {
 	j, w := r.job, r.worker
 	if !j.failedHere(w) {
 		j.failedOn = append(j.failedOn, w)
 	}
-	e := j.class.estimate
-	if !slices.Contains(e.failedOn, w.ID) && len(e.failedOn) < s.opts.JobFaultWorkers {
-		e.failedOn = append(e.failedOn, w.ID)
-	}
 	if r.probe {
 		w.health.backoff = min(2*w.health.backoff, s.opts.ProbeBackoffMax)
 		return
 	}
-	elsewhere := slices.ContainsFunc(j.succeeded, func(o *worker) bool { return o != w })
-	if len(e.failedOn) >= s.opts.JobFaultWorkers && !elsewhere {
-		return
-	}
-	s.suspect(w, j.ID, elsewhere)
+	s.suspect(w, j.ID, slices.ContainsFunc(j.succeeded, func(o *worker) bool { return o != w }))
 	s.considerQuarantine(w)
 }
 
@@ -111,7 +105,7 @@
 	if !known && len(h.failed) < healthJobs {
 		h.failed = append(h.failed, failure{id, elsewhere})
 	}
-	if len(h.failed) < suspectJobs {
+	if s.cluster.now.Sub(h.lastSuccess) < provenFor && len(h.failed) < suspectJobs {
 		return
 	}
 	if !h.suspect && s.suspects >= s.atMostOut() {
@@ -121,10 +115,14 @@
 		h.suspect = true
 		s.suspects++
 	}
-	shift := min(len(h.failed)-suspectJobs, suspectShiftMax)
-	pause := min(suspectBackoff<<shift, suspectBackoffMax)
-	h.suspectUntil = s.cluster.now.Add(pause)
-	heap.Push(&s.queue.timers, timer{at: h.suspectUntil, worker: w})
+	shift := min(len(h.failed)-1, suspectShiftMax)
+	s.pause(w, min(suspectBackoff<<shift, suspectBackoffMax))
+}
+
+// pause keeps tasks off a suspect worker for a time.
+func (s *Scheduler) pause(w *worker, length time.Duration) {
+	w.health.suspectUntil = s.cluster.now.Add(length)
+	heap.Push(&s.queue.timers, timer{at: w.health.suspectUntil, worker: w})
 }
 
 // atMostOut is how many workers may be in quarantine at once, at least one.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -90,8 +90,11 @@
 	scanning bool  // the search for victims goes on in the next Decide
 	revived  int64 // round in which it was revived for workers that gained room
 	tried    int64 // round in which it was found not to fit
-	jobCount int   // jobs that have not ended
-	why      string
+	// rotations counts the jobs put behind others in round rotated.
+	rotated   int64
+	rotations int
+	jobCount  int // jobs that have not ended
+	why       string
 }
 
 // head returns the class's first job, dropping those without waiting tasks; nil when
--- /dev/null
+++ b/internal/schedule/rig_test.go
@@ -0,0 +1,171 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// rig hosts a Scheduler with a driven clock: it confirms what is placed, ends runs after
+// their true run time and obeys stops after checkpointTime.
+type rig struct {
+	t       testing.TB
+	s       *Scheduler
+	now     time.Time
+	truth   func(Decision) time.Duration // a run's true length; 0: it never ends
+	fails   func(Decision) bool          // it fails after failTime
+	usage   func(Decision) model.Resources
+	runs    map[model.TaskID]*rigRun
+	started map[model.JobID]time.Time // first start
+	ended   map[model.JobID]time.Time // last end by itself
+	log     []Decision
+}
+
+type rigRun struct {
+	decision Decision
+	since    time.Time
+	end      time.Time
+	outcome  model.Outcome
+}
+
+const (
+	checkpointTime = 2 * time.Second
+	failTime       = time.Second
+)
+
+func newRig(t testing.TB, branches ...model.Branch) *rig {
+	r := &rig{
+		t: t, s: New(DefaultOptions(), rand.New(rand.NewPCG(1, 2))), now: epoch,
+		truth: func(Decision) time.Duration { return time.Minute },
+		fails: func(Decision) bool { return false },
+		runs:  map[model.TaskID]*rigRun{}, started: map[model.JobID]time.Time{}, ended: map[model.JobID]time.Time{},
+	}
+	r.s.SetBranches(r.now, branches)
+	return r
+}
+
+// workers adds workers of 8 cores and 32 GiB, two a rack, in three failure domains.
+func (r *rig) workers(count int) *rig {
+	for n := range count {
+		r.s.UpsertWorker(r.now, rigWorker(n))
+	}
+	return r
+}
+
+func rigWorker(n int) Worker {
+	return Worker{
+		ID: model.WorkerID(fmt.Sprint("w", n)), Rack: fmt.Sprint("r", n/2),
+		FailureDomain: model.FailureDomain(fmt.Sprint("d", n%3)),
+		Capacity:      model.Resources{MilliCPU: 8000, MemoryMiB: 32_000},
+	}
+}
+
+// job returns a restartable batch job of one-core tasks; change makes it another.
+func (r *rig) job(id string, branch model.BranchID, tasks int, change func(*model.Job)) Status {
+	j := model.Job{
+		ID: model.JobID(id), Branch: branch, Workload: model.WorkloadID(branch), Kind: model.KindBatch,
+		Tier: model.TierNormal, Tasks: tasks, Size: model.Resources{MilliCPU: 1000, MemoryMiB: 1000},
+		Runtime: time.Minute, Submitted: r.now, Restartable: true,
+	}
+	if change != nil {
+		change(&j)
+	}
+	return r.s.Submit(r.now, j)
+}
+
+// run advances the clock in steps of a second.
+func (r *rig) run(length time.Duration) {
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(time.Second) {
+		r.finishDue()
+		r.report()
+		for _, d := range r.s.Decide(r.now, 1000) {
+			r.obey(d)
+		}
+		if err := r.s.CheckInvariants(); err != nil {
+			r.t.Fatalf("invariant: %v", err)
+		}
+	}
+}
+
+func (r *rig) obey(d Decision) {
+	r.log = append(r.log, d)
+	switch d.Action {
+	case ActionPlace, ActionProbe:
+		r.s.Confirm(r.now, d.Task)
+		r.start(d)
+	case ActionPreempt, ActionMove:
+		r.stop(d.Task, model.OutcomePreempted)
+	case ActionStop:
+		r.stop(d.Task, model.OutcomeCanceled)
+	}
+}
+
+func (r *rig) start(d Decision) {
+	run := &rigRun{decision: d, since: r.now, outcome: model.OutcomeDone}
+	if length := r.truth(d); length > 0 {
+		run.end = r.now.Add(length)
+	}
+	if r.fails(d) {
+		run.end, run.outcome = r.now.Add(failTime), model.OutcomeFailed
+	}
+	r.runs[d.Task] = run
+	if _, ok := r.started[d.Job]; !ok {
+		r.started[d.Job] = r.now
+	}
+}
+
+func (r *rig) stop(id model.TaskID, outcome model.Outcome) {
+	run := r.runs[id]
+	run.end, run.outcome = r.now.Add(checkpointTime), outcome
+}
+
+func (r *rig) finishDue() {
+	for _, id := range sortedKeys(r.runs) {
+		run := r.runs[id]
+		if run.end.IsZero() || r.now.Before(run.end) {
+			continue
+		}
+		delete(r.runs, id)
+		if run.outcome == model.OutcomeDone {
+			r.ended[run.decision.Job] = r.now
+		}
+		r.s.Finish(r.now, id, run.outcome)
+	}
+}
+
+func (r *rig) report() {
+	if r.usage == nil {
+		return
+	}
+	for _, id := range sortedKeys(r.runs) {
+		run := r.runs[id]
+		r.s.Observe(r.now, Usage{
+			Task: id, Worker: run.decision.Worker, Used: r.usage(run.decision), Ran: r.now.Sub(run.since),
+		})
+	}
+}
+
+// count counts the decisions with the action and for which match holds.
+func (r *rig) count(action Action, match func(Decision) bool) int {
+	n := 0
+	for _, d := range r.log {
+		if d.Action == action && (match == nil || match(d)) {
+			n++
+		}
+	}
+	return n
+}
+
+// holds returns how many tasks of the branch hold capacity.
+func (r *rig) holds(branch model.BranchID) int {
+	n := 0
+	for _, run := range r.runs {
+		if run.decision.Branch == branch {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -348,7 +348,7 @@
 			break
 		}
 		if s.stillFull(c) {
-			s.block(c, c.head())
+			s.blockFull(c)
 			continue
 		}
 		s.stats.Attempts++
@@ -408,6 +408,9 @@
 	for _, r := range runs {
 		s.useHold(c, r)
 		s.chargeHolds(q, r)
+		if r.worker.health.suspect {
+			s.pause(r.worker, suspectBackoffMax) // one task at a time
+		}
 		s.give(r, r.decision(ActionPlace, group, ""))
 	}
 	s.stats.Placed += int64(len(runs))
@@ -451,69 +454,3 @@
 	s.out = nil
 	return out
 }
-
-// Assume takes a waiting task of the job and grants it the size on the worker.
-func (s *Scheduler) Assume(j *job, w *worker, size model.Resources) *run {
-	index := j.take()
-	s.note(j, -1, 0)
-	r := &run{
-		id: j.taskID(index), jobID: j.ID, job: j, index: index, worker: w, size: size,
-		started: s.cluster.now,
-	}
-	mustFit(w, size)
-	s.hold(r)
-	return r
-}
-
-// Undo takes an assumed run back in the same decision.
-func (s *Scheduler) Undo(r *run) {
-	s.free(r)
-	r.job.giveBack(r.index)
-	s.note(r.job, 1, 0)
-}
-
-// hold makes a run hold capacity, in its worker, job and branch.
-func (s *Scheduler) hold(r *run) {
-	mustBeNew(&s.cluster, r)
-	s.cluster.grant(r)
-	if r.job == nil {
-		s.running++
-		return
-	}
-	s.join(r)
-}
-
-// join adds a run to its job and branch.
-func (s *Scheduler) join(r *run) {
-	j := r.job
-	r.posJob = len(j.runs)
-	j.runs = append(j.runs, r)
-	j.branch.usage = j.branch.usage.Add(r.size)
-	j.spread(r.worker, 1)
-	s.note(j, 0, 1)
-}
-
-// free takes a run's capacity back everywhere.
-func (s *Scheduler) free(r *run) {
-	s.cluster.revoke(r)
-	j := r.job
-	if j == nil {
-		s.running--
-		return
-	}
-	last := j.runs[len(j.runs)-1]
-	j.runs[r.posJob] = last
-	last.posJob = r.posJob
-	j.runs = j.runs[:len(j.runs)-1]
-	b := j.branch
-	b.usage = b.usage.Sub(r.size)
-	if !b.released {
-		b.released = true
-		s.released = append(s.released, b)
-	}
-	if r.stop == stopPreempted {
-		b.stopping = b.stopping.Sub(r.size)
-	}
-	j.spread(r.worker, -1)
-	s.note(j, 0, -1)
-}
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -11,6 +11,13 @@
 // again; shares change without any capacity being freed.
 const preemptRetry = time.Second
 
+// A job that its class's others overtake, since it failed on the workers with room, is put
+// back by rotatePenalty, at most maxRotations times for a class in one Decide.
+const (
+	rotatePenalty = time.Minute
+	maxRotations  = 4
+)
+
 // gainedPairs bounds the comparisons of workers that gained room with blocked classes for
 // one placement; above it all blocked classes are tried again.
 const gainedPairs = 1 << 12
@@ -122,23 +129,43 @@
 
 // block takes the class off its branch's heap after its first job could not be placed.
 func (s *Scheduler) block(c *class, j *job) {
-	if len(j.failedOn) > 0 && len(c.jobs) > 1 {
-		// Only this job is kept from some workers: the next one may fit there.
-		j.due = j.due.Add(s.opts.AgeStep)
-		heap.Fix(&c.jobs, j.heapPos)
-		s.settle(c)
+	if s.rotate(c, j) {
 		return
 	}
 	if c.scanning {
 		s.queue.shelve(c, classDeferred, "waits for room that preemption may free")
 		return
 	}
+	s.blockFull(c)
+	if s.mayGain(c) {
+		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
+	}
+}
+
+// blockFull blocks the class until a worker gains room for one of its tasks.
+func (s *Scheduler) blockFull(c *class) {
 	c.quota = false
 	c.tried = s.round
 	s.queue.shelve(c, classBlocked, "no worker has room now")
-	if s.mayGain(c) {
-		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
+}
+
+// rotate puts a job that is kept from workers on which it failed behind others of its
+// class, which may fit there. It does so a few times for a class in one Decide.
+func (s *Scheduler) rotate(c *class, j *job) bool {
+	if len(j.failedOn) == 0 || len(c.jobs) < 2 {
+		return false
+	}
+	if c.rotated != s.round {
+		c.rotated, c.rotations = s.round, 0
+	}
+	if c.rotations >= maxRotations {
+		return false
 	}
+	c.rotations++
+	j.due = j.due.Add(rotatePenalty)
+	heap.Fix(&c.jobs, j.heapPos)
+	s.settle(c)
+	return true
 }
 
 // blockByQuota blocks the class until its branch holds less.
