--- a/internal/event/catalogue_server.go
+++ b/internal/event/catalogue_server.go
@@ -20,6 +20,15 @@
 	WorkerCallFailed = Define(Def{ID: 8102, Name: "worker-call-failed", Level: Debug,
 		Text: "A call to a worker failed.", Does: "Nothing: the partition decides by its next report.",
 		Keys: []string{"worker", "call", "error"}})
+	PartitionTaken = Define(Def{ID: 1101, Name: "partition-taken", Level: Info,
+		Text: "This VM owns the partition from this epoch on.", Does: "Nothing.",
+		Keys: []string{"partition", "epoch", "previous_owner", "records", "ms"}})
+	PartitionReleased = Define(Def{ID: 1102, Name: "partition-released", Level: Info,
+		Text: "This VM gave the partition up for the VM that is wanted as its owner.", Does: "Nothing.",
+		Keys: []string{"partition", "epoch"}})
+	TakeoverFailed = Define(Def{ID: 1104, Name: "takeover-failed", Level: Warn,
+		Text: "A partition could not be taken over or given up; it is tried again.", Does: "Look at the platform's store if it lasts.",
+		Keys: []string{"partition", "error"}})
 	LayoutFailed = Define(Def{ID: 1105, Name: "layout-failed", Level: Warn,
 		Text: "The layout of the partitions could not be read or extended; it is tried again.", Does: "Look at the platform's store if it lasts.",
 		Keys: []string{"error"}})
