The digest is gathered by a goroutine of its own

Cause: after the merge of slot ownership no VM sent a heartbeat: the backend manager asks the membership for the members while it holds its locks, and the membership asked the digest, which asked the manager again. Ruled out: the peer link (no call was ever made, the goroutines waited for the locks). Before: make demo ended with the sheet in force on one VM of three. Conclusion: parts may call the membership under their locks.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,6 +32,7 @@
 	peers      *peer.Server
 	calls      *peer.Client
 	membership *membership.Membership
+	digester   *digester
 	configs    configurations
 	backends   *backend.Manager
 	front      *front.Handler
@@ -53,7 +54,7 @@
 	group, running := errgroup.WithContext(running)
 	web := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	for _, run := range []func(context.Context) error{
-		s.loop.Run, s.assigner.Run, s.poller.Run, s.membership.Run, s.backends.Run, s.configs.Run, s.followConfiguration,
+		s.loop.Run, s.digester.Run, s.assigner.Run, s.poller.Run, s.membership.Run, s.backends.Run, s.configs.Run, s.followConfiguration,
 		func(ctx context.Context) error { return s.peers.Serve(ctx, listeners.peer) },
 		func(context.Context) error { return ignoreClosed(web.Serve(listeners.http)) },
 	} {
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -62,6 +62,7 @@
 		peers:      server,
 		calls:      client,
 		membership: membership,
+		digester:   serverDigester,
 		configs:    serverConfigurations,
 		backends:   manager,
 		front:      handler,
