Long randomised runs over real processes; cluster of stand-ins shared with the demo

Change: internal/standin/cluster starts stand-ins and VMs, relays cut a VM's peer link or its store one way, internal/standin/prove draws work and faults from a seed and judges by the stand-ins' own account. VMs may advertise another peer address than they listen on. Measured: nothing yet.

--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,9 @@
 test: lint
 	FILBERTCROSS_SEED=$(SEED) $(GO) test -race -count=1 -timeout 8m ./...
 
+# prove runs real processes under random work and faults from SEED for DURATION.
+prove: build
+	$(GO) run ./internal/standin/prove -seed $(SEED) -duration $(DURATION)
+
 clean:
 	rm -rf bin .demo
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -19,6 +19,7 @@
 		text("failure-domain", "`DOMAIN` this VM stands in (required)", (*string)(&s.FailureDomain)),
 		text("http-address", "`HOST:PORT` for callers and operators", &s.HTTPAddress),
 		text("peer-address", "`HOST:PORT` for the other VMs", &s.PeerAddress),
+		text("peer-advertise", "`HOST:PORT` by which the other VMs reach --peer-address, if it is another", &s.PeerAdvertise),
 		text("store-url", "`URL` of the platform's key-value service", &s.StoreURL),
 		text("vm-list-url", "`URL` of the platform's list of VMs", &s.VMListURL),
 		duration("store-timeout", "`DURATION` of one call to the store", &s.StoreTimeout),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	FailureDomain    model.FailureDomain `json:"failure_domain"` // where this VM stands
 	HTTPAddress      string              `json:"http_address"`   // for callers and operators, host:port
 	PeerAddress      string              `json:"peer_address"`   // for other VMs, host:port
+	PeerAdvertise    string              `json:"peer_advertise"` // by which other VMs reach the peer link; empty: PeerAddress
 	StoreURL         string              `json:"store_url"`
 	VMListURL        string              `json:"vm_list_url"`
 	StoreTimeout     time.Duration       `json:"store_timeout"`      // of one call to the store
@@ -94,6 +95,9 @@
 	v.require("--failure-domain", s.FailureDomain != "", "is empty; name the failure domain of this VM")
 	v.address("--http-address", s.HTTPAddress)
 	v.address("--peer-address", s.PeerAddress)
+	if s.PeerAdvertise != "" {
+		v.address("--peer-advertise", s.PeerAdvertise)
+	}
 	v.url("--store-url", s.StoreURL)
 	v.url("--vm-list-url", s.VMListURL)
 	v.between("--store-timeout", s.StoreTimeout, 10*time.Millisecond, time.Minute)
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -18,6 +19,7 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
+	"filbertcross/internal/rollout"
 )
 
 func provideStore(s config.Settings) platform.Store {
@@ -38,7 +40,7 @@
 func provideSelf(s config.Settings) membership.Member {
 	return membership.Member{
 		ID:            model.VMID(s.Name + "-" + uuid.NewString()[:idSuffix]),
-		Address:       s.PeerAddress,
+		Address:       cmp.Or(s.PeerAdvertise, s.PeerAddress),
 		HTTPAddress:   s.HTTPAddress,
 		FailureDomain: s.FailureDomain,
 	}
@@ -101,13 +103,16 @@
 	}}
 }
 
-func provideConfigurations(store platform.Store, d *digester) configurations {
-	c := newStoredConfiguration(store)
-	var source model.ConfigurationSource = c
+func provideRollout(store platform.Store, view membership.View, caller peer.Caller, server *peer.Server, recorder event.Recorder, d *digester) *rollout.Rollout {
+	r := rollout.New(store, view, caller, recorder)
+	r.Register(server)
+	var source model.ConfigurationSource = r.Source()
 	d.source.Store(&source)
-	return c
+	return r
 }
 
+func provideSource(r *rollout.Rollout) *rollout.Source { return r.Source() }
+
 func provideBackends(s config.Settings, view membership.View, caller peer.Caller, server *peer.Server, recorder event.Recorder, scope tally.Scope, d *digester) *backend.Manager {
 	m := backend.NewManager(backend.Options{
 		Queue: backend.QueueLimits{Requests: s.MaxQueueRequests, Bytes: s.MaxQueueBytes},
@@ -117,7 +122,32 @@
 	return m
 }
 
-func provideLedger(store platform.Store) ledger.Client { return storedLedger{store: store} }
+// provideLedgerHost serves keys; a VM that the view shows as dead, or does not
+// know, sends nothing any more.
+func provideLedgerHost(view membership.View, server *peer.Server, recorder event.Recorder) *ledger.Host {
+	gone := func(id model.VMID) bool {
+		for _, m := range view.Members() {
+			if m.ID == id {
+				return m.State == membership.Dead
+			}
+		}
+		return false
+	}
+	h := ledger.NewHost(ledger.DefaultLimits(), gone, time.Now, recorder)
+	h.Register(server)
+	return h
+}
+
+func provideLedger(h *ledger.Host, view membership.View, caller peer.Caller, a *assigner) ledger.Client {
+	return &ledger.Router{Layout: a.Layout, Directory: directory{view}, Host: h, Caller: caller}
+}
+
+func provideHosting(l *loop, keys *ledger.Host, recorder event.Recorder, d *digester) *hosting {
+	h := newHosting(l, keys, recorder)
+	tenancies := h.KeyTenancies
+	d.keys.Store(&tenancies)
+	return h
+}
 
 func provideFront(s config.Settings, router backend.Router, keys ledger.Client, source model.ConfigurationSource, view membership.View, recorder event.Recorder, scope tally.Scope) *front.Handler {
 	return front.New(front.Options{
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,8 +13,10 @@
 	"filbertcross/internal/config"
 	"filbertcross/internal/event"
 	"filbertcross/internal/front"
+	"filbertcross/internal/ledger"
 	"filbertcross/internal/membership"
 	"filbertcross/internal/peer"
+	"filbertcross/internal/rollout"
 )
 
 const (
@@ -33,7 +35,9 @@
 	calls      *peer.Client
 	membership *membership.Membership
 	digester   *digester
-	configs    configurations
+	rollout    *rollout.Rollout
+	hosting    *hosting
+	ledger     *ledger.Host
 	backends   *backend.Manager
 	front      *front.Handler
 	loop       *loop
@@ -54,7 +58,7 @@
 	group, running := errgroup.WithContext(running)
 	web := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	for _, run := range []func(context.Context) error{
-		s.loop.Run, s.digester.Run, s.assigner.Run, s.poller.Run, s.membership.Run, s.backends.Run, s.configs.Run, s.followConfiguration,
+		s.loop.Run, s.digester.Run, s.assigner.Run, s.poller.Run, s.membership.Run, s.backends.Run, s.rollout.Run, s.hosting.Run, s.followConfiguration,
 		func(ctx context.Context) error { return s.peers.Serve(ctx, listeners.peer) },
 		func(context.Context) error { return ignoreClosed(web.Serve(listeners.http)) },
 	} {
@@ -110,13 +114,13 @@
 // followConfiguration passes each configuration that comes in force to the control loop.
 func (s *Server) followConfiguration(ctx context.Context) error {
 	for {
-		if configuration := s.configs.InForce(); configuration != nil {
+		if configuration := s.rollout.Source().InForce(); configuration != nil {
 			s.loop.Post(configurationChanged{branches: configuration.Branches})
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-s.configs.Changed():
+		case <-s.rollout.Source().Changed():
 		}
 	}
 }
@@ -135,6 +139,10 @@
 	})
 	s.step("finish requests", s.settings.DrainTimeout, s.front.Drain)
 	s.step("close the HTTP interface", closeTimeout, web.Shutdown)
+	s.step("write the last keys", closeTimeout, func(context.Context) error {
+		s.ledger.Flush()
+		return nil
+	})
 	s.step("hand partitions over", s.settings.DrainTimeout, func(ctx context.Context) error {
 		s.assigner.ReleaseAll(ctx)
 		return nil
--- a/internal/server/sheets.go
+++ b/internal/server/sheets.go
@@ -1,33 +1,21 @@
 package server
 
 import (
-	"cmp"
 	"context"
+	"fmt"
 	"net/http"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/api"
-	"filbertcross/internal/membership"
-	"filbertcross/internal/model"
-	"filbertcross/internal/platform"
+	"filbertcross/internal/rollout"
 	"filbertcross/internal/sheet"
 	"filbertcross/internal/verdict"
 )
 
-// configurations is where accepted sheets are kept and come in force.
-type configurations interface {
-	model.ConfigurationSource
-	Changed() <-chan struct{}
-	Run(ctx context.Context) error
-	Apply(ctx context.Context, base int64, s sheet.Sheet) (int64, error)
-}
-
 // sheets checks, compares and applies the operators' sheets.
 type sheets struct {
-	configurations configurations
-	view           membership.View
+	rollout *rollout.Rollout
 }
 
 // apply puts a sheet in force if the configuration that it was made from still is.
@@ -36,12 +24,11 @@
 	if err := invalidSheet(report); err != nil {
 		return api.SheetAccepted{}, err
 	}
-	before := s.current()
-	revision, err := s.configurations.Apply(ctx, base, parsed)
+	result, err := s.rollout.Apply(ctx, base, parsed)
 	if err != nil {
 		return api.SheetAccepted{}, applyError(err)
 	}
-	return accepted(revision, before, parsed, report), nil
+	return accepted(result.Revision, result.Changes, report), nil
 }
 
 // diff compares a sheet with the configuration in force.
@@ -51,24 +38,24 @@
 		return api.SheetAccepted{}, err
 	}
 	revision := int64(0)
-	if c := s.configurations.InForce(); c != nil {
+	if c := s.rollout.Source().InForce(); c != nil {
 		revision = c.Revision
 	}
-	return accepted(revision, s.current(), parsed, report), nil
+	return accepted(revision, sheet.Diff(s.current(), parsed), report), nil
 }
 
 // current is the configuration in force as a sheet; empty if there is none.
 func (s *sheets) current() sheet.Sheet {
-	c := s.configurations.InForce()
+	c := s.rollout.Source().InForce()
 	if c == nil {
 		return sheet.Sheet{}
 	}
 	return sheet.Sheet{Branches: c.Branches, Workloads: c.Workloads}
 }
 
-func accepted(revision int64, before, after sheet.Sheet, report sheet.Report) api.SheetAccepted {
+func accepted(revision int64, changes sheet.Changes, report sheet.Report) api.SheetAccepted {
 	answer := api.SheetAccepted{Revision: revision, Changes: []string{}}
-	for _, change := range sheet.Diff(before, after) {
+	for _, change := range changes {
 		answer.Changes = append(answer.Changes, change.String())
 	}
 	for _, notice := range report.Notices {
@@ -89,26 +76,33 @@
 	}}
 }
 
+// applyError says whether a sheet that was not accepted may still become so.
 func applyError(err error) error {
+	var conflict *rollout.ConflictError
+	var uncertain *rollout.UncertainError
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
-		return comeBack(verdict.NotRun, jobRetryAfter, "the platform's store does not answer: %v", err)
-	case errors.Is(err, platform.ErrUncertain):
-		return comeBack(verdict.MayHaveRun, jobRetryAfter, "the store's answer was lost; see sheet status: %v", err)
+	case errors.As(err, &conflict):
+		failure := &api.StatusError{Status: http.StatusConflict, Problem: api.Problem{
+			Error:   fmt.Sprintf("the sheet starts from revision %d, but %d is in force", conflict.Base, conflict.Revision),
+			Field:   "base",
+			Verdict: verdict.NotRun.String(),
+		}}
+		for _, change := range conflict.Changes {
+			failure.Problem.Conflicts = append(failure.Problem.Conflicts, change.String())
+		}
+		return failure
+	case errors.As(err, &uncertain):
+		return comeBack(verdict.MayHaveRun, jobRetryAfter, "%v", err)
 	default:
-		return refused(http.StatusConflict, "base", "%v", err)
+		return comeBack(verdict.NotRun, jobRetryAfter, "%v", err)
 	}
 }
 
-// status returns the revision in force on every VM, as the heartbeats tell it.
-func (s *sheets) status(context.Context) []api.SheetStatus {
+// status returns the revision in force on every VM and since when.
+func (s *sheets) status(ctx context.Context) []api.SheetStatus {
 	var found []api.SheetStatus
-	for _, m := range s.view.Members() {
-		if m.State == membership.Dead {
-			continue
-		}
-		found = append(found, api.SheetStatus{VM: m.ID, Revision: m.Digest.Revision})
+	for _, one := range s.rollout.Status(ctx) {
+		found = append(found, api.SheetStatus{VM: one.VM, Revision: one.Revision, Since: one.Since, Problem: one.Problem})
 	}
-	slices.SortFunc(found, func(a, b api.SheetStatus) int { return cmp.Compare(a.VM, b.VM) })
 	return found
 }
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -13,6 +13,7 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
+	"filbertcross/internal/rollout"
 )
 
 // Build makes the parts of a VM from its settings; nothing runs before Run.
@@ -52,17 +53,19 @@
 	newExecutor,
 	provideControl,
 	provideLoop,
-	newHosting,
+	provideHosting,
 	wire.Bind(new(tenancies), new(*hosting)),
 	newAssigner,
 	providePoller,
 )
 
 var requestSet = wire.NewSet(
-	provideConfigurations,
-	wire.Bind(new(model.ConfigurationSource), new(configurations)),
+	provideRollout,
+	provideSource,
+	wire.Bind(new(model.ConfigurationSource), new(*rollout.Source)),
 	provideBackends,
 	wire.Bind(new(backend.Router), new(*backend.Manager)),
+	provideLedgerHost,
 	provideLedger,
 	provideFront,
 )
--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,278 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/model"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/standin"
+)
+
+// Sizes of the stand-ins.
+const (
+	Slots             = 8  // of a backend server
+	connections       = 64 // of a backend server
+	workersPerRack    = 2
+	backendsPerDomain = 2
+)
+
+// WorkerCapacity is what every stand-in for a worker offers.
+var WorkerCapacity = model.Resources{MilliCPU: 32_000, MemoryMiB: 128 << 10}
+
+// Options describe a cluster of processes on loopback.
+type Options struct {
+	Bin              string   // directory of the filbertcross and standin binaries
+	VMs              int      // one failure domain each
+	WorkersPerDomain int      //
+	Relayed          bool     // put a Relay before every VM's peer link and its store
+	VMFlags          []string // added to every VM's command line
+	WorkerFlags      []string // added to every worker process's command line
+}
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	Procs    *Processes
+	StoreURL string
+	ListURL  string
+	VMs      []*VM
+	Workers  []string // host:port
+	Backends []string // host:port
+
+	opts Options
+}
+
+// VM is an entry VM that may be started several times at its addresses.
+type VM struct {
+	Name       string
+	Domain     string
+	HTTP       string // host:port
+	Peer       *Relay // nil: not relayed
+	Store      *Relay // nil: not relayed
+	peerListen string
+	flags      []string
+	starts     int
+	process    string // name of the running process
+}
+
+// Start starts the stand-ins; VMs follow by StartVM.
+func Start(ctx context.Context, opts Options) (*Cluster, error) {
+	procs, err := NewProcesses()
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range []string{"filbertcross", "standin"} {
+		if _, err := os.Stat(filepath.Join(opts.Bin, name)); err != nil {
+			return nil, errors.Wrap(err, "build first with make build")
+		}
+	}
+	c := &Cluster{Procs: procs, opts: opts}
+	if err := c.startPlatform(ctx); err != nil {
+		return c, err
+	}
+	for i := range opts.VMs {
+		if err := c.startDomain(fmt.Sprintf("bg-south-%d", i+1)); err != nil {
+			return c, err
+		}
+		if err := c.prepareVM(i); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	addresses, err := FreeAddresses(2)
+	if err != nil {
+		return err
+	}
+	c.StoreURL, c.ListURL = "http://"+addresses[0], "http://"+addresses[1]
+	if err := c.Procs.Start("platform", c.binary("standin"), "platform", "--store", addresses[0], "--list", addresses[1]); err != nil {
+		return err
+	}
+	return Await(ctx, "the platform", func() bool { return Get(c.ListURL+"/v1/vms", nil) == nil })
+}
+
+func (c *Cluster) binary(name string) string { return filepath.Join(c.opts.Bin, name) }
+
+// startDomain starts and lists the workers and backend servers of a failure domain.
+func (c *Cluster) startDomain(domain string) error {
+	addresses, err := FreeAddresses(c.opts.WorkersPerDomain + backendsPerDomain)
+	if err != nil {
+		return err
+	}
+	workers, backends := addresses[:c.opts.WorkersPerDomain], addresses[c.opts.WorkersPerDomain:]
+	workerArgs := append([]string{"workers"}, c.opts.WorkerFlags...)
+	for n, address := range workers {
+		id := fmt.Sprintf("worker-%s-%d", domain, n)
+		workerArgs = append(workerArgs, "--worker", id+"="+address)
+		row := platform.VM{ID: id, Role: platform.RoleWorker, Address: address, Capacity: WorkerCapacity}
+		if err := c.List(row, domain, fmt.Sprintf("%s-rack-%d", domain, n/workersPerRack)); err != nil {
+			return err
+		}
+	}
+	backendArgs := []string{"backends"}
+	for n, address := range backends {
+		id := fmt.Sprintf("backend-%s-%d", domain, n)
+		backendArgs = append(backendArgs, "--backend", id+"="+address)
+		if err := c.ListBackend(len(c.Backends)+n, address, domain, false); err != nil {
+			return err
+		}
+	}
+	c.Workers = append(c.Workers, workers...)
+	c.Backends = append(c.Backends, backends...)
+	if err := c.Procs.Start("workers-"+domain, c.binary("standin"), workerArgs...); err != nil {
+		return err
+	}
+	return c.Procs.Start("backends-"+domain, c.binary("standin"), backendArgs...)
+}
+
+// ListBackend puts a backend server in the platform's list, as leaving or not.
+func (c *Cluster) ListBackend(index int, address, domain string, leaving bool) error {
+	id := fmt.Sprintf("backend-%s-%d", domain, index%backendsPerDomain)
+	row := platform.VM{ID: id, Role: platform.RoleBackend, Address: address, Service: "zalibook", Slots: Slots, Connections: connections, Leaving: leaving}
+	return c.List(row, domain, fmt.Sprintf("%s-rack-%d", domain, index%backendsPerDomain))
+}
+
+// List puts a VM in the platform's list.
+func (c *Cluster) List(vm platform.VM, domain, rack string) error {
+	vm.FailureDomain = model.FailureDomain(domain)
+	vm.Rack = rack
+	return Put(c.ListURL+"/v1/vms/"+vm.ID, vm)
+}
+
+// prepareVM chooses a VM's addresses and lists it.
+func (c *Cluster) prepareVM(i int) error {
+	addresses, err := FreeAddresses(2)
+	if err != nil {
+		return err
+	}
+	vm := &VM{Name: fmt.Sprintf("vm-%d", i+1), Domain: fmt.Sprintf("bg-south-%d", i+1), HTTP: addresses[0], peerListen: addresses[1]}
+	advertised, storeURL := vm.peerListen, c.StoreURL
+	if c.opts.Relayed {
+		if vm.Peer, err = NewRelay(vm.peerListen); err != nil {
+			return err
+		}
+		if vm.Store, err = NewRelay(strings.TrimPrefix(c.StoreURL, "http://")); err != nil {
+			return err
+		}
+		advertised, storeURL = vm.Peer.Address(), "http://"+vm.Store.Address()
+	}
+	vm.flags = append([]string{
+		"serve", "--name", vm.Name, "--failure-domain", vm.Domain,
+		"--http-address", vm.HTTP, "--peer-address", vm.peerListen, "--peer-advertise", advertised,
+		"--store-url", storeURL, "--vm-list-url", c.ListURL,
+	}, c.opts.VMFlags...)
+	c.VMs = append(c.VMs, vm)
+	return c.List(platform.VM{ID: vm.Name, Role: platform.RoleEntry, Address: advertised}, vm.Domain, "")
+}
+
+// StartVM starts the VM's process, under a new process name each time.
+func (c *Cluster) StartVM(vm *VM) error {
+	vm.starts++
+	vm.process = fmt.Sprintf("%s-start-%d", vm.Name, vm.starts)
+	return c.Procs.Start(vm.process, c.binary("filbertcross"), vm.flags...)
+}
+
+// Process is the name of the VM's newest process.
+func (vm *VM) Process() string { return vm.process }
+
+// URL is the VM's HTTP interface.
+func (vm *VM) URL() string { return "http://" + vm.HTTP }
+
+// Client returns a client of the VM.
+func (vm *VM) Client() *api.Client { return api.NewClient(vm.URL()) }
+
+// Runs returns every run of every worker by the workers' own account.
+func (c *Cluster) Runs() ([]standin.Run, error) {
+	var runs []standin.Run
+	for _, address := range c.Workers {
+		var own []standin.Run
+		if err := Get("http://"+address+"/history", &own); err != nil {
+			return nil, err
+		}
+		runs = append(runs, own...)
+	}
+	return runs, nil
+}
+
+// Bookings returns how often each booking ran, and the most requests that one
+// backend server had at once, by the backend servers' own account.
+func (c *Cluster) Bookings() (ran map[string]int, peak int, err error) {
+	ran = map[string]int{}
+	for _, address := range c.Backends {
+		var counts standin.BackendCounts
+		if err := Get("http://"+address+"/counts", &counts); err != nil {
+			return nil, 0, err
+		}
+		peak = max(peak, counts.Peak)
+		for booking, n := range counts.Bookings {
+			ran[booking] += n
+		}
+	}
+	return ran, peak, nil
+}
+
+const (
+	awaitInterval = 50 * time.Millisecond
+	awaitTimeout  = 40 * time.Second
+)
+
+// Await polls until the condition holds.
+func Await(ctx context.Context, what string, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("waited in vain for %s", what)
+		case <-time.After(awaitInterval):
+		}
+	}
+	return nil
+}
+
+var httpClient = &http.Client{Timeout: 5 * time.Second}
+
+// Get reads a JSON answer; into may be nil.
+func Get(url string, into any) error {
+	resp, err := httpClient.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s: status %d", url, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// Put sends a JSON body.
+func Put(url string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- a/internal/standin/cluster/load.go
+++ b/internal/standin/cluster/load.go
@@ -118,10 +118,20 @@
 	l.count(v, err, v == verdict.Done && answer.Booking != booking)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.verdicts[booking] = v
+	l.verdicts[booking] = strongest(l.verdicts, booking, v)
 	return answer, v
 }
 
+// strongest keeps, of all answers to one booking, the one that says most: done, then
+// may have run, then not run.
+func strongest(verdicts map[string]verdict.Verdict, booking string, v verdict.Verdict) verdict.Verdict {
+	before, known := verdicts[booking]
+	if !known || v == verdict.Done || before == verdict.NotRun {
+		return v
+	}
+	return before
+}
+
 func (l *Load) send(req *http.Request) (standin.BackendAnswer, verdict.Verdict, error) {
 	req.Header.Set("Filbertcross-Deadline", "5s")
 	resp, err := l.client.Do(req)
--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,3 +117,24 @@
 	}
 	return addresses, nil
 }
+
+// Grep returns the lines of the logs that contain one of the texts.
+func (p *Processes) Grep(texts ...string) ([]string, error) {
+	logs, err := filepath.Glob(filepath.Join(p.Dir, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	for _, name := range logs {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(content)) {
+			if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+				found = append(found, filepath.Base(name)+": "+line)
+			}
+		}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/standin/cluster/relay.go
@@ -0,0 +1,84 @@
+package cluster
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Cut says which direction of a Relay loses its bytes.
+type Cut int32
+
+// The cuts.
+const (
+	CutNone    Cut = iota
+	CutToward      // what callers send is lost
+	CutAnswers     // what is answered is lost
+	CutBoth
+)
+
+// Relay passes TCP connections on to an address, and loses bytes in the
+// directions that are cut, as a broken link does: without closing anything.
+type Relay struct {
+	listener net.Listener
+	target   string
+	cut      atomic.Int32
+}
+
+// NewRelay listens on a free loopback address for connections to target.
+func NewRelay(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: listener, target: target}
+	go r.accept()
+	return r, nil
+}
+
+// Address is where callers connect.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Set changes the cut, for connections that are open too.
+func (r *Relay) Set(cut Cut) { r.cut.Store(int32(cut)) }
+
+func (r *Relay) accept() {
+	for {
+		caller, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.connect(caller)
+	}
+}
+
+func (r *Relay) connect(caller net.Conn) {
+	callee, err := net.Dial("tcp", r.target)
+	if err != nil {
+		caller.Close()
+		return
+	}
+	go r.pass(callee, caller, CutToward)
+	r.pass(caller, callee, CutAnswers)
+}
+
+// pass copies until one side closes, losing what comes while the direction is cut.
+// A connection that lost bytes stays silent: the rest would not make sense.
+func (r *Relay) pass(to, from net.Conn, direction Cut) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 32<<10)
+	lost := false
+	for {
+		n, err := from.Read(buffer)
+		cut := Cut(r.cut.Load())
+		lost = lost || cut == direction || cut == CutBoth
+		if n > 0 && !lost {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/standin/demo/main.go
+++ b/internal/standin/demo/main.go
@@ -23,16 +23,11 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	demo, err := newDemo(*binaries, *sheet)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
+	demo := &demo{bin: *binaries, sheet: *sheet}
 	os.Exit(demo.main(ctx, *keep))
 }
 
 func (d *demo) main(ctx context.Context, keep bool) int {
-	defer d.procs.KillAll()
 	bounded, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
 	err := d.run(bounded)
@@ -46,11 +41,14 @@
 	if err == nil && !keep {
 		d.stopGracefully(bounded)
 	}
-	d.procs.KillAll()
-	d.checks.Expect("no process is left behind", d.procs.Alive() == 0, fmt.Sprintf("%d alive", d.procs.Alive()))
+	if d.cluster != nil {
+		procs := d.cluster.Procs
+		procs.KillAll()
+		d.checks.Expect("no process is left behind", procs.Alive() == 0, fmt.Sprintf("%d alive", procs.Alive()))
+		fmt.Println("logs are in", procs.Dir)
+	}
 	d.checks.Print()
 	if d.checks.Failed() {
-		fmt.Println("logs are in", d.procs.Dir)
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/internal/standin/prove/judge.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/model"
+	"filbertcross/internal/standin"
+	"filbertcross/internal/standin/cluster"
+	"filbertcross/internal/verdict"
+)
+
+// settle waits, without faults, until the work that was acknowledged is done.
+func (r *run) settle(ctx context.Context) {
+	err := cluster.Await(ctx, "every VM to be ready after the faults", r.load.Ready)
+	r.checks.Expect("every VM is ready again after the faults", err == nil, fmt.Sprint(err))
+	newest := int64(0)
+	for revision := range r.accepted {
+		newest = max(newest, revision)
+	}
+	err = cluster.Await(ctx, "the newest sheet to be in force", func() bool { return r.inForceEverywhere(ctx, newest) })
+	r.checks.Expect("the newest accepted sheet is in force everywhere", err == nil, fmt.Sprintf("revision %d, %v", newest, err))
+	unsettled := ""
+	err = cluster.Await(ctx, "the jobs to end", func() bool {
+		unsettled = r.unsettledJob(ctx)
+		return unsettled == ""
+	})
+	r.checks.Expect("every acknowledged job is found and ends as it should", err == nil, unsettled)
+}
+
+// inForceEverywhere reports whether every VM has a revision of at least newest: an
+// apply whose answer was lost may have been accepted later.
+func (r *run) inForceEverywhere(ctx context.Context, newest int64) bool {
+	statuses, err := r.vm().Client().SheetStatus(ctx)
+	if err != nil {
+		return false
+	}
+	current := 0
+	for _, s := range statuses {
+		if s.Problem == "" && s.Revision >= newest {
+			current++
+		}
+	}
+	return current >= len(r.cluster.VMs)
+}
+
+// unsettledJob names a job that is not in its final state, or nothing.
+func (r *run) unsettledJob(ctx context.Context) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, job := range r.jobs {
+		view, err := r.cluster.VMs[0].Client().Job(ctx, id)
+		if err != nil {
+			return fmt.Sprintf("%s: %v", id, err)
+		}
+		if !settled(job, view) {
+			return fmt.Sprintf("%s %s: %s, %d waiting, %d running, %d done, %d failed; %s",
+				id, view.Workload, view.State, view.Waiting, view.Running, view.Done, view.Failed, view.Reason)
+		}
+	}
+	return ""
+}
+
+func settled(job submitted, view api.Job) bool {
+	switch {
+	case job.canceled:
+		return view.Running == 0
+	case view.State == api.JobCanceled:
+		return true // the answer to its cancellation was lost
+	case view.Kind == model.KindService:
+		return view.Waiting == 0
+	case job.request.RunOnce:
+		return view.State == api.JobDone || view.State == api.JobFailed
+	default:
+		return view.State == api.JobDone
+	}
+}
+
+// judge compares the stand-ins' account with what callers were told.
+func (r *run) judge() {
+	runs, err := r.cluster.Runs()
+	if err != nil {
+		r.checks.Fail("the workers tell what they ran", err.Error())
+		return
+	}
+	a, b, found := cluster.Overlap(runs)
+	detail := fmt.Sprintf("%d runs", len(runs))
+	if found {
+		detail = fmt.Sprintf("%+v and %+v", a, b)
+	}
+	r.checks.Expect("no task ran in two places at once", !found, detail)
+	worker, over := cluster.OverCapacity(runs, cluster.WorkerCapacity)
+	r.checks.Expect("no worker was given more than it has", !over, string(worker))
+	r.judgeRunOnce(runs)
+	r.judgeBookings()
+	r.judgeEvents()
+	r.checks.Expect("no caller got another's answer", r.counts.Wrong == 0, fmt.Sprint(r.counts.Wrong))
+}
+
+func (r *run) judgeRunOnce(runs []standin.Run) {
+	ran := map[model.TaskID]int{}
+	for _, run := range runs {
+		ran[run.Task]++
+	}
+	for task, n := range ran {
+		job := model.JobID(task[:strings.LastIndex(string(task), "/")])
+		if r.jobs[job].request.RunOnce && n > 1 {
+			r.checks.Fail("a task of a run-once job runs at most once", fmt.Sprintf("%s ran %d times", task, n))
+		}
+	}
+}
+
+func (r *run) judgeBookings() {
+	time.Sleep(time.Second) // requests that were cut off end
+	ran, _, err := r.cluster.Bookings()
+	if err != nil {
+		r.checks.Fail("the backend servers tell what they ran", err.Error())
+		return
+	}
+	twice, lied, lost := 0, 0, 0
+	verdicts := r.load.Verdicts()
+	for booking, v := range verdicts {
+		if ran[booking] > 1 {
+			twice++
+		}
+		if v == verdict.NotRun && ran[booking] > 0 {
+			lied++
+		}
+		if v == verdict.Done && ran[booking] == 0 {
+			lost++
+		}
+	}
+	total := fmt.Sprintf("of %d bookings", len(verdicts))
+	r.checks.Expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
+	r.checks.Expect("no booking of which callers heard only 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
+	r.checks.Expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
+}
+
+// judgeEvents looks for invariants that the program itself saw broken and for
+// processes that ended by themselves.
+func (r *run) judgeEvents() {
+	broken, err := r.cluster.Procs.Grep("invariant-broken", "panic:", "fatal error:")
+	r.checks.Expect("no invariant was seen broken inside the program", err == nil && len(broken) == 0, fmt.Sprint(broken, err))
+}
--- /dev/null
+++ b/internal/standin/prove/run.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/model"
+	"filbertcross/internal/standin/cluster"
+)
+
+// run is one randomised run.
+type run struct {
+	cluster *cluster.Cluster
+	checks  *cluster.Checks
+	load    *cluster.Load
+	faults  *faults
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	steps     int
+	jobs      map[model.JobID]submitted
+	revisions map[model.VMID]int64 // highest seen in force on each process
+	accepted  map[int64]string     // sheet of each accepted revision
+	counts    cluster.Tally
+}
+
+// submitted is a job that was acknowledged.
+type submitted struct {
+	request  api.SubmitJob
+	canceled bool // the cancellation was acknowledged
+}
+
+func newRun(c *cluster.Cluster, checks *cluster.Checks, rng *rand.Rand) *run {
+	return &run{
+		cluster:   c,
+		checks:    checks,
+		rng:       rng,
+		jobs:      map[model.JobID]submitted{},
+		revisions: map[model.VMID]int64{},
+		accepted:  map[int64]string{},
+	}
+}
+
+// start starts the VMs and puts the first sheet in force.
+func (r *run) start(ctx context.Context, sheet string) error {
+	csv, err := os.ReadFile(sheet)
+	if err != nil {
+		return err
+	}
+	var urls []string
+	for _, vm := range r.cluster.VMs {
+		if err := r.cluster.StartVM(vm); err != nil {
+			return err
+		}
+		urls = append(urls, vm.URL())
+	}
+	r.load = cluster.NewLoad(urls)
+	err = cluster.Await(ctx, "the first sheet to be accepted", func() bool {
+		_, err := r.cluster.VMs[0].Client().ApplySheet(ctx, 0, csv, "")
+		return err == nil
+	})
+	r.accepted[1] = string(csv)
+	r.load.WatchReadiness(context.WithoutCancel(ctx))
+	if err != nil {
+		return err
+	}
+	return cluster.Await(ctx, "every VM to be ready", r.load.Ready)
+}
+
+// random drives work and faults for the duration.
+func (r *run) random(ctx context.Context, seed uint64, duration time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	r.faults = newFaults(r.cluster, r.checks, rand.New(rand.NewPCG(seed, 2)))
+	var wait sync.WaitGroup
+	wait.Go(func() { r.load.Run(ctx, loadPerSecond, "prove") })
+	wait.Go(func() { r.loop(ctx, 20*time.Millisecond, r.rebook) })
+	wait.Go(func() { r.loop(ctx, 300*time.Millisecond, r.job) })
+	wait.Go(func() { r.loop(ctx, time.Second, r.operators) })
+	wait.Go(func() { r.loop(ctx, 500*time.Millisecond, r.watchRevisions) })
+	wait.Go(func() { r.faults.run(ctx) })
+	wait.Wait()
+	r.counts = r.load.Counts()
+}
+
+// loop takes steps at random intervals around the mean until the context ends.
+func (r *run) loop(ctx context.Context, mean time.Duration, step func(context.Context)) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		r.steps++
+		pause := time.Duration(r.rng.ExpFloat64() * float64(mean))
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		step(ctx)
+	}
+}
+
+func (r *run) draw(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
+
+func (r *run) vm() *cluster.VM { return r.cluster.VMs[r.draw(len(r.cluster.VMs))] }
+
+// rebook repeats an earlier booking of the load through any VM, or makes a new one
+// and sends it through two VMs at the same time.
+func (r *run) rebook(context.Context) {
+	booking := fmt.Sprintf("prove-%d", 4*r.draw(400))
+	go r.load.Book(r.vm().URL(), booking)
+	if r.draw(4) == 0 {
+		go r.load.Book(r.vm().URL(), booking)
+	}
+}
+
+var workloads = []api.SubmitJob{
+	{Branch: "sofia-academy", Workload: "timetable-rebuild"},
+	{Branch: "sofia-academy", Workload: "timetable-rebuild", RunOnce: true},
+	{Branch: "plovdiv-college", Workload: "exam-simulation"},
+	{Branch: "sofia-academy", Workload: "room-sync", Tasks: 1},
+}
+
+// job submits a job, sometimes twice under one key, or cancels one.
+func (r *run) job(ctx context.Context) {
+	if r.draw(4) == 0 {
+		r.cancelOne(ctx)
+		return
+	}
+	request := workloads[r.draw(len(workloads))]
+	key := fmt.Sprintf("job-%d", r.draw(1<<30))
+	first, err := r.vm().Client().SubmitJob(ctx, request, key)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.jobs[first.ID] = submitted{request: request}
+	r.mu.Unlock()
+	second, err := r.vm().Client().SubmitJob(ctx, request, key)
+	if err == nil && second.ID != first.ID {
+		r.checks.Fail("a job's key finds the first job", fmt.Sprintf("%s and %s", first.ID, second.ID))
+	}
+}
+
+func (r *run) cancelOne(ctx context.Context) {
+	r.mu.Lock()
+	var id model.JobID
+	for candidate, job := range r.jobs {
+		if !job.canceled {
+			id = candidate
+			break
+		}
+	}
+	r.mu.Unlock()
+	if id == "" || r.vm().Client().CancelJob(ctx, id) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job := r.jobs[id]
+	job.canceled = true
+	r.jobs[id] = job
+}
+
+// operators lets two operators apply different sheets from the same revision.
+func (r *run) operators(ctx context.Context) {
+	status, err := r.vm().Client().SheetStatus(ctx)
+	if err != nil || len(status) == 0 {
+		return
+	}
+	base := int64(0)
+	for _, s := range status {
+		base = max(base, s.Revision)
+	}
+	var wait sync.WaitGroup
+	for range 2 {
+		csv := r.sheet()
+		vm := r.vm()
+		wait.Go(func() {
+			accepted, err := vm.Client().ApplySheet(ctx, base, []byte(csv), "")
+			if err == nil {
+				r.acceptedAs(accepted.Revision, csv)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// sheet is the demo's sheet with random shares.
+func (r *run) sheet() string {
+	a, b := 1+r.draw(1000), 1+r.draw(1000)
+	return fmt.Sprintf(`branch;workload;kind;share;priority;deadline;tasks;cpus;memory;accelerators;runtime;service
+sofia-academy;availability;interactive;%[1]d;urgent;5s;;;;;;zalibook
+sofia-academy;timetable-rebuild;batch;%[1]d;high;10m;6;2;4GiB;;3s;
+sofia-academy;room-sync;service;%[1]d;normal;;3;0,5;512MiB;;;
+plovdiv-college;availability;interactive;%[2]d;urgent;5s;;;;;;zalibook
+plovdiv-college;exam-simulation;gang;%[2]d;normal;30m;4;4;8GiB;;2s;
+`, a, b)
+}
+
+// acceptedAs notes an accepted sheet; one revision is one sheet.
+func (r *run) acceptedAs(revision int64, csv string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if earlier, ok := r.accepted[revision]; ok && earlier != csv {
+		r.checks.Fail("two operators never get the same revision", fmt.Sprint(revision))
+	}
+	r.accepted[revision] = csv
+}
+
+// watchRevisions asks for the revision in force on each process, which must never fall.
+func (r *run) watchRevisions(ctx context.Context) {
+	statuses, err := r.vm().Client().SheetStatus(ctx)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range statuses {
+		if s.Problem != "" {
+			continue
+		}
+		if s.Revision < r.revisions[s.VM] {
+			r.checks.Fail("no VM goes back to an older configuration", fmt.Sprintf("%s from %d to %d", s.VM, r.revisions[s.VM], s.Revision))
+		}
+		r.revisions[s.VM] = s.Revision
+	}
+}
+
+func (r *run) report() {
+	r.checks.Print()
+	fmt.Printf("\n%d steps, %d jobs acknowledged, %d sheets accepted, requests %v\n", r.steps, len(r.jobs), len(r.accepted), r.counts)
+	if r.faults != nil {
+		fmt.Println("faults:", r.faults)
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -88,10 +88,26 @@
 	mux.HandleFunc("POST /v1/stop", w.serve(w.stop))
 	mux.HandleFunc("POST /v1/forget", w.serve(w.forget))
 	mux.HandleFunc("GET /history", func(rw http.ResponseWriter, _ *http.Request) { writeJSON(rw, http.StatusOK, w.History()) })
+	mux.HandleFunc("PUT /reboot", func(http.ResponseWriter, *http.Request) { w.Reboot() })
 	mux.Handle("PUT /faults", w.Faults)
 	return mux
 }
 
+// Reboot restarts the worker: its tasks end, and it forgets epochs and attempts.
+func (w *Worker) Reboot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	for _, t := range w.tasks {
+		if t.state == platform.TaskRunning {
+			w.end(t, platform.TaskStopped, w.clock())
+		}
+	}
+	w.boot = uuid.NewString()
+	w.epochs = map[model.PartitionID]int64{}
+	w.tasks = map[platform.TaskRef]*runningTask{}
+}
+
 // History returns every run so far.
 func (w *Worker) History() []Run {
 	w.mu.Lock()
