Roll-out: one compare-and-swap on the head, parts by groups of branches

Cause: an accepted sheet has to be in force everywhere within seconds and never go back. Ruled out: part keys by content hash alone (a part deleted as unused could be named again by a racing operator: 'part ... of the newest revision is gone'); trusting the first read of a new process (a lagging store put revision 1 in force after 2); treating a lost answer as refused. Change: internal/rollout. A new process confirms the head it read by writing it again unchanged; without the store it takes the newest of its peers. Lost answers are settled by repeating the same write and reading the writers' stamps back. Conclusion: stands; times and store calls are not measured yet.

--- /dev/null
+++ b/internal/rollout/exchange.go
@@ -0,0 +1,199 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/verdict"
+)
+
+// The peer methods of this package.
+const (
+	methodHead   peer.Method = "config.head"
+	methodParts  peer.Method = "config.parts"
+	methodStatus peer.Method = "config.status"
+)
+
+// maxAnswerBytes bounds the parts in one answer; the rest is asked for again.
+const maxAnswerBytes = 1 << 20
+
+// headAnswer is the head in force, or nothing.
+type headAnswer struct {
+	Head []byte `json:"head,omitempty"` // as in the store
+}
+
+// partsRequest asks for parts by key.
+type partsRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// partsAnswer holds the first of the requested parts.
+type partsAnswer struct {
+	Contents [][]byte `json:"contents"`
+}
+
+// Status is the configuration in force on one VM.
+type Status struct {
+	VM       model.VMID `json:"vm"`
+	Revision int64      `json:"revision"` // 0: none
+	Since    time.Time  `json:"since"`    // by that VM's wall clock
+	Problem  string     `json:"problem,omitempty"`
+}
+
+// Register adds the handlers by which other VMs read this VM's configuration.
+func (r *Rollout) Register(registry peer.Registry) {
+	registry.Handle(methodHead, func(context.Context, json.RawMessage) (any, error) {
+		var answer headAnswer
+		if a := r.source.current.Load(); a != nil {
+			answer.Head = encode(a.head)
+		}
+		return answer, nil
+	})
+	registry.Handle(methodParts, r.handleParts)
+	registry.Handle(methodStatus, func(context.Context, json.RawMessage) (any, error) {
+		return r.ownStatus(), nil
+	})
+}
+
+func (r *Rollout) handleParts(_ context.Context, params json.RawMessage) (any, error) {
+	var request partsRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, &peer.Error{Code: peer.CodeInvalid, Message: err.Error(), Verdict: verdict.NotRun}
+	}
+	var answer partsAnswer
+	size := 0
+	current := r.source.current.Load()
+	for _, key := range request.Keys {
+		if current == nil || current.contents[key] == nil {
+			return nil, &peer.Error{Code: peer.CodeNotOwner, Message: "no part " + key, Verdict: verdict.NotRun}
+		}
+		c := current.contents[key]
+		if size += len(c); size > maxAnswerBytes && len(answer.Contents) > 0 {
+			break
+		}
+		answer.Contents = append(answer.Contents, c)
+	}
+	return answer, nil
+}
+
+// followPeers takes the newest configuration of the peers if it is newer. A VM
+// without one leaves the first word to the store, and asks every peer only while
+// the store cannot be reached; others trust the revisions in the digests.
+func (r *Rollout) followPeers(ctx context.Context) {
+	own := r.source.Revision()
+	if own == 0 && !r.storeDown.Load() {
+		return
+	}
+	var newest headOfPeer
+	for _, m := range r.view.Members() {
+		if m.ID == r.view.Self().ID || m.State == membership.Dead || (own > 0 && m.Digest.Revision <= own) {
+			continue
+		}
+		h, err := r.peerHead(ctx, m.Address)
+		if err == nil && h.Revision > newest.Revision {
+			newest = headOfPeer{head: h, member: m}
+		}
+	}
+	if newest.Revision <= r.source.Revision() {
+		return
+	}
+	if err := r.adoptFrom(ctx, newest); err != nil {
+		r.recorder.Record(event.ConfigurationFetchFailed, newest.Revision, newest.member.ID, err.Error())
+	}
+}
+
+// headOfPeer is a head and where it was read.
+type headOfPeer struct {
+	head
+	member membership.Member
+}
+
+func (r *Rollout) call(ctx context.Context, address string, m peer.Method, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return r.caller.Call(ctx, address, m, params, result)
+}
+
+func (r *Rollout) peerHead(ctx context.Context, address string) (head, error) {
+	var answer headAnswer
+	if err := r.call(ctx, address, methodHead, nil, &answer); err != nil {
+		return head{}, err
+	}
+	if len(answer.Head) == 0 {
+		return head{}, nil
+	}
+	return decodeHead(answer.Head)
+}
+
+func (r *Rollout) adoptFrom(ctx context.Context, h headOfPeer) error {
+	contents, missing := r.known(h.head)
+	for len(missing) > 0 {
+		request := partsRequest{Keys: make([]string, len(missing))}
+		for i, ref := range missing {
+			request.Keys[i] = ref.key()
+		}
+		var answer partsAnswer
+		if err := r.call(ctx, h.member.Address, methodParts, request, &answer); err != nil {
+			return err
+		}
+		if len(answer.Contents) == 0 || len(answer.Contents) > len(missing) {
+			return errors.New("rollout: peer sent no parts")
+		}
+		for i, c := range answer.Contents {
+			contents[missing[i].key()] = c
+		}
+		missing = missing[len(answer.Contents):]
+	}
+	return r.source.put(h.head, contents, string(h.member.ID))
+}
+
+func (r *Rollout) ownStatus() Status {
+	status := Status{VM: r.view.Self().ID}
+	if a := r.source.current.Load(); a != nil {
+		status.Revision, status.Since = a.head.Revision, a.since
+	}
+	return status
+}
+
+// Status asks every VM which revision is in force there. Those that do not answer
+// within ctx are listed with the problem.
+func (r *Rollout) Status(ctx context.Context) []Status {
+	statuses := []Status{r.ownStatus()}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, m := range r.view.Members() {
+		if m.ID == statuses[0].VM {
+			continue
+		}
+		wait.Go(func() {
+			status := r.statusOf(ctx, m)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses = append(statuses, status)
+		})
+	}
+	wait.Wait()
+	slices.SortFunc(statuses, func(a, b Status) int { return cmp.Compare(a.VM, b.VM) })
+	return statuses
+}
+
+func (r *Rollout) statusOf(ctx context.Context, m membership.Member) Status {
+	if m.State == membership.Dead {
+		return Status{VM: m.ID, Problem: "dead"}
+	}
+	var status Status
+	if err := r.call(ctx, m.Address, methodStatus, nil, &status); err != nil {
+		return Status{VM: m.ID, Problem: err.Error()}
+	}
+	return status
+}
--- /dev/null
+++ b/internal/rollout/records.go
@@ -0,0 +1,154 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/platform"
+)
+
+// Times of the calls to the store.
+const (
+	callTimeout    = 2 * time.Second // of one call
+	watchTime      = 25 * time.Second
+	firstPause     = 20 * time.Millisecond // between tries of a write whose answer was lost; doubles
+	longestPause   = time.Second
+	listFromParts  = 5 // parts to read from which one listing is cheaper than reading each
+	parallelWrites = 8 // of parts
+	refusedTries   = 5 // refusals by the store after which a write is given up
+)
+
+// records reads and writes the configuration's keys in the platform's store.
+type records struct {
+	store platform.Store
+	// pause waits between tries; it returns an error when there is to be no other.
+	pause    func(ctx context.Context, d time.Duration) error
+	parallel int // parts written at the same time
+}
+
+// storedHead is a head with the revision of its key and its bytes there.
+type storedHead struct {
+	head
+	value    []byte
+	revision platform.Revision
+}
+
+func headOf(e platform.Entry) (storedHead, error) {
+	h, err := decodeHead(e.Value)
+	return storedHead{head: h, value: e.Value, revision: e.Revision}, err
+}
+
+// read returns the head, which may lag. Without one it returns platform.ErrNotFound.
+func (r records) read(ctx context.Context) (storedHead, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := r.store.Get(ctx, headKey)
+	if err != nil {
+		return storedHead{}, err
+	}
+	return headOf(e)
+}
+
+// confirm proves that a head that was read is the store's newest by writing it
+// again unchanged.
+func (r records) confirm(ctx context.Context, h *storedHead) error {
+	revision, err := r.swap(ctx, headKey, h.value, h.revision)
+	if err == nil {
+		h.revision = revision
+	}
+	return err
+}
+
+func (r records) swap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.store.CompareAndSwap(ctx, key, value, expected)
+}
+
+// retry repeats a try until it says that it is done, with growing pauses. The try
+// must be idempotent.
+func (r records) retry(ctx context.Context, try func() (done bool, err error)) error {
+	for wait := firstPause; ; wait = min(2*wait, longestPause) {
+		done, err := try()
+		if done {
+			return err
+		}
+		if stop := r.pause(ctx, wait); stop != nil {
+			return errors.CombineErrors(err, stop)
+		}
+	}
+}
+
+// writePart creates a part. Its key is the writer's alone, so a conflict means that
+// an earlier try took effect.
+func (r records) writePart(ctx context.Context, ref partRef, c content) (platform.Revision, error) {
+	var written platform.Revision
+	refused := 0
+	err := r.retry(ctx, func() (bool, error) {
+		revision, err := r.swap(ctx, ref.key(), c, 0)
+		if errors.Is(err, platform.ErrConflict) {
+			var e platform.Entry
+			e, err = r.get(ctx, ref.key())
+			revision = e.Revision
+		}
+		if errors.Is(err, platform.ErrUnavailable) {
+			refused++
+		}
+		written = revision
+		return err == nil || refused >= refusedTries, err
+	})
+	return written, err
+}
+
+func (r records) get(ctx context.Context, key string) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.store.Get(ctx, key)
+}
+
+// readParts reads the parts into contents, by one listing if they are many.
+func (r records) readParts(ctx context.Context, refs []partRef, contents map[string]content) error {
+	if len(refs) >= listFromParts {
+		return r.listParts(ctx, refs, contents)
+	}
+	for _, ref := range refs {
+		e, err := r.get(ctx, ref.key())
+		if err != nil {
+			return err
+		}
+		contents[ref.key()] = e.Value
+	}
+	return nil
+}
+
+func (r records) listParts(ctx context.Context, refs []partRef, contents map[string]content) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := r.store.List(ctx, partPrefix)
+	if err != nil {
+		return err
+	}
+	listed := make(map[string]content, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = e.Value
+	}
+	for _, ref := range refs {
+		c, ok := listed[ref.key()]
+		if !ok {
+			return platform.ErrNotFound
+		}
+		contents[ref.key()] = c
+	}
+	return nil
+}
+
+// remove deletes parts that nothing names any more. What fails stays behind.
+func (r records) remove(ctx context.Context, refs []partRef) {
+	for _, ref := range refs {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		_ = r.store.Delete(ctx, ref.key(), ref.Revision)
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,194 @@
+package rollout
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/sheet"
+)
+
+// Times of following.
+const (
+	peerInterval  = 500 * time.Millisecond // between looks at the peers' revisions
+	retryInterval = 500 * time.Millisecond // after a failed look at the store, spread by half
+	peerTimeout   = 2 * time.Second        // of one call to a peer
+)
+
+// Rollout accepts sheets on this VM and keeps its configuration current. Safe for
+// concurrent use.
+type Rollout struct {
+	records  records
+	source   *Source
+	view     membership.View
+	caller   peer.Caller
+	recorder event.Recorder
+	watched  platform.Revision // of the store; used by Run's store follower only
+	// storeDown is set while the last look at the store failed.
+	storeDown atomic.Bool
+}
+
+// New returns a roll-out without a configuration. view gives the peers and, in their
+// digests, the revisions that they have.
+func New(store platform.Store, view membership.View, caller peer.Caller, recorder event.Recorder) *Rollout {
+	return &Rollout{
+		records:  records{store: store, pause: sleep, parallel: parallelWrites},
+		source:   newSource(recorder, time.Now),
+		view:     view,
+		caller:   caller,
+		recorder: recorder,
+	}
+}
+
+// Source gives the configuration in force.
+func (r *Rollout) Source() *Source { return r.source }
+
+// Run follows the store and the peers until ctx is done.
+func (r *Rollout) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return repeat(ctx, peerInterval, r.followPeers) })
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			err := r.followStore(ctx, watchTime)
+			r.storeDown.Store(err != nil)
+			if err != nil {
+				_ = sleep(ctx, retryInterval/2+rand.N(retryInterval))
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func repeat(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// followStore takes one look at the store. The first one of a process confirms
+// what it read, so that a store that lags cannot put an old configuration in
+// force; later ones wait for the next change and take only newer revisions.
+func (r *Rollout) followStore(ctx context.Context, wait time.Duration) error {
+	if r.watched == 0 {
+		return r.firstLook(ctx, wait)
+	}
+	watchCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	entries, next, err := r.records.store.Watch(watchCtx, headKey, r.watched, wait)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if e.Key != headKey || len(e.Value) == 0 {
+			continue
+		}
+		h, err := headOf(e)
+		if err == nil {
+			err = r.adopt(ctx, h)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	r.watched = max(r.watched, next)
+	return nil
+}
+
+func (r *Rollout) firstLook(ctx context.Context, wait time.Duration) error {
+	h, err := r.records.read(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		h, err = r.awaitFirst(ctx, wait)
+	}
+	if err != nil || h.Revision == 0 {
+		return err
+	}
+	if err := r.records.confirm(ctx, &h); err != nil {
+		return err
+	}
+	if err := r.adopt(ctx, h); err != nil {
+		return err
+	}
+	r.watched = h.revision
+	return nil
+}
+
+// awaitFirst waits until the store has a head at all and returns it; its revision
+// is 0 if there was none in time.
+func (r *Rollout) awaitFirst(ctx context.Context, wait time.Duration) (storedHead, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	entries, _, err := r.records.store.Watch(ctx, headKey, 0, wait)
+	if err != nil || len(entries) == 0 {
+		return storedHead{}, err
+	}
+	return headOf(entries[len(entries)-1])
+}
+
+// adopt reads a head's parts and puts it in force.
+func (r *Rollout) adopt(ctx context.Context, h storedHead) error {
+	if h.Revision <= r.source.Revision() {
+		return nil
+	}
+	contents, missing := r.known(h.head)
+	err := r.records.readParts(ctx, missing, contents)
+	if err == nil {
+		err = r.source.put(h.head, contents, "store")
+	}
+	if err != nil {
+		r.recorder.Record(event.ConfigurationFetchFailed, h.Revision, "store", err.Error())
+	}
+	return err
+}
+
+// known returns the parts of a head that this VM holds and those that it lacks.
+func (r *Rollout) known(h head) (map[string]content, []partRef) {
+	contents := map[string]content{}
+	var missing []partRef
+	current := r.source.current.Load()
+	for _, ref := range h.Parts {
+		if current != nil && current.contents[ref.key()] != nil {
+			contents[ref.key()] = current.contents[ref.key()]
+		} else {
+			missing = append(missing, ref)
+		}
+	}
+	return contents, missing
+}
+
+// load returns the sheet of a stored head.
+func (r *Rollout) load(ctx context.Context, h storedHead) (sheet.Sheet, error) {
+	contents, missing := r.known(h.head)
+	if err := r.records.readParts(ctx, missing, contents); err != nil {
+		return sheet.Sheet{}, err
+	}
+	ordered := make([]content, len(h.Parts))
+	for i, ref := range h.Parts {
+		ordered[i] = contents[ref.key()]
+	}
+	return join(ordered)
+}
--- a/internal/sheet/check.go
+++ b/internal/sheet/check.go
@@ -29,7 +29,7 @@
 		}
 		sheet.Workloads = append(sheet.Workloads, r.workload)
 	}
-	sheet.sort()
+	sheet.Sort()
 	return sheet
 }
 
@@ -86,7 +86,8 @@
 
 func compareBranches(a, b model.Branch) int { return cmp.Compare(a.ID, b.ID) }
 
-func (s *Sheet) sort() {
+// Sort puts the sheet into its canonical order.
+func (s *Sheet) Sort() {
 	slices.SortFunc(s.Branches, compareBranches)
 	slices.SortFunc(s.Workloads, compareWorkloads)
 }
--- a/internal/sheet/sheet_test.go
+++ b/internal/sheet/sheet_test.go
@@ -31,7 +31,7 @@
 			s.Workloads = append(s.Workloads, drawWorkload(t, b, id))
 		}
 	}
-	s.sort()
+	s.Sort()
 	return s
 }
 
