--- a/internal/schedule/cluster.go
+++ b/internal/schedule/cluster.go
@@ -98,6 +98,9 @@
 // update changes what is known of a worker.
 func (c *cluster) update(id model.WorkerID, next Worker) *worker {
 	w := c.worker(id)
+	if w.known && !w.removed && w.Worker == next {
+		return w
+	}
 	c.total = c.total.Sub(w.Capacity).Add(next.Capacity)
 	moved := w.FailureDomain != next.FailureDomain
 	if moved {
--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -58,7 +58,8 @@
 	if size.Fits(c.key.size) {
 		return size
 	}
-	if !underQuota(size, c.branch.Quota) || s.cluster.places(size, 1) == 0 {
+	need := max(c.key.tasks, 1)
+	if !underQuota(times(size, need), c.branch.Quota) || s.cluster.places(size, need) < need {
 		return c.key.size
 	}
 	return size
--- a/internal/schedule/machine_test.go
+++ b/internal/schedule/machine_test.go
@@ -13,6 +13,9 @@
 	"filbertcross/internal/proptest"
 )
 
+// quotaC bounds what branch c may hold in the machine.
+var quotaC = model.Resources{MilliCPU: 9000}
+
 // epoch is the driven clock's start.
 var epoch = time.Date(2026, 9, 1, 6, 0, 0, 0, time.UTC)
 
@@ -38,7 +41,7 @@
 		started: map[model.TaskID]bool{}, asked: map[model.TaskID]Action{},
 		jobs: map[model.JobID]model.Job{}, off: map[model.JobID]bool{}, ended: map[model.TaskID]bool{},
 	}
-	m.s.SetBranches(m.now, []model.Branch{{ID: "a", Share: 1}, {ID: "b", Share: 2}, {ID: "c", Share: 1}})
+	m.s.SetBranches(m.now, []model.Branch{{ID: "a", Share: 1}, {ID: "b", Share: 2}, {ID: "c", Share: 1, Quota: quotaC}})
 	return m
 }
 
@@ -77,9 +80,13 @@
 
 // granted sums what the oracle knows to hold capacity on a worker.
 func (m *machine) granted(id model.WorkerID) model.Resources {
+	return m.sum(func(d Decision) bool { return d.Worker == id })
+}
+
+func (m *machine) sum(match func(Decision) bool) model.Resources {
 	var sum model.Resources
 	for _, d := range m.places {
-		if d.Worker == id {
+		if match(d) {
 			sum = sum.Add(d.Size)
 		}
 	}
@@ -104,9 +111,28 @@
 			}
 		}
 	}
+	if len(out) < limit {
+		m.checkGangs(t, out)
+	}
 	return out
 }
 
+// checkGangs checks that the tasks of each gang that was placed hold capacity together.
+func (m *machine) checkGangs(t *rapid.T, out []Decision) {
+	for _, d := range out {
+		if d.Action != ActionPlace || m.jobs[d.Job].Kind != model.KindGang {
+			continue
+		}
+		for n := range m.jobs[d.Job].Tasks {
+			id := model.TaskID(fmt.Sprint(d.Job, "/", n))
+			at, placed := m.places[id]
+			if !m.ended[id] && (!placed || at.Group != d.Group || d.Group == 0) {
+				t.Fatalf("%s placed without %s", d.Task, id)
+			}
+		}
+	}
+}
+
 func (m *machine) checkPlace(t *rapid.T, d Decision) {
 	if at, ok := m.places[d.Task]; ok {
 		t.Fatalf("%s placed on %s while on %s", d.Task, d.Worker, at.Worker)
@@ -122,6 +148,9 @@
 		t.Fatalf("action %d on %s, quarantined: %t", d.Action, d.Worker, quarantined)
 	}
 	m.places[d.Task] = d
+	if sum := m.sum(func(o Decision) bool { return o.Branch == "c" }); sum.MilliCPU > quotaC.MilliCPU {
+		t.Fatalf("c holds %s, quota %s", sum, quotaC)
+	}
 	if sum := m.granted(d.Worker); !sum.Fits(w.Capacity) {
 		t.Fatalf("%s grants %s of %s", d.Worker, sum, w.Capacity)
 	}
@@ -144,7 +173,7 @@
 	m.asked[d.Task] = d.Action
 }
 
-// settleAll confirms or forgets what was placed; a gang's tasks go together.
+// answer confirms or forgets what was placed; a gang's tasks go together.
 func (m *machine) answer(t *rapid.T, out []Decision) {
 	forget := map[int64]bool{}
 	for _, d := range out {
@@ -202,6 +231,19 @@
 	}
 }
 
+// sweep fills the workers and ends what runs: badly on the first worker.
+func (m *machine) sweep(t *rapid.T) {
+	m.answer(t, m.decide(t, 100))
+	for _, id := range m.running() {
+		switch {
+		case m.places[id].Worker == "w0":
+			m.finish(id, model.OutcomeFailed)
+		case rapid.Bool().Draw(t, "ends"):
+			m.finish(id, model.OutcomeDone)
+		}
+	}
+}
+
 func (m *machine) step(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second)
 	pick := func() model.TaskID {
@@ -237,8 +279,10 @@
 			}
 			m.s.Observe(m.now, Usage{Task: id, Worker: m.places[id].Worker, Used: used, Ran: time.Minute})
 		}
-	default:
+	case 8:
 		m.answer(t, m.decide(t, rapid.IntRange(1, 20).Draw(t, "limit")))
+	default:
+		m.sweep(t)
 	}
 	proptest.Step()
 	if err := m.s.CheckInvariants(); err != nil {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"filbertcross/internal/model"
@@ -439,7 +440,7 @@
 		r := p.run
 		switch {
 		case s.cluster.runs[r.id] != r: // it ended
-		case r.confirmed || r.worker.open() && !r.job.closed():
+		case r.confirmed || s.stillWanted(r):
 			s.out = append(s.out, p.decision)
 		default:
 			s.release(r)
@@ -448,6 +449,19 @@
 	}
 }
 
+// stillWanted reports whether an assumed run may start: its worker takes tasks, and of a
+// gang all do that hold one of its tasks.
+func (s *Scheduler) stillWanted(r *run) bool {
+	j := r.job
+	if j.Kind != model.KindGang {
+		return r.worker.open() && !j.closed()
+	}
+	if j.waiting > 0 || j.closed() {
+		return false
+	}
+	return !slices.ContainsFunc(j.runs, func(o *run) bool { return !o.confirmed && !o.worker.open() })
+}
+
 // take returns the call's result.
 func (s *Scheduler) take() []Decision {
 	out := s.out
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -260,20 +260,21 @@
 	}
 	why := s.neverFits(c)
 	switch {
+	case why == "" && c.state == classParked:
+		s.revive(c)
+	case why != "" && c.state == classParked:
+		c.why = why
 	case why != "":
 		s.queue.shelve(c, classParked, why)
-	case c.state == classParked:
-		s.revive(c)
 	}
 }
 
-// reconsiderParked makes parked classes active that can run now, and parks those of the
-// blocked ones that cannot run any more.
+// reconsiderParked makes parked classes active that can run now.
 func (s *Scheduler) reconsiderParked() {
 	for pos := 0; pos < len(s.queue.parked); {
 		c := s.queue.parked[pos]
 		s.parkUnfit(c)
-		if c.state == classParked && s.queue.parked[c.pos] == c {
+		if c.state == classParked {
 			pos++
 		}
 	}
