Slopes of the placement decision by workers and waiting tasks

The command prints heap and time at 50, 500 and 3,700 workers by 1,000, 10,000 and 100,000 waiting tasks, and the slopes. The comparison cases now include the scheduler and it with one feature off.

--- a/internal/schedule/proof/cases/main.go
+++ b/internal/schedule/proof/cases/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -22,8 +23,23 @@
 	build func(*rand.Rand) schedule.Decider
 }
 
+// scheduler builds the real one with an option changed.
+func scheduler(change func(*schedule.Options)) func(*rand.Rand) schedule.Decider {
+	return func(rng *rand.Rand) schedule.Decider {
+		opts := schedule.DefaultOptions()
+		change(&opts)
+		return schedule.New(opts, rng)
+	}
+}
+
+// contenders lists the scheduler first, then it with a feature off, then the baselines.
 func contenders() []contender {
+	asItIs := scheduler(func(*schedule.Options) {})
 	return []contender{
+		{"scheduler", asItIs},
+		{"no fair share", func(rng *rand.Rand) schedule.Decider { return baseline.NewOneBranch(asItIs(rng)) }},
+		{"no quarantine", scheduler(func(o *schedule.Options) { o.QuarantineFraction = 0 })}, // one worker is out at most
+		{"no correction", scheduler(func(o *schedule.Options) { o.Correct = false })},
 		{"first fit", func(*rand.Rand) schedule.Decider { return baseline.NewFirstFit() }},
 		{"random fit", func(rng *rand.Rand) schedule.Decider { return baseline.NewRandomFit(rng) }},
 	}
@@ -32,15 +48,17 @@
 func main() {
 	var seed uint64
 	var parallel int
+	var only string
 	cmd := &cli.Command{
 		Name:  "cases",
 		Usage: "compare the scheduler with its baselines",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the scenarios and the Deciders", Destination: &seed},
 			&cli.IntFlag{Name: "parallel", Value: 3, Usage: "runs at the same time", Destination: &parallel},
+			&cli.StringFlag{Name: "only", Usage: "play the cases whose title has this part", Destination: &only},
 		},
 		Action: func(context.Context, *cli.Command) error {
-			return compare(os.Stdout, seed, parallel)
+			return compare(os.Stdout, seed, parallel, only)
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
@@ -49,11 +67,14 @@
 	}
 }
 
-// compare plays every case of every cell and prints the tables in a fixed order.
-func compare(out io.Writer, seed uint64, parallel int) error {
+// compare plays the cases of every cell and prints the tables in a fixed order.
+func compare(out io.Writer, seed uint64, parallel int, only string) error {
 	for _, c := range cells() {
 		var day []*result
 		for _, s := range allCases(c, seed) {
+			if s.name != caseDay && !strings.Contains(s.title(), only) {
+				continue // the day is what the flood is compared with
+			}
 			results, err := playAll(s, seed, parallel)
 			if err != nil {
 				return err
--- a/internal/schedule/proof/cases/scenario.go
+++ b/internal/schedule/proof/cases/scenario.go
@@ -60,6 +60,9 @@
 	end      time.Time
 }
 
+// title names the cell and the case.
+func (s *scenario) title() string { return s.cell.name + ": " + s.name }
+
 const (
 	scenarioLength = 20 * time.Minute
 	mebibytesPerGB = 1024
--- a/internal/schedule/proof/cases/table.go
+++ b/internal/schedule/proof/cases/table.go
@@ -20,7 +20,7 @@
 
 // writeCase prints a case as a table in Markdown, one row for each Decider.
 func writeCase(out io.Writer, s *scenario, results, day []*result) {
-	fmt.Fprintf(out, "\n### %s: %s\n\n", s.cell.name, s.name)
+	fmt.Fprintf(out, "\n### %s\n\n", s.title())
 	writeRow(out, columns)
 	writeRow(out, strings.Split(strings.Repeat("--- ", len(columns)-1)+"---", " "))
 	for _, r := range results {
--- /dev/null
+++ b/internal/schedule/proof/slopes/main.go
@@ -0,0 +1,118 @@
+// Command slopes measures what the scheduler costs for each worker, each waiting task and
+// each decision, at several sizes, for the capacity page. All figures are of one run on
+// one core.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+)
+
+var (
+	workerCounts  = []int{50, 500, 3700}
+	waitingCounts = []int{1_000, 10_000, 100_000}
+)
+
+func main() {
+	runtime.GOMAXPROCS(1)
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
+	writeMemory(out)
+	writeTimes(out)
+	if err := out.Flush(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// footprint is the heap of one size, in bytes.
+type footprint struct {
+	workers, running, waiting                 int
+	forWorkers, forRunning, forWaiting, fixed int64
+}
+
+func measureMemory(workers, waiting int) footprint {
+	start := heap()
+	l := newLoad(0)
+	fixed := heap()
+	l.addWorkers(workers)
+	withWorkers := heap()
+	l.fill()
+	running := len(l.running)
+	l.running, l.position = nil, nil // only the scheduler's own state counts
+	withRunning := heap()
+	l.submitTasks(waiting)
+	withWaiting := heap()
+	defer runtime.KeepAlive(l)
+	return footprint{
+		workers: workers, running: running, waiting: waiting,
+		fixed:      fixed - start,
+		forWorkers: withWorkers - fixed,
+		forRunning: withRunning - withWorkers,
+		forWaiting: withWaiting - withRunning,
+	}
+}
+
+// writeMemory prints what each size takes, and the slopes between the smallest and the largest.
+func writeMemory(out io.Writer) {
+	fmt.Fprintln(out, "| workers\t| running\t| waiting\t| KiB fixed\t| KiB of workers\t| KiB of running\t| KiB of waiting\t|")
+	fmt.Fprintln(out, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	var all []footprint
+	for _, workers := range workerCounts {
+		for _, waiting := range waitingCounts {
+			f := measureMemory(workers, waiting)
+			all = append(all, f)
+			fmt.Fprintf(out, "| %d\t| %d\t| %d\t| %d\t| %d\t| %d\t| %d\t|\n", f.workers, f.running, f.waiting,
+				f.fixed>>10, f.forWorkers>>10, f.forRunning>>10, f.forWaiting>>10)
+		}
+	}
+	first, last := all[0], all[len(all)-1]
+	fmt.Fprintf(out, "\nSlopes: %d bytes a worker, %d bytes a running task, %d bytes a waiting task.\n",
+		(last.forWorkers-first.forWorkers)/int64(last.workers-first.workers),
+		(last.forRunning-first.forRunning)/int64(last.running-first.running),
+		(last.forWaiting-first.forWaiting)/int64(last.waiting-first.waiting))
+}
+
+// writeTimes prints the time for each kind of event on a full cluster.
+func writeTimes(out io.Writer) {
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, "| workers\t| waiting\t| decisions\t| ns a decision, median\t| against 50 workers\t| Decide p50/p99 µs\t| ns a Submit\t| ns a Confirm\t| ns an Observe\t| ns a Finish\t|")
+	fmt.Fprintln(out, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	base := make(map[int]float64)
+	for _, workers := range workerCounts {
+		for _, waiting := range waitingCounts {
+			l := newLoad(workers)
+			l.fill()
+			l.submitTasks(waiting)
+			l.steady()
+			c := l.cost
+			perDecision := float64(l.each.ValueAtQuantile(50))
+			if _, ok := base[waiting]; !ok {
+				base[waiting] = perDecision
+			}
+			fmt.Fprintf(out, "| %d\t| %d\t| %d\t| %.0f\t| %.2f\t| %.0f / %.0f\t| %.0f\t| %.0f\t| %.0f\t| %.0f\t|\n",
+				workers, waiting, c.decisions, perDecision, perDecision/base[waiting],
+				micros(l.calls.ValueAtQuantile(50)), micros(l.calls.ValueAtQuantile(99)),
+				perEvent(c.submit, c.submits), perEvent(c.confirm, c.decisions),
+				perEvent(c.observe, c.finishes), perEvent(c.finish, c.finishes))
+		}
+	}
+}
+
+func perEvent(total time.Duration, events int) float64 {
+	return float64(total.Nanoseconds()) / float64(max(events, 1))
+}
+
+func micros(nanoseconds int64) float64 { return float64(nanoseconds) / 1000 }
