Readiness waits for owners of all partitions; layout from peers

A VM that starts in an outage of the store could not learn the layout. Change: a VM is ready once every partition had an owner; the layout is asked of peers when the store does not answer. Command line and exit codes tested.

--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/config"
+)
+
+func run(args ...string) (string, error) {
+	var out bytes.Buffer
+	err := New(&out).Run(context.Background(), append([]string{"filbertcross"}, args...))
+	return out.String(), err
+}
+
+func TestSheetCheckAcceptsTheExamples(t *testing.T) {
+	examples, err := filepath.Glob("../../examples/*.csv")
+	if err != nil || len(examples) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, example := range examples {
+		if _, err := run("sheet", "check", example); err != nil {
+			t.Errorf("%s: %v", example, err)
+		}
+	}
+}
+
+func TestSheetCheckListsEveryMistake(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bad.csv")
+	csv := "branch,workload,kind,share,priority\nsofia,a,batch,none,high\nsofia,b,holiday,1,high\n"
+	if err := os.WriteFile(file, []byte(csv), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := run("sheet", "check", file)
+	if ExitCode(err) != ExitRefused {
+		t.Fatalf("exit code %d, want %d: %v", ExitCode(err), ExitRefused, err)
+	}
+	for _, part := range []string{"row 2", "share", "row 3", "kind"} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("%q is not in %v", part, err)
+		}
+	}
+}
+
+func TestExitCodesFollowTheAnswer(t *testing.T) {
+	for status, want := range map[int]int{
+		http.StatusConflict:            ExitConflict,
+		http.StatusServiceUnavailable:  ExitUnavailable,
+		http.StatusNotFound:            ExitRefused,
+		http.StatusInternalServerError: ExitFailed,
+	} {
+		vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_ = json.NewEncoder(w).Encode(api.Problem{Error: "no", Verdict: "not-run"})
+		}))
+		_, err := run("job", "list", "--server", vm.URL)
+		vm.Close()
+		if got := ExitCode(err); got != want {
+			t.Errorf("status %d: exit code %d, want %d", status, got, want)
+		}
+	}
+	if _, err := run("job", "status"); ExitCode(err) != ExitUsage {
+		t.Errorf("a missing argument has exit code %d, want %d", ExitCode(err), ExitUsage)
+	}
+}
+
+func TestPrintSettingsShowsTheOnesInEffect(t *testing.T) {
+	t.Setenv("FILBERTCROSS_HEARTBEAT", "1s")
+	text, err := run("serve", "--print-settings", "--failure-domain", "nl-noord-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var settings config.Settings
+	if err := json.Unmarshal([]byte(text), &settings); err != nil {
+		t.Fatal(err)
+	}
+	if settings.FailureDomain != "nl-noord-1" || settings.Heartbeat.Seconds() != 1 {
+		t.Errorf("settings %+v", settings)
+	}
+	if _, err := run("serve"); ExitCode(err) != ExitUsage {
+		t.Errorf("settings without a failure domain have exit code %d, want %d", ExitCode(err), ExitUsage)
+	}
+}
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -30,7 +30,6 @@
 		duration("heartbeat", "`DURATION` between heartbeats to another VM", &s.Heartbeat),
 		duration("lease-lead", "`DURATION` that task leases outlast the store's last confirmation", &s.LeaseLead),
 		duration("drift-margin", "`DURATION` added to the lead against clock drift", &s.DriftMargin),
-		number("domain-shards", "`COUNT` of worker partitions a failure domain, at most 128 workers each", &s.DomainShards),
 		number("key-partitions", "`COUNT` of partitions of idempotency keys", &s.KeyPartitions),
 		duration("default-deadline", "`DURATION` of a request that names no deadline", &s.DefaultDeadline),
 		duration("max-deadline", "`DURATION` that no request's deadline exceeds", &s.MaxDeadline),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -27,7 +27,6 @@
 	Heartbeat        time.Duration       `json:"heartbeat"`          // between heartbeats to another VM
 	LeaseLead        time.Duration       `json:"lease_lead"`         // how long leases outlast the last confirmation by the store
 	DriftMargin      time.Duration       `json:"drift_margin"`       // added to the lead before a task is placed again without other proof
-	DomainShards     int                 `json:"domain_shards"`      // partitions of the workers in a failure domain
 	KeyPartitions    int                 `json:"key_partitions"`     // partitions of the idempotency keys
 	DefaultDeadline  time.Duration       `json:"default_deadline"`   // of a request without one
 	MaxDeadline      time.Duration       `json:"max_deadline"`       // of any request
@@ -56,7 +55,6 @@
 		Heartbeat:        300 * time.Millisecond,
 		LeaseLead:        30 * time.Second,
 		DriftMargin:      time.Second,
-		DomainShards:     1,
 		KeyPartitions:    9,
 		DefaultDeadline:  5 * time.Second,
 		MaxDeadline:      time.Minute,
@@ -112,7 +110,6 @@
 	v.between("--drain-timeout", s.DrainTimeout, 0, time.Hour)
 	v.require("--lease-lead", s.LeaseLead > 2*s.WorkerInterval, "must be more than twice --worker-interval, or leases lapse between polls")
 	v.positive("--store-writes", int64(s.StoreWrites))
-	v.positive("--domain-shards", int64(s.DomainShards))
 	v.positive("--key-partitions", int64(s.KeyPartitions))
 	v.positive("--max-body", s.MaxBody)
 	v.positive("--max-queue-requests", int64(s.MaxQueueRequests))
--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -12,9 +12,12 @@
 	"filbertcross/internal/membership"
 	"filbertcross/internal/model"
 	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 )
 
+const methodLayout peer.Method = "layout.get"
+
 const (
 	assignInterval = 200 * time.Millisecond
 	// releaseGrace is how long a live owner that is no longer wanted has for
@@ -45,6 +48,7 @@
 	settings config.Settings
 	store    platform.Store
 	view     membership.View
+	caller   peer.Caller
 	host     tenancies
 	recorder event.Recorder
 	interval func() time.Duration // least time between writes of a partition's log
@@ -65,11 +69,12 @@
 	busy    bool
 }
 
-func newAssigner(settings config.Settings, store platform.Store, view membership.View, host tenancies, recorder event.Recorder) *assigner {
+func newAssigner(settings config.Settings, store platform.Store, view membership.View, caller peer.Caller, host tenancies, recorder event.Recorder) *assigner {
 	a := &assigner{
 		settings: settings,
 		store:    store,
 		view:     view,
+		caller:   caller,
 		host:     host,
 		recorder: recorder,
 		attempts: map[model.PartitionID]*attempt{},
@@ -124,6 +129,9 @@
 	bounded, cancel := context.WithTimeout(ctx, a.settings.StoreTimeout)
 	defer cancel()
 	read, err := partition.LoadLayout(bounded, a.store, vms, a.settings.KeyPartitions)
+	if err != nil && !loaded {
+		read, err = a.layoutOfPeer(ctx, err)
+	}
 	if err != nil {
 		a.recorder.Record(event.LayoutFailed, err)
 		return
@@ -133,6 +141,30 @@
 	a.layout, a.loaded = read, true
 }
 
+// layoutAnswer is the layout that a VM knows.
+type layoutAnswer struct {
+	Layout partition.Layout `json:"layout"`
+	Known  bool             `json:"known"`
+}
+
+// layoutOfPeer asks the other VMs, so that one that starts in an outage of the
+// store can serve; without an answer it returns the store's error.
+func (a *assigner) layoutOfPeer(ctx context.Context, storeError error) (partition.Layout, error) {
+	for _, m := range a.view.Members() {
+		if m.ID == a.view.Self().ID || m.State != membership.Alive {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, a.settings.StoreTimeout)
+		var answer layoutAnswer
+		err := a.caller.Call(bounded, m.Address, methodLayout, struct{}{}, &answer)
+		cancel()
+		if err == nil && answer.Known {
+			return answer.Layout, nil
+		}
+	}
+	return partition.Layout{}, storeError
+}
+
 func hasUnplaced(layout partition.Layout, vms []platform.VM) bool {
 	for _, vm := range vms {
 		if vm.Role != platform.RoleWorker {
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"time"
 
@@ -142,6 +143,16 @@
 	return &ledger.Router{Layout: a.Layout, Directory: directory{view}, Host: h, Caller: caller}
 }
 
+// provideAssigner lets other VMs read the layout that this one knows.
+func provideAssigner(s config.Settings, store platform.Store, view membership.View, caller peer.Caller, server *peer.Server, host tenancies, recorder event.Recorder) *assigner {
+	a := newAssigner(s, store, view, caller, host, recorder)
+	handle(server, methodLayout, func(context.Context, struct{}) (layoutAnswer, error) {
+		layout, known := a.Layout()
+		return layoutAnswer{Layout: layout, Known: known}, nil
+	})
+	return a
+}
+
 func provideHosting(l *loop, keys *ledger.Host, recorder event.Recorder, d *digester) *hosting {
 	h := newHosting(l, keys, recorder)
 	tenancies := h.KeyTenancies
@@ -164,7 +175,9 @@
 	return j
 }
 
-func provideStatus(source model.ConfigurationSource) *status { return &status{source: source} }
+func provideStatus(source model.ConfigurationSource, a *assigner, view membership.View) *status {
+	return &status{source: source, layout: a.Layout, directory: directory{view}}
+}
 
 func provideOperators(j *jobs, s *sheets, source model.ConfigurationSource, log *event.Log, caller peer.Caller, server *peer.Server, view membership.View, m *metrics, st *status) *operators {
 	timeline.Register(server, log)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -6,13 +6,17 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
 )
 
 // status says whether the balancer shall send work here. Safe for concurrent use.
 type status struct {
-	source   model.ConfigurationSource
-	listed   atomic.Bool // the platform's list was read once
-	stopping atomic.Bool
+	source    model.ConfigurationSource
+	layout    func() (partition.Layout, bool)
+	directory directory
+	owned     atomic.Bool // every partition had an owner once
+	listed    atomic.Bool // the platform's list was read once
+	stopping  atomic.Bool
 }
 
 // Ready returns nil or why the VM takes no work.
@@ -24,7 +28,29 @@
 		return errors.New("the platform's list was not read yet")
 	case s.source.InForce() == nil:
 		return errors.New("no configuration is in force yet")
+	case !s.partitionsOwned():
+		return errors.New("some partition has had no owner yet")
 	default:
 		return nil
 	}
 }
+
+// partitionsOwned reports whether every partition has had an owner since this VM
+// started. A partition that loses its owner later makes no VM unready: requests
+// that need it are refused with when to come back, the others are served.
+func (s *status) partitionsOwned() bool {
+	if s.owned.Load() {
+		return true
+	}
+	layout, known := s.layout()
+	if !known {
+		return false
+	}
+	for _, p := range layout.Partitions() {
+		if _, _, owned := s.directory.Owner(p.ID); !owned {
+			return false
+		}
+	}
+	s.owned.Store(true)
+	return true
+}
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -55,7 +55,7 @@
 	provideLoop,
 	provideHosting,
 	wire.Bind(new(tenancies), new(*hosting)),
-	newAssigner,
+	provideAssigner,
 	providePoller,
 )
 
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -14,6 +14,7 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
+	"filbertcross/internal/rollout"
 	"github.com/go-logr/logr"
 	"github.com/google/wire"
 )
@@ -34,26 +35,27 @@
 	serverDigester := newDigester()
 	membership := provideMembership(settings, member, clock, client, server, serverDigester, log)
 	store := provideStore(settings)
-	serverConfigurations := provideConfigurations(store, serverDigester)
-	scope := provideScope(serverMetrics)
-	manager := provideBackends(settings, membership, client, server, log, scope, serverDigester)
-	ledgerClient := provideLedger(store)
-	handler := provideFront(settings, manager, ledgerClient, serverConfigurations, membership, log, scope)
+	rollout := provideRollout(store, membership, client, server, log, serverDigester)
 	httpWorkers := provideWorkers(settings)
 	serverExecutor := newExecutor(settings, httpWorkers, log)
 	serverControl := provideControl(settings, log, serverExecutor, serverDigester)
 	serverLoop := provideLoop(serverControl, serverExecutor)
-	serverHosting := newHosting(serverLoop, log)
-	serverAssigner := newAssigner(settings, store, membership, serverHosting, log)
+	host := provideLedgerHost(membership, server, log)
+	serverHosting := provideHosting(serverLoop, host, log, serverDigester)
+	scope := provideScope(serverMetrics)
+	manager := provideBackends(settings, membership, client, server, log, scope, serverDigester)
+	serverAssigner := provideAssigner(settings, store, membership, client, server, serverHosting, log)
+	ledgerClient := provideLedger(host, membership, client, serverAssigner)
+	source := provideSource(rollout)
+	handler := provideFront(settings, manager, ledgerClient, source, membership, log, scope)
 	vmList := provideVMList(settings)
-	serverStatus := provideStatus(serverConfigurations)
+	serverStatus := provideStatus(source, serverAssigner, membership)
 	serverPoller := providePoller(settings, vmList, log, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
-	serverJobs := provideJobs(serverLoop, client, server, membership, serverConfigurations, serverAssigner)
+	serverJobs := provideJobs(serverLoop, client, server, membership, source, serverAssigner)
 	serverSheets := &sheets{
-		configurations: serverConfigurations,
-		view:           membership,
+		rollout: rollout,
 	}
-	serverOperators := provideOperators(serverJobs, serverSheets, serverConfigurations, log, client, server, membership, serverMetrics, serverStatus)
+	serverOperators := provideOperators(serverJobs, serverSheets, source, log, client, server, membership, serverMetrics, serverStatus)
 	httpHandler := provideHandler(serverOperators, handler, log)
 	serverServer := &Server{
 		settings:   settings,
@@ -63,7 +65,9 @@
 		calls:      client,
 		membership: membership,
 		digester:   serverDigester,
-		configs:    serverConfigurations,
+		rollout:    rollout,
+		hosting:    serverHosting,
+		ledger:     host,
 		backends:   manager,
 		front:      handler,
 		loop:       serverLoop,
@@ -102,12 +106,14 @@
 	newExecutor,
 	provideControl,
 	provideLoop,
-	newHosting, wire.Bind(new(tenancies), new(*hosting)), newAssigner,
+	provideHosting, wire.Bind(new(tenancies), new(*hosting)), provideAssigner,
 	providePoller,
 )
 
 var requestSet = wire.NewSet(
-	provideConfigurations, wire.Bind(new(model.ConfigurationSource), new(configurations)), provideBackends, wire.Bind(new(backend.Router), new(*backend.Manager)), provideLedger,
+	provideRollout,
+	provideSource, wire.Bind(new(model.ConfigurationSource), new(*rollout.Source)), provideBackends, wire.Bind(new(backend.Router), new(*backend.Manager)), provideLedgerHost,
+	provideLedger,
 	provideFront,
 )
 
