Ledger: idempotency keys on a partition's log, hosts and router

Cause: a non-idempotent request must run at most once, through any VM, during takeovers, lost answers and outages. Change: Begin logs the key before it returns Run; repeats get the recorded answer, MayHaveRun, InProgress or Mismatch; NotRun frees the key; keys are kept for the retention and new ones refused at the limit, never evicted. BeginRequest has a new optional field Run (compatible): Router names each try, so that a lost answer is asked for again and not begun twice.

The token checks in claimFinish and in the replay stand for each other: breaking one alone is not seen.

--- /dev/null
+++ b/internal/ledger/fakelog_test.go
@@ -0,0 +1,171 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/verdict"
+)
+
+// fault is what happens to a call.
+type fault int
+
+const (
+	none        fault = iota
+	refusedCall       // no effect, and said so
+	lostBefore        // no effect, the caller cannot know
+	lostAfter         // took effect, the caller cannot know
+)
+
+// fakeStorage is what the store keeps of one key partition.
+type fakeStorage struct {
+	mu       sync.Mutex
+	epoch    int64
+	records  [][]byte
+	snapshot []byte
+	through  int64
+	plan     []fault
+	down     bool
+	hold     chan struct{} // while set, appends wait until it is closed
+	entered  chan struct{} // takes a value from each append that waits
+}
+
+// holdAppends has appends wait for letOne or letGo; the channel tells of each.
+func (s *fakeStorage) holdAppends() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold, s.entered = make(chan struct{}), make(chan struct{}, 10)
+	return s.entered
+}
+
+func (s *fakeStorage) letOne() { s.hold <- struct{}{} }
+
+func (s *fakeStorage) letGo() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.hold)
+	s.hold = nil
+}
+
+func (s *fakeStorage) wait() {
+	s.mu.Lock()
+	hold, entered := s.hold, s.entered
+	s.mu.Unlock()
+	if hold != nil {
+		entered <- struct{}{}
+		<-hold
+	}
+}
+
+func (s *fakeStorage) next() fault {
+	if s.down {
+		return refusedCall
+	}
+	if len(s.plan) == 0 {
+		return none
+	}
+	f := s.plan[0]
+	s.plan = s.plan[1:]
+	return f
+}
+
+// fakeLog is one epoch's hold of it.
+type fakeLog struct {
+	storage *fakeStorage
+	epoch   int64
+}
+
+func (s *fakeStorage) takeOver() (*fakeLog, partition.Replay) {
+	s.epoch++
+	return &fakeLog{s, s.epoch}, partition.Replay{Snapshot: s.snapshot, Records: s.records[s.through:]}
+}
+
+func (l *fakeLog) Epoch() int64               { return l.epoch }
+func (l *fakeLog) Stalled(time.Duration) bool { return false }
+
+func (l *fakeLog) Position() int64 {
+	l.storage.mu.Lock()
+	defer l.storage.mu.Unlock()
+	return int64(len(l.storage.records))
+}
+
+func (l *fakeLog) Uncovered() (entries, limit int64) {
+	l.storage.mu.Lock()
+	defer l.storage.mu.Unlock()
+	return int64(len(l.storage.records)) - l.storage.through, 6
+}
+
+func (l *fakeLog) Append(_ context.Context, records [][]byte) error {
+	l.storage.wait()
+	l.storage.mu.Lock()
+	defer l.storage.mu.Unlock()
+	f := l.storage.next()
+	switch {
+	case l.epoch < l.storage.epoch:
+		return partition.ErrDeposed
+	case f == refusedCall:
+		return platform.ErrUnavailable
+	case f == lostBefore:
+		return partition.ErrInDoubt
+	}
+	l.storage.records = append(l.storage.records, records...)
+	if f == lostAfter {
+		return partition.ErrInDoubt
+	}
+	return nil
+}
+
+func (l *fakeLog) Snapshot(_ context.Context, data []byte, through int64) error {
+	l.storage.mu.Lock()
+	defer l.storage.mu.Unlock()
+	if l.epoch < l.storage.epoch {
+		return partition.ErrDeposed
+	}
+	l.storage.snapshot, l.storage.through = data, through
+	return nil
+}
+
+// fakePeers is the link between VMs: hosts by address, with planned faults.
+type fakePeers struct {
+	handlers map[string]map[peer.Method]peer.Handler
+	plan     []fault
+}
+
+// registry takes the handlers of one address.
+type registry map[peer.Method]peer.Handler
+
+func (r registry) Handle(m peer.Method, h peer.Handler) { r[m] = h }
+
+func (p *fakePeers) Call(ctx context.Context, address string, m peer.Method, params, result any) error {
+	f := none
+	if len(p.plan) > 0 {
+		f, p.plan = p.plan[0], p.plan[1:]
+	}
+	lost := &peer.Error{Code: peer.CodeTimeout, Verdict: verdict.MayHaveRun}
+	if f == refusedCall || f == lostBefore {
+		return lost
+	}
+	data, _ := json.Marshal(params)
+	answer, err := p.handlers[address][m](ctx, data)
+	if f == lostAfter {
+		return lost
+	}
+	if err != nil {
+		return err
+	}
+	data, _ = json.Marshal(answer)
+	return json.Unmarshal(data, result)
+}
+
+// fakeDirectory names one owner, which may be a former one.
+type fakeDirectory struct{ address string }
+
+func (d *fakeDirectory) Owner(model.PartitionID) (string, bool, bool) {
+	return d.address, false, d.address != ""
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,6 +30,9 @@
 	Fingerprint Fingerprint    `json:"fingerprint"`
 	VM          model.VMID     `json:"vm"`       // that will send the request
 	Deadline    time.Time      `json:"deadline"` // of the request, wall clock
+	// Run names this try of the sender: a repeated Begin of it, as after a lost
+	// answer, gets Run again. Router sets it.
+	Run string `json:"run,omitempty"`
 }
 
 // BeginResult answers a BeginRequest.
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,291 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/proptest"
+	"filbertcross/internal/verdict"
+)
+
+// execution is what a backend server did for a key: the oracle's truth.
+type execution struct {
+	fingerprint Fingerprint
+	times       int
+	answer      string
+	at          time.Time
+}
+
+// machine has senders on several VMs use a few keys while owners of their home
+// come and go. The oracle: a key is executed at most once while it is kept, a
+// recorded answer is the execution's, and a key is free only if nothing ran.
+type machine struct {
+	now       time.Time
+	storage   *fakeStorage
+	peers     *fakePeers
+	directory *fakeDirectory
+	router    *Router
+	epochs    int
+	maxTotal  int // bytes of recorded answers kept
+	dead      map[model.VMID]bool
+	hosts     []*Host
+	running   []run // senders that hold the right to send
+	truth     map[string]*execution
+	sent      int
+}
+
+type run struct {
+	key   string
+	print Fingerprint
+	token int64
+	sent  bool
+	over  bool // told as not run; it may be told again
+}
+
+func newMachine(maxTotal int) *machine {
+	m := &machine{
+		maxTotal: maxTotal,
+		now:      time.Unix(1000, 0), storage: &fakeStorage{}, directory: &fakeDirectory{},
+		peers: &fakePeers{handlers: map[string]map[peer.Method]peer.Handler{}},
+		dead:  map[model.VMID]bool{}, truth: map[string]*execution{},
+	}
+	m.router = &Router{
+		Layout:    func() (partition.Layout, bool) { return partition.Layout{KeyPartitions: 1}, true },
+		Directory: m.directory, Caller: m.peers,
+		Sleep: func(context.Context, time.Duration) error { return nil },
+	}
+	m.TakeOver(nil)
+	return m
+}
+
+func (m *machine) TakeOver(*rapid.T) {
+	log, replay := m.storage.takeOver()
+	limits := Limits{Retain: time.Hour, MaxKeys: 100, MaxAnswerBytes: 100, MaxTotalBytes: m.maxTotal}
+	host := NewHost(limits, func(vm model.VMID) bool { return m.dead[vm] },
+		func() time.Time { return m.now }, event.Discard{})
+	if err := host.Open("k-0", log, replay); err != nil {
+		panic(err)
+	}
+	m.epochs++
+	m.hosts = append(m.hosts, host)
+	m.directory.address = fmt.Sprint(m.epochs)
+	handlers := registry{}
+	host.Register(handlers)
+	m.peers.handlers[m.directory.address] = handlers
+}
+
+// flush waits for the records that are being logged.
+func (m *machine) flush() {
+	for _, h := range m.hosts {
+		h.Flush()
+	}
+}
+
+func (m *machine) Misroute(t *rapid.T) {
+	m.directory.address = fmt.Sprint(rapid.IntRange(max(1, m.epochs-2), m.epochs).Draw(t, "owner"))
+}
+
+func (m *machine) Begin(t *rapid.T) {
+	r := BeginRequest{Branch: "b", Key: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"),
+		VM:       model.VMID(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "vm")),
+		Deadline: m.now.Add(time.Minute)}
+	r.Fingerprint[0] = byte(rapid.IntRange(0, 3).Draw(t, "print") / 3)
+	result, err := m.router.Begin(context.Background(), r)
+	m.flush()
+	if err == nil {
+		m.checkBegin(t, r, result)
+	}
+}
+
+func (m *machine) checkBegin(t *rapid.T, r BeginRequest, result BeginResult) {
+	e := m.truth[r.Key]
+	switch result.State {
+	case Run:
+		if e != nil && m.now.Sub(e.at) <= time.Hour {
+			t.Fatalf("key %s may run again after it ran", r.Key)
+		}
+		m.running = append(m.running, run{key: r.Key, print: r.Fingerprint, token: result.Token})
+	case Recorded:
+		if e == nil || string(result.Answer.Body) != e.answer || e.fingerprint != r.Fingerprint {
+			t.Fatalf("key %s: recorded %q, executed %+v", r.Key, result.Answer.Body, e)
+		}
+	}
+}
+
+// Abandon is a Begin whose caller leaves before the log answers.
+func (m *machine) Abandon(t *rapid.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := BeginRequest{Branch: "b", Key: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"), Deadline: m.now.Add(time.Minute)}
+	entered, ended := m.storage.holdAppends(), make(chan struct{})
+	var result BeginResult
+	var err error
+	go func() {
+		defer close(ended)
+		result, err = m.router.Begin(ctx, r)
+	}()
+	select {
+	case <-entered:
+	case <-ended: // answered without the log
+	}
+	cancel()
+	<-ended
+	m.storage.letGo()
+	m.flush()
+	if err == nil {
+		m.checkBegin(t, r, result)
+	}
+}
+
+func (m *machine) pick(t *rapid.T) *run {
+	if len(m.running) == 0 {
+		t.Skip("nobody sends")
+	}
+	return &m.running[rapid.IntRange(0, len(m.running)-1).Draw(t, "run")]
+}
+
+// Send has the holder of a run send its request; a backend server executes it.
+func (m *machine) Send(t *rapid.T) {
+	r := m.pick(t)
+	if r.sent || r.over {
+		return
+	}
+	r.sent = true
+	m.sent++
+	e := m.truth[r.key]
+	if e == nil || m.now.Sub(e.at) > time.Hour {
+		e = &execution{fingerprint: r.print, at: m.now}
+		m.truth[r.key] = e
+	}
+	e.times++
+	e.answer = fmt.Sprintf("answer %d", m.sent)
+	if e.times > 1 {
+		t.Fatalf("key %s ran %d times", r.key, e.times)
+	}
+}
+
+// Finish has the holder of a run tell the truth, or that it does not know.
+func (m *machine) Finish(t *rapid.T) {
+	r := m.pick(t)
+	f := FinishRequest{Branch: "b", Key: r.key, Token: r.token, Verdict: verdict.NotRun}
+	if r.sent {
+		f.Verdict = verdict.Done
+		f.Answer = &Answer{Status: 200, Body: []byte(m.truth[r.key].answer)}
+	}
+	if !r.over && rapid.IntRange(0, 3).Draw(t, "unknown") == 0 {
+		f.Verdict, f.Answer = verdict.MayHaveRun, nil
+	}
+	_ = m.router.Finish(context.Background(), f)
+	m.flush()
+	r.over = f.Verdict == verdict.NotRun && rapid.Bool().Draw(t, "again")
+	if !r.over {
+		m.drop(r)
+	}
+}
+
+func (m *machine) drop(r *run) {
+	i := 0
+	for &m.running[i] != r {
+		i++
+	}
+	m.running = append(m.running[:i], m.running[i+1:]...)
+}
+
+func (m *machine) Crash(t *rapid.T) { m.drop(m.pick(t)) }
+
+func (m *machine) Pass(t *rapid.T) {
+	d := time.Duration(rapid.SampledFrom([]int{1, 30, 90, 1800}).Draw(t, "s")) * time.Second
+	m.now = m.now.Add(d)
+	if d > time.Minute {
+		m.running = nil // a sender never sends after its deadline
+	}
+}
+
+func (m *machine) Outage(*rapid.T) { m.storage.down = !m.storage.down }
+
+func (m *machine) Dead(t *rapid.T) {
+	vm := model.VMID(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "vm"))
+	m.dead[vm] = !m.dead[vm]
+}
+
+func (m *machine) Faults(t *rapid.T) {
+	kinds := rapid.SliceOfN(rapid.SampledFrom([]fault{none, refusedCall, lostBefore, lostAfter}), 0, 3)
+	m.storage.plan = kinds.Draw(t, "log")
+	m.peers.plan = kinds.Draw(t, "link")
+}
+
+func (m *machine) Check(*rapid.T) {}
+
+func TestAtMostOnce(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		for i := range 6 {
+			actions := rapid.StateMachineActions(newMachine(100 * (i % 2)))
+			actions["begin2"], actions["finish2"], actions["send2"] = actions["Begin"], actions["Finish"], actions["Send"]
+			for name, action := range actions {
+				actions[name] = func(t *rapid.T) { proptest.Step(); action(t) }
+			}
+			t.Repeat(actions)
+		}
+	})
+}
+
+// A caller that left has its key freed; until then a lost call of the same run
+// must not be given the right to send.
+func TestRunOfLeftCallerIsNotGivenAgain(t *testing.T) {
+	m := newMachine(100)
+	host := m.hosts[0]
+	r := BeginRequest{Branch: "b", Key: "x", Run: "one", Deadline: m.now.Add(time.Minute)}
+	entered := m.storage.holdAppends()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() {
+		_, err := host.Begin(ctx, "k-0", r)
+		ended <- err
+	}()
+	<-entered
+	cancel()
+	if err := <-ended; err == nil {
+		t.Fatal("begun before it was logged")
+	}
+	m.storage.letOne()
+	<-entered // the record that frees the key
+	if result, err := host.Begin(context.Background(), "k-0", r); err == nil && result.State == Run {
+		t.Fatal("run given again while its key is being freed")
+	}
+	m.storage.letGo()
+	m.flush()
+	if result, err := host.Begin(context.Background(), "k-0", r); err != nil || result.State != Run {
+		t.Fatalf("key not free: %+v, %v", result, err)
+	}
+}
+
+// One key under concurrent callers: at most one of them gets Run.
+func TestConcurrentBeginsGiveOneRun(t *testing.T) {
+	m := newMachine(100)
+	results := make(chan State, 50)
+	for range cap(results) {
+		go func() {
+			r, err := m.hosts[0].Begin(context.Background(), "k-0", BeginRequest{Branch: "b", Key: "x", Deadline: m.now.Add(time.Minute)})
+			if err != nil {
+				r.State = InProgress
+			}
+			results <- r.State
+		}()
+	}
+	runs := 0
+	for range cap(results) {
+		if <-results == Run {
+			runs++
+		}
+	}
+	if runs != 1 {
+		t.Fatalf("%d callers may run", runs)
+	}
+}
--- /dev/null
+++ b/internal/ledger/router.go
@@ -0,0 +1,185 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/verdict"
+)
+
+// Methods of the inner protocol.
+const (
+	methodBegin  peer.Method = "ledger.begin"
+	methodFinish peer.Method = "ledger.finish"
+)
+
+// Codes of peer errors.
+const (
+	codeRefused peer.Code = 1900 + iota // the key could not be logged
+	codeUnknownRun
+	codeBusy
+)
+
+// Bounds of a router's repeats.
+const (
+	routerTries = 4
+	routerPause = 100 * time.Millisecond
+)
+
+type beginMessage struct {
+	Partition model.PartitionID `json:"partition"`
+	Request   BeginRequest      `json:"request"`
+}
+
+type finishMessage struct {
+	Partition model.PartitionID `json:"partition"`
+	Request   FinishRequest     `json:"request"`
+}
+
+type finishReply struct{}
+
+// Register serves the host's partitions to other VMs.
+func (h *Host) Register(r peer.Registry) {
+	r.Handle(methodBegin, func(ctx context.Context, params json.RawMessage) (any, error) {
+		var m beginMessage
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, &peer.Error{Code: peer.CodeInvalid, Message: err.Error(), Verdict: verdict.NotRun}
+		}
+		result, err := h.Begin(ctx, m.Partition, m.Request)
+		return result, peerError(err, verdict.NotRun)
+	})
+	r.Handle(methodFinish, func(ctx context.Context, params json.RawMessage) (any, error) {
+		var m finishMessage
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, &peer.Error{Code: peer.CodeInvalid, Message: err.Error(), Verdict: verdict.NotRun}
+		}
+		return finishReply{}, peerError(h.Finish(ctx, m.Partition, m.Request), verdict.MayHaveRun)
+	})
+}
+
+// peerError gives an error the code by which Router knows it.
+func peerError(err error, v verdict.Verdict) error {
+	if err == nil {
+		return nil
+	}
+	code := codeRefused
+	switch {
+	case errors.Is(err, ErrNotOwner):
+		code, v = peer.CodeNotOwner, verdict.NotRun
+	case errors.Is(err, ErrUnknownRun):
+		code = codeUnknownRun
+	case errors.Is(err, ErrBusy):
+		code, v = codeBusy, verdict.NotRun
+	}
+	return &peer.Error{Code: code, Message: err.Error(), Verdict: v}
+}
+
+// Directory finds the owner of a partition; false while none is known.
+type Directory interface {
+	Owner(id model.PartitionID) (address string, local bool, ok bool)
+}
+
+// Router is the Client that reaches a key's home wherever its owner is. Safe for
+// concurrent use.
+type Router struct {
+	Layout    func() (partition.Layout, bool)
+	Directory Directory
+	Host      *Host
+	Caller    peer.Caller
+	// Sleep waits between tries; nil: a real timer.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+var _ Client = (*Router)(nil)
+
+// Begin asks the key's home for the right to send. A lost answer is asked for
+// again under the same run's name, so that it never becomes a second run.
+func (r *Router) Begin(ctx context.Context, request BeginRequest) (BeginResult, error) {
+	request.Run = uuid.NewString()
+	var result BeginResult
+	err := r.reach(ctx, request.Branch, request.Key, func(id model.PartitionID, address string, local bool) (err error) {
+		if local {
+			result, err = r.Host.Begin(ctx, id, request)
+			return err
+		}
+		return r.Caller.Call(ctx, address, methodBegin, beginMessage{id, request}, &result)
+	})
+	var known *RefusedError
+	if err == nil || errors.As(err, &known) {
+		return result, err
+	}
+	return BeginResult{}, refused(err)
+}
+
+// Finish records how a run ended; a repeat of it changes nothing.
+func (r *Router) Finish(ctx context.Context, request FinishRequest) error {
+	return r.reach(ctx, request.Branch, request.Key, func(id model.PartitionID, address string, local bool) error {
+		if local {
+			return r.Host.Finish(ctx, id, request)
+		}
+		return r.Caller.Call(ctx, address, methodFinish, finishMessage{id, request}, &finishReply{})
+	})
+}
+
+// reach calls the owner of the key's home, and again while it is not known or the
+// answer was lost.
+func (r *Router) reach(ctx context.Context, branch model.BranchID, key string,
+	call func(id model.PartitionID, address string, local bool) error) error {
+	layout, ok := r.Layout()
+	if !ok {
+		return errors.New("ledger: the layout is not known yet")
+	}
+	id := layout.KeyPartition(branch, key)
+	err := ErrNotOwner
+	for try := range routerTries {
+		if try > 0 && r.pause(ctx) != nil {
+			return err
+		}
+		address, local, ok := r.Directory.Owner(id)
+		if !ok {
+			continue
+		}
+		if err = call(id, address, local); !repeatable(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// repeatable reports whether the owner was not found, was busy with the key, or its
+// answer was lost.
+func repeatable(err error) bool {
+	if errors.Is(err, ErrNotOwner) || errors.Is(err, ErrBusy) {
+		return true
+	}
+	var e *peer.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Code {
+	case peer.CodeNotOwner, peer.CodeUnreachable, peer.CodeTimeout, codeBusy:
+		return true
+	}
+	return false
+}
+
+func (r *Router) pause(ctx context.Context) error {
+	if r.Sleep != nil {
+		return r.Sleep(ctx, routerPause)
+	}
+	timer := time.NewTimer(routerPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,246 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/verdict"
+)
+
+// Limits bound a key partition's state. Keys are never dropped before Retain is
+// over, so that no request of a kept key runs twice: at MaxKeys new keys are refused.
+// Recorded answers are dropped earlier, the oldest first: their keys then answer
+// MayHaveRun.
+type Limits struct {
+	Retain         time.Duration // of a key after its last change or its request's deadline
+	MaxKeys        int
+	MaxAnswerBytes int // of one recorded answer
+	MaxTotalBytes  int // of all recorded answers
+}
+
+// DefaultLimits returns the limits for production.
+func DefaultLimits() Limits {
+	return Limits{Retain: 24 * time.Hour, MaxKeys: 20_000, MaxAnswerBytes: 64 << 10, MaxTotalBytes: 16 << 20}
+}
+
+// keyID is an idempotency key of a branch.
+type keyID struct {
+	branch model.BranchID
+	key    string
+}
+
+// phase is how far the run of a key has come, as the log says.
+type phase int
+
+const (
+	phaseSending phase = iota
+	phaseDone
+	phaseUncertain
+)
+
+// record is one entry of a key partition's log: exactly one field is set.
+type record struct {
+	Begun    *begun    `cbor:"1,keyasint,omitempty"`
+	Finished *finished `cbor:"2,keyasint,omitempty"`
+}
+
+// begun is logged before the request of a key is sent.
+type begun struct {
+	Branch      model.BranchID `cbor:"1,keyasint"`
+	Key         string         `cbor:"2,keyasint"`
+	Fingerprint Fingerprint    `cbor:"3,keyasint"`
+	Token       int64          `cbor:"4,keyasint"`
+	Run         string         `cbor:"5,keyasint"`
+	VM          model.VMID     `cbor:"6,keyasint"`
+	Deadline    time.Time      `cbor:"7,keyasint"`
+	At          time.Time      `cbor:"8,keyasint"`
+}
+
+// finished is logged when the outcome of a run is known.
+type finished struct {
+	Branch  model.BranchID  `cbor:"1,keyasint"`
+	Key     string          `cbor:"2,keyasint"`
+	Token   int64           `cbor:"3,keyasint"`
+	Verdict verdict.Verdict `cbor:"4,keyasint"`
+	Answer  *Answer         `cbor:"5,keyasint"`
+	At      time.Time       `cbor:"6,keyasint"`
+}
+
+// keyState is a key as the log says.
+type keyState struct {
+	Begun   begun     `cbor:"1,keyasint"`
+	Phase   phase     `cbor:"2,keyasint"`
+	Answer  *Answer   `cbor:"3,keyasint"` // nil after phaseDone: too large, or dropped
+	Changed time.Time `cbor:"4,keyasint"`
+}
+
+// table is a key partition's state. It is pure; its host's lock guards it.
+type table struct {
+	limits Limits
+	keys   map[keyID]*keyState
+	bytes  int      // of the recorded answers
+	oldest []*begun // of recorded answers, in the order of recording
+}
+
+func newTable(limits Limits) *table {
+	return &table{limits: limits, keys: map[keyID]*keyState{}}
+}
+
+// restoreTable rebuilds the state from a snapshot and the records behind it.
+func restoreTable(limits Limits, snapshot []byte, records [][]byte) (*table, error) {
+	t := newTable(limits)
+	var saved []*keyState
+	if snapshot != nil {
+		if err := cbor.Unmarshal(snapshot, &saved); err != nil {
+			return nil, errors.Wrap(err, "ledger: snapshot")
+		}
+	}
+	for _, k := range saved {
+		t.keys[keyID{k.Begun.Branch, k.Begun.Key}] = k
+		t.keepAnswer(k)
+	}
+	for _, b := range records {
+		var r record
+		if err := cbor.Unmarshal(b, &r); err != nil {
+			return nil, errors.Wrap(err, "ledger: record")
+		}
+		t.apply(r)
+	}
+	return t, nil
+}
+
+// encode returns the state as a snapshot, without the keys that have expired.
+func (t *table) encode(now time.Time) []byte {
+	var kept []*keyState
+	for _, k := range t.keys {
+		if !t.expired(k, now) {
+			kept = append(kept, k)
+		}
+	}
+	slices.SortFunc(kept, func(a, b *keyState) int {
+		return cmp.Or(a.Changed.Compare(b.Changed), cmp.Compare(a.Begun.Token, b.Begun.Token))
+	})
+	return mustEncode(kept)
+}
+
+func mustEncode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode %T", v))
+	}
+	return b
+}
+
+// apply takes a durable record in. A finish of another run than the key's changes nothing.
+func (t *table) apply(r record) {
+	switch {
+	case r.Begun != nil:
+		t.remove(keyID{r.Begun.Branch, r.Begun.Key})
+		t.keys[keyID{r.Begun.Branch, r.Begun.Key}] = &keyState{Begun: *r.Begun, Changed: r.Begun.At}
+	case r.Finished != nil:
+		t.applyFinished(*r.Finished)
+	}
+}
+
+func (t *table) applyFinished(f finished) {
+	id := keyID{f.Branch, f.Key}
+	k := t.keys[id]
+	if k == nil || k.Begun.Token != f.Token || k.Phase != phaseSending {
+		return
+	}
+	k.Changed = f.At
+	switch f.Verdict {
+	case verdict.NotRun:
+		t.remove(id)
+	case verdict.Done:
+		k.Phase, k.Answer = phaseDone, f.Answer
+		t.keepAnswer(k)
+	default:
+		k.Phase = phaseUncertain
+	}
+}
+
+// keepAnswer counts a recorded answer and drops the oldest ones beyond the limit.
+func (t *table) keepAnswer(k *keyState) {
+	if k.Answer == nil {
+		return
+	}
+	t.bytes += k.Answer.size()
+	t.oldest = append(t.oldest, &k.Begun)
+	for t.bytes > t.limits.MaxTotalBytes && len(t.oldest) > 0 {
+		b := t.oldest[0]
+		t.oldest = t.oldest[1:]
+		if first := t.keys[keyID{b.Branch, b.Key}]; first != nil && &first.Begun == b {
+			t.dropAnswer(first)
+		}
+	}
+}
+
+func (t *table) dropAnswer(k *keyState) {
+	if k.Answer != nil {
+		t.bytes -= k.Answer.size()
+		k.Answer = nil
+	}
+}
+
+func (t *table) remove(id keyID) {
+	if k := t.keys[id]; k != nil {
+		t.dropAnswer(k)
+		delete(t.keys, id)
+	}
+}
+
+// expired counts from the deadline while the request may still be sent.
+func (t *table) expired(k *keyState, now time.Time) bool {
+	since := k.Changed
+	if k.Begun.Deadline.After(since) {
+		since = k.Begun.Deadline
+	}
+	return now.Sub(since) > t.limits.Retain
+}
+
+// sweep forgets the expired keys.
+func (t *table) sweep(now time.Time) {
+	for id, k := range t.keys {
+		if t.expired(k, now) {
+			t.remove(id)
+		}
+	}
+}
+
+// size counts the bytes of an answer roughly.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// lookup says what a repeat of a key gets; false says that the key is free.
+func (t *table) lookup(now time.Time, r BeginRequest, gone func(model.VMID) bool) (BeginResult, bool) {
+	k := t.keys[keyID{r.Branch, r.Key}]
+	switch {
+	case k == nil || t.expired(k, now):
+		return BeginResult{}, false
+	case k.Begun.Fingerprint != r.Fingerprint:
+		return BeginResult{State: Mismatch}, true
+	case k.Phase == phaseDone && k.Answer != nil:
+		return BeginResult{State: Recorded, Answer: k.Answer}, true
+	case k.Phase != phaseSending:
+		return BeginResult{State: MayHaveRun}, true
+	case r.Run != "" && k.Begun.Run == r.Run:
+		return BeginResult{State: Run, Token: k.Begun.Token}, true
+	case now.After(k.Begun.Deadline) || gone(k.Begun.VM):
+		return BeginResult{State: MayHaveRun}, true
+	}
+	return BeginResult{State: InProgress, RetryAfter: retryInProgress}, true
+}
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -35,6 +35,7 @@
 	seq      int64 // of the last entry known to stand in the log
 	covered  int64 // by the newest snapshot known
 	horizon  time.Time
+	writing  time.Time // since when a write is out; zero: none
 
 	// Used by the one flusher, and by TakeOver before it.
 	slots     map[int64]platform.Revision // of the entry that stands in each slot
@@ -76,6 +77,13 @@
 	return l.seq - l.covered, l.opts.Ring - l.opts.Ring/sealReserve
 }
 
+// Stalled reports whether a write has been out for longer than d.
+func (l *Log) Stalled(d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.writing.IsZero() && l.opts.Clock().Sub(l.writing) > d
+}
+
 // Append commits the records, all or none. Appends that come while a write is
 // out are committed together by the next one, in the order they came. It returns
 // nil only when the records are durable. Its errors say that nothing took effect
@@ -159,7 +167,9 @@
 		e.Records = append(e.Records, b.records...)
 	}
 	l.keepInterval(l.ctx)
+	l.noteWriting(l.opts.Clock())
 	found, err := l.writeEntry(l.ctx, e)
+	l.noteWriting(time.Time{})
 	if !errors.Is(err, platform.ErrConflict) {
 		return err
 	}
@@ -172,6 +182,12 @@
 	return ErrDeposed
 }
 
+func (l *Log) noteWriting(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = since
+}
+
 func (l *Log) keepInterval(ctx context.Context) {
 	if l.opts.MinInterval == 0 {
 		return
