--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,15 @@
 	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) tool wire diff ./internal/server
 
 # test runs every test with the race detector and fixed seeds.
 test: lint
 	FILBERTCROSS_SEED=$(SEED) $(GO) test -race -count=1 -timeout 8m ./...
 
+# prove runs real processes under random work and faults from SEED for DURATION.
+prove: build
+	$(GO) run ./internal/standin/prove -seed $(SEED) -duration $(DURATION)
+
 clean:
 	rm -rf bin .demo
--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -19,6 +19,7 @@
 		text("failure-domain", "`DOMAIN` this VM stands in (required)", (*string)(&s.FailureDomain)),
 		text("http-address", "`HOST:PORT` for callers and operators", &s.HTTPAddress),
 		text("peer-address", "`HOST:PORT` for the other VMs", &s.PeerAddress),
+		text("peer-advertise", "`HOST:PORT` by which the other VMs reach --peer-address, if it is another", &s.PeerAdvertise),
 		text("store-url", "`URL` of the platform's key-value service", &s.StoreURL),
 		text("vm-list-url", "`URL` of the platform's list of VMs", &s.VMListURL),
 		duration("store-timeout", "`DURATION` of one call to the store", &s.StoreTimeout),
@@ -37,7 +38,8 @@
 		number("max-queue-requests", "`COUNT` of requests that wait for a slot on this VM", &s.MaxQueueRequests),
 		number64("max-queue-bytes", "`BYTES` of the waiting requests' bodies", &s.MaxQueueBytes),
 		number("event-ring", "`COUNT` of events kept for the time line", &s.EventRing),
-		duration("drain-timeout", "`DURATION` after which a graceful stop gives up", &s.DrainTimeout),
+		duration("drain-delay", "`DURATION` between not ready and refusing requests", &s.DrainDelay),
+		duration("drain-timeout", "`DURATION` after which a step of a graceful stop gives up", &s.DrainTimeout),
 		text("log-level", "`LEVEL`: debug, info, warn or error", &s.LogLevel),
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	FailureDomain    model.FailureDomain `json:"failure_domain"` // where this VM stands
 	HTTPAddress      string              `json:"http_address"`   // for callers and operators, host:port
 	PeerAddress      string              `json:"peer_address"`   // for other VMs, host:port
+	PeerAdvertise    string              `json:"peer_advertise"` // by which other VMs reach the peer link; empty: PeerAddress
 	StoreURL         string              `json:"store_url"`
 	VMListURL        string              `json:"vm_list_url"`
 	StoreTimeout     time.Duration       `json:"store_timeout"`      // of one call to the store
@@ -34,7 +35,8 @@
 	MaxQueueRequests int                 `json:"max_queue_requests"` // waiting for a slot on this VM
 	MaxQueueBytes    int64               `json:"max_queue_bytes"`    // of their bodies
 	EventRing        int                 `json:"event_ring"`         // events kept for the time line
-	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a graceful stop gives up
+	DrainDelay       time.Duration       `json:"drain_delay"`        // between not ready and refusing requests, for the balancer to notice
+	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a step of a graceful stop gives up
 	LogLevel         string              `json:"log_level"`          // debug, info, warn or error
 }
 
@@ -62,6 +64,7 @@
 		MaxQueueRequests: 4096,
 		MaxQueueBytes:    64 << 20,
 		EventRing:        4096,
+		DrainDelay:       2 * time.Second,
 		DrainTimeout:     30 * time.Second,
 		LogLevel:         "info",
 	}
@@ -92,6 +95,9 @@
 	v.require("--failure-domain", s.FailureDomain != "", "is empty; name the failure domain of this VM")
 	v.address("--http-address", s.HTTPAddress)
 	v.address("--peer-address", s.PeerAddress)
+	if s.PeerAdvertise != "" {
+		v.address("--peer-advertise", s.PeerAdvertise)
+	}
 	v.url("--store-url", s.StoreURL)
 	v.url("--vm-list-url", s.VMListURL)
 	v.between("--store-timeout", s.StoreTimeout, 10*time.Millisecond, time.Minute)
@@ -102,6 +108,7 @@
 	v.between("--lease-lead", s.LeaseLead, time.Second, time.Hour)
 	v.between("--drift-margin", s.DriftMargin, 0, time.Minute)
 	v.between("--default-deadline", s.DefaultDeadline, time.Millisecond, s.MaxDeadline)
+	v.between("--drain-delay", s.DrainDelay, 0, time.Minute)
 	v.between("--drain-timeout", s.DrainTimeout, 0, time.Hour)
 	v.require("--lease-lead", s.LeaseLead > 2*s.WorkerInterval, "must be more than twice --worker-interval, or leases lapse between polls")
 	v.positive("--store-writes", int64(s.StoreWrites))
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"filbertcross/internal/model"
@@ -36,6 +37,8 @@
 	suspects    int
 	leaving     []*worker
 	released    []*branch // usage fell since the last Decide
+	gained      []*worker // gained room before this Decide
+	round       int64     // counts Decide calls
 	stats       Stats
 
 	out   []Decision // of the Decide call that is being served
@@ -339,14 +342,22 @@
 func (s *Scheduler) placeAll() {
 	for failed := 0; len(s.out) < s.limit && failed < s.opts.FailedClasses; {
 		c := s.pick()
-		if c == nil || s.splits(c) {
+		if c == nil {
 			return
 		}
+		if s.splits(c) {
+			break
+		}
+		if s.stillFull(c) {
+			s.blockFull(c)
+			continue
+		}
 		s.stats.Attempts++
 		if !s.serve(c) {
 			failed++
 		}
 	}
+	s.keepGained()
 }
 
 // splits reports whether the class's next gang should wait for the next call, so that its
@@ -398,6 +409,9 @@
 	for _, r := range runs {
 		s.useHold(c, r)
 		s.chargeHolds(q, r)
+		if r.worker.health.suspect {
+			s.pause(r.worker, suspectBackoffMax) // one task at a time
+		}
 		s.give(r, r.decision(ActionPlace, group, ""))
 	}
 	s.stats.Placed += int64(len(runs))
@@ -426,7 +440,7 @@
 		r := p.run
 		switch {
 		case s.cluster.runs[r.id] != r: // it ended
-		case r.confirmed || r.worker.open() && !r.job.closed():
+		case r.confirmed || s.stillWanted(r):
 			s.out = append(s.out, p.decision)
 		default:
 			s.release(r)
@@ -435,75 +449,22 @@
 	}
 }
 
+// stillWanted reports whether an assumed run may start: its worker takes tasks, and of a
+// gang all do that hold one of its tasks.
+func (s *Scheduler) stillWanted(r *run) bool {
+	j := r.job
+	if j.Kind != model.KindGang {
+		return r.worker.open() && !j.closed()
+	}
+	if j.waiting > 0 || j.closed() {
+		return false
+	}
+	return !slices.ContainsFunc(j.runs, func(o *run) bool { return !o.confirmed && !o.worker.open() })
+}
+
 // take returns the call's result.
 func (s *Scheduler) take() []Decision {
 	out := s.out
 	s.out = nil
 	return out
 }
-
-// Assume takes a waiting task of the job and grants it the size on the worker.
-func (s *Scheduler) Assume(j *job, w *worker, size model.Resources) *run {
-	index := j.take()
-	s.note(j, -1, 0)
-	r := &run{
-		id: j.taskID(index), jobID: j.ID, job: j, index: index, worker: w, size: size,
-		started: s.cluster.now,
-	}
-	mustFit(w, size)
-	s.hold(r)
-	return r
-}
-
-// Undo takes an assumed run back in the same decision.
-func (s *Scheduler) Undo(r *run) {
-	s.free(r)
-	r.job.giveBack(r.index)
-	s.note(r.job, 1, 0)
-}
-
-// hold makes a run hold capacity, in its worker, job and branch.
-func (s *Scheduler) hold(r *run) {
-	mustBeNew(&s.cluster, r)
-	s.cluster.grant(r)
-	if r.job == nil {
-		s.running++
-		return
-	}
-	s.join(r)
-}
-
-// join adds a run to its job and branch.
-func (s *Scheduler) join(r *run) {
-	j := r.job
-	r.posJob = len(j.runs)
-	j.runs = append(j.runs, r)
-	j.branch.usage = j.branch.usage.Add(r.size)
-	j.spread(r.worker, 1)
-	s.note(j, 0, 1)
-}
-
-// free takes a run's capacity back everywhere.
-func (s *Scheduler) free(r *run) {
-	s.cluster.revoke(r)
-	j := r.job
-	if j == nil {
-		s.running--
-		return
-	}
-	last := j.runs[len(j.runs)-1]
-	j.runs[r.posJob] = last
-	last.posJob = r.posJob
-	j.runs = j.runs[:len(j.runs)-1]
-	b := j.branch
-	b.usage = b.usage.Sub(r.size)
-	if !b.released {
-		b.released = true
-		s.released = append(s.released, b)
-	}
-	if r.stop == stopPreempted {
-		b.stopping = b.stopping.Sub(r.size)
-	}
-	j.spread(r.worker, -1)
-	s.note(j, 0, -1)
-}
