Linearizability check of store histories (porcupine)

Recorder wraps any platform.Store; a write with a lost answer may take effect at any time after its start or never.

--- /dev/null
+++ b/internal/platform/linearize/model.go
@@ -0,0 +1,131 @@
+package linearize
+
+import (
+	"math"
+
+	"github.com/anishathalye/porcupine"
+
+	"filbertcross/internal/platform"
+)
+
+// unseen stands for the revision of a write whose answer was lost, until an answer names it.
+const unseen platform.Revision = -1
+
+// state is what the store may hold at a key.
+type state struct {
+	value    string
+	revision platform.Revision // 0: absent; unseen: present, above floor
+	floor    platform.Revision // the highest revision that the key is known to have had
+}
+
+// matches reports whether the key may have the revision.
+func (s state) matches(r platform.Revision) bool {
+	if s.revision == unseen {
+		return r > s.floor
+	}
+	return s.revision == r
+}
+
+// with returns the state after a write that was given the revision.
+func (s state) with(value string, r platform.Revision) state {
+	return state{value: value, revision: r, floor: max(s.floor, s.revision, r)}
+}
+
+// Check reports whether the recorded calls are linearizable. Only calls that have ended
+// are looked at; one with a lost answer may take effect at any time after its start.
+func (h *History) Check() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var history []porcupine.Operation
+	for _, op := range h.operations {
+		out := op.Output.(answer)
+		if out.outcome == outcomeUncertain {
+			op.Return = math.MaxInt64
+		}
+		history = append(history, op)
+	}
+	model := porcupine.NondeterministicModel{
+		Partition: byKey,
+		Init:      func() []any { return []any{state{}} },
+		Step: func(from, in, out any) []any {
+			return step(from.(state), in.(call), out.(answer))
+		},
+	}
+	return porcupine.CheckOperations(model.ToModel(), history)
+}
+
+// byKey splits the history: keys are independent of each other.
+func byKey(history []porcupine.Operation) [][]porcupine.Operation {
+	index := make(map[string]int)
+	var parts [][]porcupine.Operation
+	for _, op := range history {
+		key := op.Input.(call).key
+		i, ok := index[key]
+		if !ok {
+			i = len(parts)
+			index[key] = i
+			parts = append(parts, nil)
+		}
+		parts[i] = append(parts[i], op)
+	}
+	return parts
+}
+
+// step returns the states that the answer allows after the call; none: it is wrong.
+func step(from state, in call, out answer) []any {
+	switch {
+	case out.outcome == outcomeUnavailable:
+		return []any{from}
+	case in.method == methodGet:
+		return stepGet(from, out)
+	case in.method == methodSwap:
+		return stepWrite(from, in, out, from.with(in.value, out.revision), from.with(in.value, unseen))
+	default:
+		gone := from.with("", 0)
+		if from.revision == 0 && out.outcome == outcomeNotFound {
+			return []any{from}
+		}
+		if from.revision == 0 && out.outcome != outcomeUncertain {
+			return nil
+		}
+		return stepWrite(from, in, out, gone, gone)
+	}
+}
+
+func stepGet(from state, out answer) []any {
+	switch out.outcome {
+	case outcomeUncertain:
+		return []any{from}
+	case outcomeNotFound:
+		if from.revision == 0 {
+			return []any{from}
+		}
+	case outcomeOK:
+		if from.revision != 0 && from.value == out.value && from.matches(out.revision) {
+			return []any{from.with(out.value, out.revision)}
+		}
+	}
+	return nil
+}
+
+// stepWrite judges a write: done is the state after it with the answer's revision, lost that
+// after it without an answer.
+func stepWrite(from state, in call, out answer, done, lost state) []any {
+	switch out.outcome {
+	case outcomeOK:
+		risen := in.method == methodDelete || out.revision > max(from.floor, from.revision)
+		if from.matches(in.expected) && risen {
+			return []any{done}
+		}
+	case outcomeConflict:
+		if from.revision == unseen || !from.matches(in.expected) {
+			return []any{from}
+		}
+	case outcomeUncertain:
+		if from.matches(in.expected) {
+			return []any{from, lost}
+		}
+		return []any{from}
+	}
+	return nil
+}
