VMs listen for a second before they take partitions over

Cause: VMs that start together are each alone at first; the first one took all partitions and gave them away again while requests came, and appends in a hand-over are refused. Ruled out: the store (no refusals counted), the front end's admission (event 4003 names the ledger's hand-over). Change: nothing is taken over in the first second after the first list.

--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -25,6 +25,9 @@
 	releaseGrace = 3 * time.Second
 	// wantedDelay is how long another VM must be wanted before a partition is released to it.
 	wantedDelay = time.Second
+	// startDelay is how long a VM listens for the others before it takes anything
+	// over, so that VMs that start together do not hand everything around.
+	startDelay = time.Second
 	// takeoverRetry is the wait after a takeover that failed.
 	takeoverRetry = 500 * time.Millisecond
 	// storeCallsPerTakeover bounds one takeover: its timeout is that many store timeouts.
@@ -57,6 +60,7 @@
 	layout partition.Layout
 	loaded bool
 	vms    []platform.VM
+	heard  time.Time // when the first list was taken
 
 	attempts map[model.PartitionID]*attempt
 	leaving  bool
@@ -88,6 +92,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.vms = vms
+	if a.heard.IsZero() {
+		a.heard = time.Now()
+	}
 }
 
 // Layout returns the layout of the partitions, if it is known.
@@ -189,7 +196,7 @@
 	hosted := a.host.Hosted()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || now.Sub(a.heard) < startDelay {
 		return
 	}
 	for _, info := range layout.Partitions() {
