Membership: compact digests, faster word of a killed process, benchmarks

Cause: heartbeats of nine VMs took 29,552 B/s per VM (35,524 with headers) against a budget of 16 KB/s; a killed process was dead only after 4 intervals. Ruled out: a longer interval alone (slower word of a kill); digests without partitions (their owners' free resources steer jobs). Change: digest deltas in CBOR, partitions' amounts once a second, interval grows from 4 peers on; a connection refused by the host (peer.Error.NoListener, new and compatible) starts the indirect probes at once.

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -15,8 +15,8 @@
 	lateIntervals         = 1.5 // of silence after which this VM sends a heartbeat even where the other one does
 	suspectIntervals      = 3   // of silence
 	slowIntervals         = 2   // mean gap between heartbeats from which a VM is too slow for new work
-	refusedIntervals      = 4   // of silence after which a VM that nobody can connect to is dead
-	deadIntervals         = 8   // of silence
+	refusedIntervals      = 1.5 // of silence after which a VM is dead where nobody listens any more
+	deadIntervals         = 6   // of silence
 	deadGaps              = 3   // of silence, in mean gaps, if that is longer
 	maxDeadIntervals      = 24  // of silence, however slow the VM was before
 	probeIntervals        = 4   // between rounds of indirect probes
@@ -26,9 +26,9 @@
 )
 
 const (
-	helpers         = 3  // VMs asked in a round of indirect probes
-	peersAtInterval = 10 // with more peers the interval grows, so that the messages a second do not
-	gapWeight       = 8  // weight of the old mean against a new gap
+	helpers         = 3 // VMs asked in a round of indirect probes
+	peersAtInterval = 4 // with more peers the interval grows, so that the messages a second do not
+	gapWeight       = 8 // weight of the old mean against a new gap
 	maxReplacedVMs  = 4096
 )
 
@@ -316,7 +316,7 @@
 }
 
 func (d *detector) wantsProbes(now time.Duration, n *neighbor) bool {
-	quiet := now-n.heard >= d.intervals(suspectIntervals)
+	quiet := n.refused || now-n.heard >= d.intervals(suspectIntervals)
 	return n.ID != "" && n.state != Dead && quiet && now-n.round.begun >= d.intervals(probeIntervals)
 }
 
@@ -353,7 +353,7 @@
 	case n.state == Dead && suspicious:
 	case n.dropped && quiet >= d.intervals(suspectIntervals):
 		d.move(now, n, Dead, dropped)
-	case n.departs && n.refused && quiet >= d.intervals(lateIntervals):
+	case n.departs && n.refused:
 		d.move(now, n, Dead, gone)
 	case n.refused && d.refusedEverywhere(n) && quiet >= d.intervals(refusedIntervals):
 		d.move(now, n, Dead, gone)
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -21,7 +21,7 @@
 
 	settleTime  = 60 * testBase                                                                // by which all good pairs see each other alive
 	deadTime    = (maxDeadIntervals + 2*probeTimeoutIntervals + probeIntervals + 2) * testBase // by which a VM that says nothing is dead
-	refusedTime = (refusedIntervals + 4) * testBase                                            // the same for a killed one among healthy others
+	refusedTime = 6 * testBase                                                                 // the same for a killed one among healthy others
 )
 
 // slot is one address with the process that runs there.
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -3,6 +3,11 @@
 import (
 	"maps"
 	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertcross/internal/model"
 )
 
 // version numbers a VM's digests from 1; 0 stands for none.
@@ -13,23 +18,68 @@
 
 // digestDelta turns the digest Base into the digest Version. With Base 0 it is whole.
 type digestDelta struct {
-	Base       version                    `json:"b,omitempty"`
-	Version    version                    `json:"v"`
-	Revision   int64                      `json:"r,omitempty"`
-	FreeSlots  *mapDelta[string, int]     `json:"s,omitempty"`
-	Queued     *mapDelta[string, int]     `json:"q,omitempty"`
-	Partitions *mapDelta[string, Tenancy] `json:"p,omitempty"`
+	Base       version                `cbor:"1,keyasint,omitempty"`
+	Version    version                `cbor:"2,keyasint"`
+	Revision   int64                  `cbor:"3,keyasint,omitempty"`
+	FreeSlots  *mapDelta[int]         `cbor:"4,keyasint,omitempty"`
+	Queued     *mapDelta[int]         `cbor:"5,keyasint,omitempty"`
+	Partitions *mapDelta[wireTenancy] `cbor:"6,keyasint,omitempty"`
 }
 
 // mapDelta holds the entries of a map that differ.
-type mapDelta[K comparable, V comparable] struct {
-	Set  map[K]V `json:"s,omitempty"`
-	Gone []K     `json:"g,omitempty"`
+type mapDelta[V comparable] struct {
+	Set  map[string]V `cbor:"1,keyasint,omitempty"`
+	Gone []string     `cbor:"2,keyasint,omitempty"`
+}
+
+// wireTenancy is a Tenancy without field names.
+type wireTenancy struct {
+	_       struct{} `cbor:",toarray"`
+	Epoch   int64
+	Free    model.Resources
+	Waiting int
+}
+
+func wirePartitions(p map[model.PartitionID]Tenancy) map[model.PartitionID]wireTenancy {
+	wire := make(map[model.PartitionID]wireTenancy, len(p))
+	for id, t := range p {
+		wire[id] = wireTenancy{Epoch: t.Epoch, Free: t.Free, Waiting: t.Waiting}
+	}
+	return wire
+}
+
+func partitionsOf(wire map[model.PartitionID]wireTenancy) map[model.PartitionID]Tenancy {
+	p := make(map[model.PartitionID]Tenancy, len(wire))
+	for id, t := range wire {
+		p[id] = Tenancy{Epoch: t.Epoch, Free: t.Free, Waiting: t.Waiting}
+	}
+	return p
+}
+
+// encodeDelta returns nothing for no delta.
+func encodeDelta(d *digestDelta) []byte {
+	if d == nil {
+		return nil
+	}
+	data, err := cbor.Marshal(d)
+	if err != nil {
+		panic("membership: encode digest: " + err.Error()) // the types hold nothing that cannot be encoded
+	}
+	return data
+}
+
+// decodeDelta returns nil for what cannot be read; the sender repeats it.
+func decodeDelta(data []byte) *digestDelta {
+	var d digestDelta
+	if len(data) == 0 || cbor.Unmarshal(data, &d) != nil {
+		return nil
+	}
+	return &d
 }
 
 // diffMap returns nil when the maps are equal.
-func diffMap[K ~string, V comparable](from, to map[K]V) *mapDelta[string, V] {
-	var d mapDelta[string, V]
+func diffMap[K ~string, V comparable](from, to map[K]V) *mapDelta[V] {
+	var d mapDelta[V]
 	for k, v := range to {
 		if old, ok := from[k]; !ok || old != v {
 			if d.Set == nil {
@@ -50,7 +100,7 @@
 }
 
 // applyMap returns a changed copy.
-func applyMap[K ~string, V comparable](base map[K]V, d *mapDelta[string, V]) map[K]V {
+func applyMap[K ~string, V comparable](base map[K]V, d *mapDelta[V]) map[K]V {
 	if d == nil {
 		return base
 	}
@@ -68,19 +118,36 @@
 // ownDigests numbers this VM's digests and makes deltas for peers that hold an
 // older one. Used by one goroutine at a time.
 type ownDigests struct {
-	current version
-	kept    [keptDigests]Digest // by version modulo keptDigests
+	current   version
+	refreshed time.Duration       // when the partitions' amounts were last taken
+	kept      [keptDigests]Digest // by version modulo keptDigests
 }
 
+// partitionRefresh is how often the amounts in partitions' summaries are told anew.
+const partitionRefresh = time.Second
+
 // update takes the present digest; one that equals the last keeps its number.
-func (o *ownDigests) update(d Digest) {
-	if o.current > 0 && reflect.DeepEqual(o.kept[o.current%keptDigests], d) {
+// Partitions that are gained or lost are told at once, their amounts once for each
+// partitionRefresh.
+func (o *ownDigests) update(now time.Duration, d Digest) {
+	last := o.kept[o.current%keptDigests]
+	if now-o.refreshed < partitionRefresh && sameOwnership(last.Partitions, d.Partitions) {
+		d.Partitions = last.Partitions
+	} else {
+		o.refreshed = now
+	}
+	if o.current > 0 && reflect.DeepEqual(last, d) {
 		return
 	}
 	o.current++
 	o.kept[o.current%keptDigests] = cloneDigest(d)
 }
 
+// sameOwnership compares partitions and epochs.
+func sameOwnership(a, b map[model.PartitionID]Tenancy) bool {
+	return maps.EqualFunc(a, b, func(x, y Tenancy) bool { return x.Epoch == y.Epoch })
+}
+
 func cloneDigest(d Digest) Digest {
 	d.FreeSlots = maps.Clone(d.FreeSlots)
 	d.Queued = maps.Clone(d.Queued)
@@ -107,7 +174,7 @@
 		Revision:   to.Revision,
 		FreeSlots:  diffMap(from.FreeSlots, to.FreeSlots),
 		Queued:     diffMap(from.Queued, to.Queued),
-		Partitions: diffMap(from.Partitions, to.Partitions),
+		Partitions: diffMap(wirePartitions(from.Partitions), wirePartitions(to.Partitions)),
 	}
 }
 
@@ -133,6 +200,6 @@
 		Revision:   d.Revision,
 		FreeSlots:  applyMap(base.FreeSlots, d.FreeSlots),
 		Queued:     applyMap(base.Queued, d.Queued),
-		Partitions: applyMap(base.Partitions, d.Partitions),
+		Partitions: partitionsOf(applyMap(wirePartitions(base.Partitions), d.Partitions)),
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,7 +17,6 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
-	"filbertcross/internal/verdict"
 )
 
 // DefaultInterval is the time between heartbeats of a pair of VMs.
@@ -86,7 +85,7 @@
 		detector: newDetector(me, opts.Interval, rand.New(rand.NewPCG(opts.Seed, uint64(opts.Born)))),
 		peers:    map[model.VMID]*peerDigests{},
 	}
-	m.own.update(digest())
+	m.own.update(m.now(), digest())
 	m.members.Store(&[]Member{})
 	return m
 }
@@ -163,7 +162,7 @@
 	digest := m.digest()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.own.update(digest)
+	m.own.update(m.now(), digest)
 	commands := m.detector.tick(m.now())
 	m.publish()
 	return commands
@@ -210,7 +209,7 @@
 // refusedConnection reports whether nobody listens at the address.
 func refusedConnection(err error) bool {
 	var failure *peer.Error
-	return errors.As(err, &failure) && failure.Code == peer.CodeUnreachable && failure.Verdict == verdict.NotRun
+	return errors.As(err, &failure) && failure.NoListener
 }
 
 // compose makes a message for the process at an address. Called with mu held.
@@ -225,7 +224,7 @@
 	if acked == 0 {
 		message.Identity = &m.self
 	}
-	message.Delta = m.own.deltaSince(acked)
+	message.Delta = encodeDelta(m.own.deltaSince(acked))
 	return message
 }
 
@@ -244,7 +243,7 @@
 	}
 	m.peers[message.From] = p
 	p.acked = message.Held
-	p.held.apply(message.Delta)
+	p.held.apply(decodeDelta(message.Delta))
 	return true
 }
 
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -17,12 +17,12 @@
 // heartbeat is sent and answered alike; its field names are short because it makes
 // up most of the traffic between idle VMs.
 type heartbeat struct {
-	From     model.VMID   `json:"f"`
-	Identity *identity    `json:"i,omitempty"` // while the receiver holds no digest of the sender
-	Unheard  bool         `json:"u,omitempty"` // the sender has not heard the receiver lately
-	Leaving  bool         `json:"l,omitempty"`
-	Held     version      `json:"h,omitempty"` // of the receiver's digest that the sender holds
-	Delta    *digestDelta `json:"d,omitempty"`
+	From     model.VMID `json:"f"`
+	Identity *identity  `json:"i,omitempty"` // while the receiver holds no digest of the sender
+	Unheard  bool       `json:"u,omitempty"` // the sender has not heard the receiver lately
+	Leaving  bool       `json:"l,omitempty"`
+	Held     version    `json:"h,omitempty"` // of the receiver's digest that the sender holds
+	Delta    []byte     `json:"d,omitempty"` // a digestDelta in CBOR, which is a third of its JSON
 }
 
 // probeRequest asks a VM to send a heartbeat to another one.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,8 +6,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"filbertcross/internal/event"
@@ -85,7 +87,8 @@
 	}
 	backoff := l.backoff()
 	l.failures++
-	l.failure = &Error{Code: CodeUnreachable, Message: err.Error(), Verdict: verdict.NotRun}
+	l.failure = &Error{Code: CodeUnreachable, Message: err.Error(), Verdict: verdict.NotRun,
+		NoListener: errors.Is(err, syscall.ECONNREFUSED)}
 	l.retryAt = time.Now().Add(backoff)
 	l.client.recorder.Record(event.PeerUnreachable, l.address, backoff, err.Error())
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,9 @@
 	Code    Code
 	Message string
 	Verdict verdict.Verdict // whether the handler may have run
+	// NoListener says that the address was reached and no process listens there; it
+	// goes with CodeUnreachable and is set only on the caller's side.
+	NoListener bool
 }
 
 // Error returns the message with its code and verdict.
--- /dev/null
+++ b/internal/rollout/bench_test.go
@@ -0,0 +1,205 @@
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/rollout"
+	"filbertcross/internal/sheet"
+	"filbertcross/internal/standin"
+)
+
+const (
+	benchVMs      = 9
+	benchBranches = 260
+	benchRows     = 10 // of each branch
+	restTime      = 10 * time.Second
+)
+
+// cutStore is a store that one VM may be cut off from.
+type cutStore struct {
+	platform.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.cut.Load() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if s.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	if s.cut.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	entries, next, err := s.Store.Watch(ctx, prefix, after, wait)
+	if s.cut.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return entries, next, err
+}
+
+// fleet is nine VMs over loopback, next to a store with the platform's limits.
+type fleet struct {
+	store    *standin.Store
+	stores   []*cutStore
+	rollouts []*rollout.Rollout
+}
+
+func startFleet(b *testing.B) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{store: standin.NewStore(2000, 300)}
+	web := httptest.NewServer(f.store.Handler())
+	b.Cleanup(web.Close)
+	b.Cleanup(cancel)
+	var list []platform.VM
+	var members []*membership.Membership
+	for i := range benchVMs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		server := peer.NewServer(peer.Options{}, event.Discard{})
+		client := peer.NewClient(peer.Options{}, event.Discard{})
+		store := &cutStore{Store: platform.NewHTTPStore(web.URL, 2*time.Second)}
+		self := membership.Member{ID: model.VMID(fmt.Sprint("vm-", i)), Address: l.Addr().String()}
+		var r *rollout.Rollout
+		digest := func() membership.Digest {
+			if r == nil {
+				return membership.Digest{}
+			}
+			return membership.Digest{Revision: r.Source().Revision()}
+		}
+		m := membership.New(membership.Options{Seed: uint64(i)}, self, client, digest, event.Discard{})
+		r = rollout.New(store, m, client, event.Discard{})
+		m.Register(server)
+		r.Register(server)
+		go func() { _ = server.Serve(ctx, l) }()
+		go func() { _ = m.Run(ctx) }()
+		go func() { _ = r.Run(ctx) }()
+		f.stores = append(f.stores, store)
+		f.rollouts = append(f.rollouts, r)
+		list = append(list, platform.VM{Role: platform.RoleEntry, Address: self.Address})
+		members = append(members, m)
+	}
+	for _, m := range members {
+		m.Update(list)
+	}
+	return f
+}
+
+// apply changes the sheet and returns how long it took until all VMs had it in force.
+func (f *fleet) apply(b *testing.B, base int64, s sheet.Sheet) time.Duration {
+	begun := time.Now()
+	accepted, err := f.rollouts[0].Apply(context.Background(), base, s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, r := range f.rollouts {
+		for r.Source().Revision() < accepted.Revision {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// morning is a sheet of all branches whose rows carry the number.
+func morning(number int64) sheet.Sheet {
+	var s sheet.Sheet
+	for i := range benchBranches {
+		b := model.Branch{ID: model.BranchID(fmt.Sprintf("Висше училище %d", i)), Share: number}
+		s.Branches = append(s.Branches, b)
+		for row := range benchRows {
+			s.Workloads = append(s.Workloads, model.Workload{Branch: b.ID, ID: model.WorkloadID(fmt.Sprint("rebuild-", row)),
+				Kind: model.KindBatch, Share: number, Tasks: 8, Size: model.Resources{MilliCPU: 1500, MemoryMiB: 2048}, Deadline: time.Hour})
+		}
+	}
+	return s
+}
+
+// benchChanges applies changes one after the other and reports times and store calls.
+func benchChanges(b *testing.B, f *fleet, next func(i int) sheet.Sheet) {
+	base := f.rollouts[0].Source().Revision()
+	before := f.store.Counts()
+	var times []time.Duration
+	for i := range b.N {
+		times = append(times, f.apply(b, base+int64(i), next(i)))
+	}
+	b.StopTimer()
+	time.Sleep(100 * time.Millisecond)
+	after := f.store.Counts()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "median-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "longest-ms")
+	b.ReportMetric(float64(after.Writes-before.Writes)/float64(b.N), "writes/change")
+	b.ReportMetric(float64(after.Reads+after.Watches-before.Reads-before.Watches)/float64(b.N), "reads/change")
+	b.ReportMetric(float64(after.WriteBytes-before.WriteBytes)/float64(b.N), "written-B/change")
+}
+
+// BenchmarkOneRow changes one branch of 260 with 2,600 rows.
+func BenchmarkOneRow(b *testing.B) {
+	f := startFleet(b)
+	s := morning(1)
+	f.apply(b, 0, s)
+	b.ResetTimer()
+	benchChanges(b, f, func(i int) sheet.Sheet {
+		s.Workloads[i%len(s.Workloads)].Tasks++
+		return s
+	})
+}
+
+// BenchmarkOneRowCutVM is BenchmarkOneRow with one VM cut off from the store.
+func BenchmarkOneRowCutVM(b *testing.B) {
+	f := startFleet(b)
+	s := morning(1)
+	f.apply(b, 0, s)
+	f.stores[benchVMs-1].cut.Store(true)
+	b.ResetTimer()
+	benchChanges(b, f, func(i int) sheet.Sheet {
+		s.Workloads[i%len(s.Workloads)].Tasks++
+		return s
+	})
+}
+
+// BenchmarkMorningSheet changes every row of 260 branches.
+func BenchmarkMorningSheet(b *testing.B) {
+	f := startFleet(b)
+	f.apply(b, 0, morning(1))
+	b.ResetTimer()
+	benchChanges(b, f, func(i int) sheet.Sheet { return morning(int64(i) + 2) })
+}
+
+// BenchmarkAtRest counts the store's calls while nothing changes.
+func BenchmarkAtRest(b *testing.B) {
+	f := startFleet(b)
+	f.apply(b, 0, morning(1))
+	time.Sleep(time.Second)
+	before := f.store.Counts()
+	b.ResetTimer()
+	for range b.N {
+		time.Sleep(restTime)
+	}
+	after := f.store.Counts()
+	seconds := restTime.Seconds() * float64(b.N)
+	b.ReportMetric(float64(after.Reads+after.Watches+after.Writes-before.Reads-before.Watches-before.Writes)/seconds, "calls/s")
+	b.ReportMetric(float64(after.Waiting), "waiting-watches")
+}
