--- a/internal/config/flags.go
+++ b/internal/config/flags.go
@@ -19,6 +19,7 @@
 		text("failure-domain", "`DOMAIN` this VM stands in (required)", (*string)(&s.FailureDomain)),
 		text("http-address", "`HOST:PORT` for callers and operators", &s.HTTPAddress),
 		text("peer-address", "`HOST:PORT` for the other VMs", &s.PeerAddress),
+		text("peer-advertise", "`HOST:PORT` by which the other VMs reach --peer-address, if it is another", &s.PeerAdvertise),
 		text("store-url", "`URL` of the platform's key-value service", &s.StoreURL),
 		text("vm-list-url", "`URL` of the platform's list of VMs", &s.VMListURL),
 		duration("store-timeout", "`DURATION` of one call to the store", &s.StoreTimeout),
@@ -29,7 +30,6 @@
 		duration("heartbeat", "`DURATION` between heartbeats to another VM", &s.Heartbeat),
 		duration("lease-lead", "`DURATION` that task leases outlast the store's last confirmation", &s.LeaseLead),
 		duration("drift-margin", "`DURATION` added to the lead against clock drift", &s.DriftMargin),
-		number("domain-shards", "`COUNT` of worker partitions a failure domain, at most 128 workers each", &s.DomainShards),
 		number("key-partitions", "`COUNT` of partitions of idempotency keys", &s.KeyPartitions),
 		duration("default-deadline", "`DURATION` of a request that names no deadline", &s.DefaultDeadline),
 		duration("max-deadline", "`DURATION` that no request's deadline exceeds", &s.MaxDeadline),
@@ -37,7 +37,8 @@
 		number("max-queue-requests", "`COUNT` of requests that wait for a slot on this VM", &s.MaxQueueRequests),
 		number64("max-queue-bytes", "`BYTES` of the waiting requests' bodies", &s.MaxQueueBytes),
 		number("event-ring", "`COUNT` of events kept for the time line", &s.EventRing),
-		duration("drain-timeout", "`DURATION` after which a graceful stop gives up", &s.DrainTimeout),
+		duration("drain-delay", "`DURATION` between not ready and refusing requests", &s.DrainDelay),
+		duration("drain-timeout", "`DURATION` after which a step of a graceful stop gives up", &s.DrainTimeout),
 		text("log-level", "`LEVEL`: debug, info, warn or error", &s.LogLevel),
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	FailureDomain    model.FailureDomain `json:"failure_domain"` // where this VM stands
 	HTTPAddress      string              `json:"http_address"`   // for callers and operators, host:port
 	PeerAddress      string              `json:"peer_address"`   // for other VMs, host:port
+	PeerAdvertise    string              `json:"peer_advertise"` // by which other VMs reach the peer link; empty: PeerAddress
 	StoreURL         string              `json:"store_url"`
 	VMListURL        string              `json:"vm_list_url"`
 	StoreTimeout     time.Duration       `json:"store_timeout"`      // of one call to the store
@@ -26,7 +27,6 @@
 	Heartbeat        time.Duration       `json:"heartbeat"`          // between heartbeats to another VM
 	LeaseLead        time.Duration       `json:"lease_lead"`         // how long leases outlast the last confirmation by the store
 	DriftMargin      time.Duration       `json:"drift_margin"`       // added to the lead before a task is placed again without other proof
-	DomainShards     int                 `json:"domain_shards"`      // partitions of the workers in a failure domain
 	KeyPartitions    int                 `json:"key_partitions"`     // partitions of the idempotency keys
 	DefaultDeadline  time.Duration       `json:"default_deadline"`   // of a request without one
 	MaxDeadline      time.Duration       `json:"max_deadline"`       // of any request
@@ -34,7 +34,8 @@
 	MaxQueueRequests int                 `json:"max_queue_requests"` // waiting for a slot on this VM
 	MaxQueueBytes    int64               `json:"max_queue_bytes"`    // of their bodies
 	EventRing        int                 `json:"event_ring"`         // events kept for the time line
-	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a graceful stop gives up
+	DrainDelay       time.Duration       `json:"drain_delay"`        // between not ready and refusing requests, for the balancer to notice
+	DrainTimeout     time.Duration       `json:"drain_timeout"`      // after which a step of a graceful stop gives up
 	LogLevel         string              `json:"log_level"`          // debug, info, warn or error
 }
 
@@ -54,7 +55,6 @@
 		Heartbeat:        300 * time.Millisecond,
 		LeaseLead:        30 * time.Second,
 		DriftMargin:      time.Second,
-		DomainShards:     1,
 		KeyPartitions:    9,
 		DefaultDeadline:  5 * time.Second,
 		MaxDeadline:      time.Minute,
@@ -62,6 +62,7 @@
 		MaxQueueRequests: 4096,
 		MaxQueueBytes:    64 << 20,
 		EventRing:        4096,
+		DrainDelay:       2 * time.Second,
 		DrainTimeout:     30 * time.Second,
 		LogLevel:         "info",
 	}
@@ -92,6 +93,9 @@
 	v.require("--failure-domain", s.FailureDomain != "", "is empty; name the failure domain of this VM")
 	v.address("--http-address", s.HTTPAddress)
 	v.address("--peer-address", s.PeerAddress)
+	if s.PeerAdvertise != "" {
+		v.address("--peer-advertise", s.PeerAdvertise)
+	}
 	v.url("--store-url", s.StoreURL)
 	v.url("--vm-list-url", s.VMListURL)
 	v.between("--store-timeout", s.StoreTimeout, 10*time.Millisecond, time.Minute)
@@ -102,10 +106,10 @@
 	v.between("--lease-lead", s.LeaseLead, time.Second, time.Hour)
 	v.between("--drift-margin", s.DriftMargin, 0, time.Minute)
 	v.between("--default-deadline", s.DefaultDeadline, time.Millisecond, s.MaxDeadline)
+	v.between("--drain-delay", s.DrainDelay, 0, time.Minute)
 	v.between("--drain-timeout", s.DrainTimeout, 0, time.Hour)
 	v.require("--lease-lead", s.LeaseLead > 2*s.WorkerInterval, "must be more than twice --worker-interval, or leases lapse between polls")
 	v.positive("--store-writes", int64(s.StoreWrites))
-	v.positive("--domain-shards", int64(s.DomainShards))
 	v.positive("--key-partitions", int64(s.KeyPartitions))
 	v.positive("--max-body", s.MaxBody)
 	v.positive("--max-queue-requests", int64(s.MaxQueueRequests))
--- /dev/null
+++ b/internal/standin/cluster/processes.go
@@ -0,0 +1,140 @@
+package cluster
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Processes are the children of a run; it signals no others. Safe for concurrent use.
+type Processes struct {
+	Dir string // of the log files
+
+	mu    sync.Mutex
+	procs map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it has ended
+}
+
+// NewProcesses returns no processes yet; their logs go to a new directory.
+func NewProcesses() (*Processes, error) {
+	dir, err := os.MkdirTemp("", "filbertcross-run-")
+	return &Processes{Dir: dir, procs: map[string]*process{}}, err
+}
+
+// Start runs a binary whose output goes to a log file named after it.
+func (p *Processes) Start(name, binary string, args ...string) error {
+	log, err := os.Create(filepath.Join(p.Dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	started := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(started.done)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.procs[name] = started
+	return nil
+}
+
+// Signal sends a signal to a process started before.
+func (p *Processes) Signal(name string, sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.procs[name].cmd.Process.Signal(sig)
+}
+
+// Wait reports whether the process ended by itself, with its exit code.
+func (p *Processes) Wait(name string, timeout time.Duration) (int, bool) {
+	p.mu.Lock()
+	proc := p.procs[name]
+	p.mu.Unlock()
+	select {
+	case <-proc.done:
+		return proc.cmd.ProcessState.ExitCode(), true
+	case <-time.After(timeout):
+		return 0, false
+	}
+}
+
+// KillAll kills every process and waits for its end.
+func (p *Processes) KillAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, proc := range p.procs {
+		_ = proc.cmd.Process.Kill()
+	}
+	for _, proc := range p.procs {
+		<-proc.done
+	}
+}
+
+// Alive counts the processes that have not ended.
+func (p *Processes) Alive() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, proc := range p.procs {
+		select {
+		case <-proc.done:
+		default:
+			count++
+		}
+	}
+	return count
+}
+
+// FreeAddresses returns loopback addresses that were free a moment ago.
+func FreeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Grep returns the lines of the logs that contain one of the texts.
+func (p *Processes) Grep(texts ...string) ([]string, error) {
+	logs, err := filepath.Glob(filepath.Join(p.Dir, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	var found []string
+	for _, name := range logs {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(content)) {
+			if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+				found = append(found, filepath.Base(name)+": "+line)
+			}
+		}
+	}
+	return found, nil
+}
