--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -126,7 +126,12 @@
 	if _, ok := r.started["due"]; ok {
 		t.Errorf("low work started before its slack ran out")
 	}
-	r.run(10 * time.Minute)
+	r.run(8*time.Minute + 30*time.Second)
+	r.job("urgent", "b", 8, func(j *model.Job) { j.Tier, j.Workload = model.TierUrgent, "urgent" })
+	r.run(90 * time.Second)
+	if at, ok := r.started["urgent"]; !ok || at.Sub(epoch) > 18*time.Minute+34*time.Second {
+		t.Errorf("urgent work started: %t, after %s", ok, at.Sub(epoch))
+	}
 	if at, ok := r.ended["due"]; !ok || at.After(epoch.Add(20*time.Minute)) {
 		t.Errorf("deadline missed: ended %t at %s", ok, at.Sub(epoch))
 	}
@@ -317,3 +322,50 @@
 		}
 	}
 }
+
+// Without preemption the order of placement alone keeps the shares.
+func TestOrderFollowsShares(t *testing.T) {
+	r := newRig(t, branchA, branchB, branchC).workers(4)
+	r.s.opts.PreemptPerDecide = 0
+	r.truth = func(d Decision) time.Duration { return time.Duration(30+len(r.log)%60) * time.Second }
+	for _, b := range []model.BranchID{"a", "b", "c"} {
+		r.job(string(b), b, 2000, nil)
+	}
+	r.run(10 * time.Minute)
+	for branch, want := range map[model.BranchID]int{"a": 8, "b": 8, "c": 16} {
+		if n := r.holds(branch); n != want {
+			t.Errorf("%s holds %d, share is %d", branch, n, want)
+		}
+	}
+}
+
+// Tasks too large for exact shares must not take the place of each other in turn.
+func TestNoPreemptionInTurn(t *testing.T) {
+	r := newRig(t, branchA, branchB).workers(3)
+	long(r)
+	large := func(j *model.Job) { j.Size.MilliCPU = 7000 }
+	r.job("a", "a", 50, large)
+	r.run(time.Minute)
+	r.job("b", "b", 50, large)
+	r.run(20 * time.Minute)
+	if n := r.count(ActionPreempt, nil); n != 1 {
+		t.Errorf("%d preemptions for one task of the share of one and a half", n)
+	}
+}
+
+func TestGangStopsWithItsLostTask(t *testing.T) {
+	r := newRig(t, branchA).workers(4)
+	long(r)
+	r.job("gang", "a", 3, func(j *model.Job) { j.Kind = model.KindGang })
+	r.run(2 * time.Second)
+	delete(r.runs, "gang/1")
+	r.s.Finish(r.now, "gang/1", model.OutcomeLost)
+	r.run(5 * time.Second)
+	groups := map[int64]int{}
+	for _, run := range r.runs {
+		groups[run.decision.Group]++
+	}
+	if len(groups) != 1 || len(r.runs) != 3 {
+		t.Errorf("tasks by group: %v", groups)
+	}
+}
