--- /dev/null
+++ b/internal/standin/cluster/checks.go
@@ -0,0 +1,105 @@
+package cluster
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/standin"
+)
+
+// Checks collects what held and what did not. Safe for concurrent use.
+type Checks struct {
+	mu      sync.Mutex
+	results []result
+}
+
+type result struct {
+	name   string
+	ok     bool
+	detail string
+}
+
+// Expect notes whether something held.
+func (c *Checks) Expect(name string, ok bool, detail string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, result{name: name, ok: ok, detail: detail})
+}
+
+// Fail notes that something did not hold.
+func (c *Checks) Fail(name, detail string) { c.Expect(name, false, detail) }
+
+// Failed reports whether anything did not hold.
+func (c *Checks) Failed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.results {
+		if !r.ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Print writes a line for each check.
+func (c *Checks) Print() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Println("\nsummary")
+	for _, r := range c.results {
+		mark := "ok    "
+		if !r.ok {
+			mark = "FAILED"
+		}
+		fmt.Printf("  %s %-60s %s\n", mark, r.name, r.detail)
+	}
+}
+
+// Overlap returns two runs of one task that overlap in time, if there are any.
+func Overlap(runs []standin.Run) (a, b standin.Run, found bool) {
+	byTask := map[model.TaskID][]standin.Run{}
+	for _, run := range runs {
+		byTask[run.Task] = append(byTask[run.Task], run)
+	}
+	for _, same := range byTask {
+		sort.Slice(same, func(i, j int) bool { return same[i].From.Before(same[j].From) })
+		for i := 1; i < len(same); i++ {
+			before := same[i-1]
+			if before.Until.IsZero() || before.Until.After(same[i].From) {
+				return before, same[i], true
+			}
+		}
+	}
+	return a, b, false
+}
+
+// OverCapacity returns a worker that ran more than its capacity at once.
+func OverCapacity(runs []standin.Run, capacity model.Resources) (model.WorkerID, bool) {
+	byWorker := map[model.WorkerID][]standin.Run{}
+	for _, run := range runs {
+		byWorker[run.Worker] = append(byWorker[run.Worker], run)
+	}
+	for worker, own := range byWorker {
+		for _, at := range own {
+			if !granted(own, at).Fits(capacity) {
+				return worker, true
+			}
+		}
+	}
+	return "", false
+}
+
+// granted sums the runs that were under way when the given one began.
+func granted(runs []standin.Run, at standin.Run) model.Resources {
+	var sum model.Resources
+	for _, run := range runs {
+		begun := !run.From.After(at.From)
+		going := run.Until.IsZero() || run.Until.After(at.From)
+		if begun && going {
+			sum = sum.Add(run.Size)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,298 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/model"
+	"filbertcross/internal/standin"
+	"filbertcross/internal/standin/cluster"
+	"filbertcross/internal/verdict"
+)
+
+const (
+	vmCount          = 3
+	workersPerDomain = 4
+	loadPerSecond    = 200
+)
+
+// demo is one run.
+type demo struct {
+	bin, sheet string
+	cluster    *cluster.Cluster
+	checks     cluster.Checks
+	load       *cluster.Load
+	jobs       []model.JobID
+}
+
+// run is the demo from start to the last check before the stop.
+func (d *demo) run(ctx context.Context) error {
+	steps := []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"start the platform, workers and backend servers", d.startStandins},
+		{"start three VMs", d.startVMs},
+		{"apply the sheet", d.applySheet},
+		{"answer availability checks", d.answerChecks},
+		{"file one booking twice through two VMs", d.bookTwice},
+		{"submit a rebuild, a gang and a watch", d.submitJobs},
+		{"kill one VM and freeze another under load", d.killAndFreeze},
+		{"wait for the work", d.awaitJobs},
+		{"check the ground truth", d.checkTruth},
+		{"merge the time line", d.showTimeline},
+	}
+	begun := time.Now()
+	for _, step := range steps {
+		fmt.Printf("%6.1fs  %s\n", time.Since(begun).Seconds(), step.name)
+		if err := step.do(ctx); err != nil {
+			return errors.Wrap(err, step.name)
+		}
+	}
+	return nil
+}
+
+func (d *demo) startStandins(ctx context.Context) (err error) {
+	d.cluster, err = cluster.Start(ctx, cluster.Options{
+		Bin:              d.bin,
+		VMs:              vmCount,
+		WorkersPerDomain: workersPerDomain,
+		VMFlags:          []string{"--worker-interval", "250ms", "--lease-lead", "5s", "--list-interval", "500ms"},
+		WorkerFlags:      []string{"--runtime", "room-sync=0s", "--runtime", "timetable-rebuild=3s", "--runtime", "exam-simulation=2s"},
+	})
+	return err
+}
+
+func (d *demo) startVMs(ctx context.Context) error {
+	var urls []string
+	for _, vm := range d.cluster.VMs {
+		if err := d.cluster.StartVM(vm); err != nil {
+			return err
+		}
+		urls = append(urls, vm.URL())
+	}
+	d.load = cluster.NewLoad(urls)
+	return cluster.Await(ctx, "the VMs to answer", func() bool {
+		for _, url := range urls {
+			if cluster.Get(url+"/healthz", nil) != nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *demo) client(i int) *api.Client { return d.cluster.VMs[i].Client() }
+
+func (d *demo) applySheet(ctx context.Context) error {
+	csv, err := os.ReadFile(d.sheet)
+	if err != nil {
+		return err
+	}
+	accepted, err := d.client(0).ApplySheet(ctx, 0, csv, "")
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	err = cluster.Await(ctx, "the sheet to be in force on every VM", func() bool {
+		statuses, err := d.client(1).SheetStatus(ctx)
+		inForce := 0
+		for _, s := range statuses {
+			if s.Revision == accepted.Revision {
+				inForce++
+			}
+		}
+		return err == nil && inForce == vmCount
+	})
+	d.checks.Expect("the sheet is in force everywhere within 6 s", err == nil && time.Since(begun) < 6*time.Second,
+		fmt.Sprintf("revision %d after %v", accepted.Revision, time.Since(begun).Round(time.Millisecond)))
+	if err != nil {
+		return err
+	}
+	go d.load.WatchReadiness(context.WithoutCancel(ctx))
+	return cluster.Await(ctx, "every VM to be ready", d.load.Ready)
+}
+
+func (d *demo) answerChecks(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	d.load.Run(bounded, loadPerSecond, "quiet")
+	counts := d.load.Counts()
+	d.checks.Expect("every check and booking is answered, its own answer", counts.Done == counts.Sent && counts.Sent > 0, counts.String())
+	return nil
+}
+
+func (d *demo) bookTwice(context.Context) error {
+	first, firstVerdict := d.load.Book(d.cluster.VMs[0].URL(), "hall-204-monday")
+	second, secondVerdict := d.load.Book(d.cluster.VMs[1].URL(), "hall-204-monday")
+	same := first == second && firstVerdict == verdict.Done && secondVerdict == verdict.Done
+	ran, _, err := d.cluster.Bookings()
+	if err != nil {
+		return err
+	}
+	d.checks.Expect("one booking sent twice through two VMs runs once, same answer", same && ran["hall-204-monday"] == 1,
+		fmt.Sprintf("ran %d time(s); %v, %v", ran["hall-204-monday"], firstVerdict, secondVerdict))
+	return nil
+}
+
+var demoJobs = []api.SubmitJob{
+	{Branch: "sofia-academy", Workload: "timetable-rebuild"},
+	{Branch: "plovdiv-college", Workload: "exam-simulation"},
+	{Branch: "sofia-academy", Workload: "room-sync"},
+}
+
+func (d *demo) submitJobs(ctx context.Context) error {
+	for i, job := range demoJobs {
+		key := fmt.Sprintf("demo-%d", i)
+		accepted, err := d.client(i).SubmitJob(ctx, job, key)
+		if err != nil {
+			return err
+		}
+		again, err := d.client((i+1)%vmCount).SubmitJob(ctx, job, key)
+		if err != nil {
+			return err
+		}
+		d.checks.Expect(fmt.Sprintf("%s submitted twice with one key is one job", job.Workload), again.ID == accepted.ID, string(accepted.ID))
+		d.jobs = append(d.jobs, accepted.ID)
+	}
+	return nil
+}
+
+func (d *demo) killAndFreeze(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, 12*time.Second)
+	defer cancel()
+	go func() {
+		time.Sleep(time.Second)
+		d.cluster.Procs.Signal(d.cluster.VMs[2].Process(), syscall.SIGKILL)
+		time.Sleep(2 * time.Second)
+		d.cluster.Procs.Signal(d.cluster.VMs[1].Process(), syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		d.cluster.Procs.Signal(d.cluster.VMs[1].Process(), syscall.SIGCONT)
+	}()
+	d.load.Run(bounded, loadPerSecond, "faults")
+	counts := d.load.Counts()
+	d.checks.Expect("no caller gets another's answer under a kill and a freeze", counts.Wrong == 0, counts.String())
+	d.checks.Expect("service goes on under a kill and a freeze", counts.Done*10 >= counts.Sent*8, fmt.Sprintf("%d of %d done", counts.Done, counts.Sent))
+	return nil
+}
+
+func (d *demo) awaitJobs(ctx context.Context) error {
+	want := []api.JobState{api.JobDone, api.JobDone, api.JobRunning}
+	for i, id := range d.jobs {
+		var job api.Job
+		err := cluster.Await(ctx, string(demoJobs[i].Workload), func() bool {
+			var err error
+			job, err = d.client(0).Job(ctx, id)
+			return err == nil && job.State == want[i]
+		})
+		detail := fmt.Sprintf("%d waiting, %d running, %d done %s", job.Waiting, job.Running, job.Done, job.Reason)
+		d.checks.Expect(fmt.Sprintf("%s is %s", demoJobs[i].Workload, want[i]), err == nil, detail)
+	}
+	return nil
+}
+
+func (d *demo) checkTruth(context.Context) error {
+	runs, err := d.cluster.Runs()
+	if err != nil {
+		return err
+	}
+	a, b, found := cluster.Overlap(runs)
+	detail := fmt.Sprintf("%d runs", len(runs))
+	if found {
+		detail = fmt.Sprintf("%+v and %+v", a, b)
+	}
+	d.checks.Expect("no task ran in two places at once", !found && len(runs) > 0, detail)
+	worker, over := cluster.OverCapacity(runs, cluster.WorkerCapacity)
+	d.checks.Expect("no worker was given more than it has", !over, string(worker))
+	return d.checkBookings()
+}
+
+// checkBookings compares the callers' verdicts with the backend servers' account.
+func (d *demo) checkBookings() error {
+	ran, peak, err := d.cluster.Bookings()
+	if err != nil {
+		return err
+	}
+	d.checks.Expect("no backend server has more requests than slots", peak <= cluster.Slots, fmt.Sprintf("%d at most", peak))
+	twice, lied, lost := 0, 0, 0
+	verdicts := d.load.Verdicts()
+	for booking, v := range verdicts {
+		if ran[booking] > 1 {
+			twice++
+		}
+		if v == verdict.NotRun && ran[booking] > 0 {
+			lied++
+		}
+		if v == verdict.Done && ran[booking] == 0 {
+			lost++
+		}
+	}
+	total := fmt.Sprintf("of %d bookings", len(verdicts))
+	d.checks.Expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
+	d.checks.Expect("no booking told 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
+	d.checks.Expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
+	return nil
+}
+
+const timelineLines = 15
+
+func (d *demo) showTimeline(ctx context.Context) error {
+	text, err := d.client(0).Text(ctx, "/v1/timeline?limit=200")
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	for _, line := range lines[max(0, len(lines)-timelineLines):] {
+		fmt.Println("   ", line)
+	}
+	d.checks.Expect("the time line has events of both VMs left", strings.Contains(string(text), d.cluster.VMs[0].Name) && strings.Contains(string(text), d.cluster.VMs[1].Name),
+		fmt.Sprintf("%d lines", len(lines)))
+	var counts standin.Counts
+	if err := cluster.Get(d.cluster.StoreURL+"/counts", &counts); err != nil {
+		return err
+	}
+	fmt.Printf("    store: %d reads, %d writes, %d watches, %d refused\n", counts.Reads, counts.Writes, counts.Watches, counts.Refused)
+	return nil
+}
+
+// stopGracefully stops the VMs left one after the other under load.
+func (d *demo) stopGracefully(ctx context.Context) {
+	fmt.Println("        stop gracefully under load")
+	bounded, cancel := context.WithCancel(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		d.load.Run(bounded, loadPerSecond, "stop")
+	}()
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range []int{1, 0} {
+		vm := d.cluster.VMs[i]
+		d.cluster.Procs.Signal(vm.Process(), syscall.SIGTERM)
+		code, ended := d.cluster.Procs.Wait(vm.Process(), 20*time.Second)
+		d.checks.Expect(vm.Name+" stops by itself, exit code 0", ended && code == 0, fmt.Sprintf("exit code %d", code))
+	}
+	cancel()
+	<-finished
+	counts := d.load.Counts()
+	cut := counts.NoAnswer + counts.MayHaveRun + counts.Wrong
+	d.checks.Expect("a graceful stop cuts off no request", cut == 0 && counts.Done > 0, counts.String())
+	if err := d.checkBookings(); err != nil {
+		d.checks.Fail("the backend servers' account after the stop", err.Error())
+	}
+}
+
+func (d *demo) printCommands() {
+	fmt.Println("\neverything stays up until Ctrl-C; try:")
+	for _, command := range []string{"sheet status", "branch", "worker list", "job list", "timeline"} {
+		fmt.Printf("  FILBERTCROSS_SERVER=http://%s %s %s\n", d.cluster.VMs[0].HTTP, filepath.Join(d.bin, "filbertcross"), command)
+	}
+	fmt.Printf("  curl -i http://%s/v1/branches/sofia-academy/services/zalibook/availability/hall-1\n", d.cluster.VMs[0].HTTP)
+}
