--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -35,7 +35,10 @@
 	job   *job
 	class *class
 	size  model.Resources // to be granted
-	ends  time.Time       // expected; zero: a service, never
+	ends  time.Time       // expected
+	level level           // at which the class competes now
+	// polite keeps the task out of room held for others, also where it goes before them.
+	polite bool
 }
 
 // endless is the expected end of a service.
@@ -48,7 +51,9 @@
 	if c.key.kind != model.KindService {
 		run = c.estimate.runtime(j.Runtime, s.opts)
 	}
-	return &query{job: j, class: c, size: s.grantSize(c), ends: s.cluster.now.Add(run)}
+	return &query{
+		job: j, class: c, size: s.grantSize(c), ends: s.cluster.now.Add(run), level: s.key(c).level,
+	}
 }
 
 // grantSize returns the size to grant to the class's tasks: what was learned, unless that
@@ -58,7 +63,7 @@
 	if size.Fits(c.key.size) {
 		return size
 	}
-	need := max(c.key.tasks, 1)
+	need := c.together()
 	if !underQuota(times(size, need), c.branch.Quota) || s.cluster.places(size, need) < need {
 		return c.key.size
 	}
@@ -123,7 +128,7 @@
 // yields reports whether the hold does not stand in the way of the task: it is its own,
 // the task goes before it, or is expected to end before it is needed.
 func (h *hold) yields(q *query) bool {
-	return h.class == q.class || q.class.level < h.class.level || q.ends.Before(h.from)
+	return h.class == q.class || !q.polite && q.level < h.class.level || q.ends.Before(h.from)
 }
 
 // Held lists the holds of the query's class.
@@ -156,7 +161,7 @@
 
 // neverFits says why no task of the class can ever run; empty: it can.
 func (s *Scheduler) neverFits(c *class) string {
-	need := max(c.key.tasks, 1)
+	need := c.together()
 	switch {
 	case !c.branch.listed:
 		return "the branch is not in the configuration in force"
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -31,8 +31,11 @@
 	case r.stop != stopNone:
 	case j.Kind == model.KindGang && j.fault != "":
 		s.stopRun(r, stopCanceled, ActionStop, j.fault)
+	case j.Kind == model.KindGang && j.waiting > 0 && j.Restartable:
+		s.evict(r, j.Branch, "a task of the gang is missing")
 	case j.Kind == model.KindGang && j.waiting > 0:
-		s.evict(r, "", "a task of the gang is missing")
+		s.blame(j, "a task of the gang is missing and the others cannot be run again")
+		s.stopRun(r, stopCanceled, ActionStop, j.fault)
 	case r.misplaced:
 		s.move(r, "uses more memory than its worker can give")
 	case r.worker.Leaving && r.worker.drain && j.Restartable:
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -215,7 +215,7 @@
 		}
 	}
 	for _, h := range w.holds {
-		if h.class == q.class || q.class.level >= h.class.level {
+		if h.class == q.class || q.level >= h.class.level {
 			room = room.Sub(h.size)
 		}
 	}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// together returns how many tasks of the first job have to be placed at once.
+func (c *class) together() int {
+	if j := c.head(); j != nil {
+		return c.policy.together(j)
+	}
+	return 1
+}
+
 // clear drops all jobs, none of which has a waiting task.
 func (c *class) clear() {
 	for _, j := range c.jobs {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"filbertcross/internal/model"
@@ -45,7 +44,7 @@
 	limit int
 	tries int // attempts at preemption in this call
 
-	waited bool // a gang was left for this call; see splits
+	waited bool // a gang was left for the next call; see splits
 }
 
 // workloadKey names a workload of a branch.
@@ -320,8 +319,8 @@
 	}
 }
 
-// Decide returns at most limit new decisions. A gang that is larger than limit comes over
-// several calls, the rest of it first in the next one.
+// Decide returns at most limit new decisions. The placements of a gang come in one call,
+// so that limit has to be at least the largest gang; a larger one waits.
 func (s *Scheduler) Decide(now time.Time, limit int) []Decision {
 	s.advance(now)
 	s.out, s.limit, s.tries = nil, limit, 0
@@ -330,8 +329,10 @@
 	s.expireHolds()
 	s.unblock()
 	s.drainWorkers()
-	s.emitOrders((limit + 1) / 2)
-	s.probe()
+	if !s.waited {
+		s.emitOrders((limit + 1) / 2)
+		s.probe()
+	}
 	s.placeAll()
 	s.emitOrders(limit)
 	return s.take()
@@ -360,12 +361,11 @@
 	s.keepGained()
 }
 
-// splits reports whether the class's next gang should wait for the next call, so that its
-// decisions come together. It waits once at most, and not if no call has room for it.
+// splits reports whether the class's next gang has no room among this call's decisions.
+// The gang then goes first in the next call.
 func (s *Scheduler) splits(c *class) bool {
 	j := c.head()
-	if j == nil || s.waited {
-		s.waited = false
+	if j == nil {
 		return false
 	}
 	need := c.policy.together(j)
@@ -383,11 +383,15 @@
 	}
 	q := s.query(j)
 	need := c.policy.together(j)
+	if need > s.limit {
+		s.queue.shelve(c, classBlocked, "the gang is larger than what one call may decide")
+		return false
+	}
 	if !c.branch.withinQuota(times(q.size, need)) {
 		s.blockByQuota(c)
 		return false
 	}
-	if runs := c.policy.place(&s.cluster, s, q); runs != nil {
+	if runs := s.place(c, q); runs != nil {
 		s.commit(c, q, runs)
 		return true
 	}
@@ -399,6 +403,18 @@
 	return false
 }
 
+// place has the class's policy choose workers: first beside what is held for others, then,
+// where the class goes before them, also in their room.
+func (s *Scheduler) place(c *class, q *query) []*run {
+	q.polite = len(s.holders) > 0
+	runs := c.policy.place(&s.cluster, s, q)
+	if runs == nil && q.polite {
+		q.polite = false
+		runs = c.policy.place(&s.cluster, s, q)
+	}
+	return runs
+}
+
 // commit turns assumed runs into decisions.
 func (s *Scheduler) commit(c *class, q *query, runs []*run) {
 	group := int64(0)
@@ -428,7 +444,7 @@
 	s.pending = append(s.pending, pendingDecision{r, d})
 }
 
-// flushPending gives what the last call had no room for, less what does not hold any more.
+// flushPending gives the preemptions that the last call had no room for.
 func (s *Scheduler) flushPending() {
 	rest := s.pending
 	s.pending = nil
@@ -437,31 +453,12 @@
 			s.pending = rest[pos:]
 			return
 		}
-		r := p.run
-		switch {
-		case s.cluster.runs[r.id] != r: // it ended
-		case r.confirmed || s.stillWanted(r):
+		if s.cluster.runs[p.run.id] == p.run { // else it ended
 			s.out = append(s.out, p.decision)
-		default:
-			s.release(r)
-			s.requeue(r)
 		}
 	}
 }
 
-// stillWanted reports whether an assumed run may start: its worker takes tasks, and of a
-// gang all do that hold one of its tasks.
-func (s *Scheduler) stillWanted(r *run) bool {
-	j := r.job
-	if j.Kind != model.KindGang {
-		return r.worker.open() && !j.closed()
-	}
-	if j.waiting > 0 || j.closed() {
-		return false
-	}
-	return !slices.ContainsFunc(j.runs, func(o *run) bool { return !o.confirmed && !o.worker.open() })
-}
-
 // take returns the call's result.
 func (s *Scheduler) take() []Decision {
 	out := s.out
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -27,6 +27,7 @@
 type turnKey struct {
 	level level
 	share float64
+	own   level // orders the classes of one branch that share binds
 	due   time.Time
 	seq   int64
 }
@@ -37,23 +38,26 @@
 		return a.level < b.level
 	case a.share != b.share:
 		return a.share < b.share
+	case a.own != b.own:
+		return a.own < b.own
 	case !a.due.Equal(b.due):
 		return a.due.Before(b.due)
 	}
 	return a.seq < b.seq
 }
 
-// key returns the class's place in the order. A branch above its share goes back to its
-// tier with late work, so that a flood of deadlines takes nothing from others.
+// key returns the class's place in the order. A branch above its share competes no higher
+// than levelNormal, so that a flood of urgent work or of deadlines takes nothing from
+// others; among its own classes their levels go on to count.
 func (s *Scheduler) key(c *class) turnKey {
-	k := turnKey{level: c.level, due: c.due, seq: c.seq}
-	if c.level == levelLate && !s.overShare(c.branch) {
-		return k
-	}
-	if c.level == levelLate {
-		k.level = levelOf(c.key.tier)
-	}
+	k := turnKey{level: c.level, own: c.level, due: c.due, seq: c.seq}
 	k.share = s.weighted(c.branch, model.Resources{})
+	switch {
+	case k.share >= s.entitled():
+		k.level = max(c.level, levelNormal)
+	case c.level == levelLate:
+		k.share = 0
+	}
 	return k
 }
 
