--- /dev/null
+++ b/internal/schedule/proof/scheduler_test.go
@@ -0,0 +1,19 @@
+package proof
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/proptest"
+	"filbertcross/internal/schedule"
+)
+
+func TestSchedulerHoldsTheRules(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		runMachine(t, func(rng *rand.Rand) schedule.Decider {
+			return schedule.New(schedule.DefaultOptions(), rng)
+		})
+	})
+}
