--- a/internal/schedule/proof/cases/main.go
+++ b/internal/schedule/proof/cases/main.go
@@ -70,6 +70,7 @@
 
 // compare plays the cases of every cell and prints the tables in a fixed order.
 func compare(out io.Writer, seed uint64, parallel int, only string) error {
+	var verdicts goals
 	for _, c := range cells() {
 		var day []*result
 		for _, s := range allCases(c, seed) {
@@ -84,8 +85,10 @@
 				day = results
 			}
 			writeCase(out, s, results, day)
+			verdicts.judge(s, results, day)
 		}
 	}
+	verdicts.write(out)
 	return nil
 }
 
--- a/internal/schedule/proof/machine_test.go
+++ b/internal/schedule/proof/machine_test.go
@@ -23,6 +23,7 @@
 	*Oracle
 	now     time.Time
 	listed  []model.WorkerID
+	lost    []model.WorkerID // may come back under their names
 	jobIDs  []model.JobID
 	workers int // names given out
 }
@@ -102,12 +103,20 @@
 }
 
 func (m *machine) addWorker(t *rapid.T) {
-	m.workers++
-	id := model.WorkerID(fmt.Sprintf("w%d", m.workers))
+	id := m.newName()
+	if len(m.lost) > 0 && rapid.Bool().Draw(t, "returns") {
+		id = m.lost[0]
+		m.lost = m.lost[1:]
+	}
 	m.listed = append(m.listed, id)
 	m.UpsertWorker(m.now, drawWorker(t, id))
 }
 
+func (m *machine) newName() model.WorkerID {
+	m.workers++
+	return model.WorkerID(fmt.Sprintf("w%d", m.workers))
+}
+
 func drawWorker(t *rapid.T, id model.WorkerID) schedule.Worker {
 	return schedule.Worker{
 		ID:            id,
@@ -132,6 +141,7 @@
 	}
 	id := m.listed[at]
 	m.listed = append(m.listed[:at:at], m.listed[at+1:]...)
+	m.lost = append(m.lost, id)
 	for _, task := range m.order {
 		if task.worker == id && task.phase == phaseAssumed {
 			m.eachOfGroup(task, m.Forget)
@@ -167,8 +177,7 @@
 // adopt recovers a new job that runs already, also on workers that report later.
 func (m *machine) adopt(t *rapid.T) {
 	if rapid.IntRange(0, 4).Draw(t, "unlisted") == 0 {
-		m.workers++
-		m.listed = append(m.listed, model.WorkerID(fmt.Sprintf("w%d", m.workers)))
+		m.listed = append(m.listed, m.newName())
 	}
 	m.submit(t)
 	j := m.jobs[m.jobIDs[len(m.jobIDs)-1]]
