--- a/internal/partition/groupcommit.go
+++ b/internal/partition/groupcommit.go
@@ -119,7 +119,7 @@
 // snapshotIfDue asks for a snapshot of the durable state. It is called while no
 // append is out, so that the state is the one at the log's position.
 func (o *Owner) snapshotIfDue() {
-	if o.snapshotting || o.sinceShot < snapshotEvery || o.position == 0 {
+	if o.snapshotting || o.sinceShot < snapshotEvery {
 		return
 	}
 	o.snapshotting = true
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -102,6 +102,7 @@
 		keys:        map[jobKey]model.JobID{},
 		priorEnd:    replay.TakenAt.Add(replay.PreviousLead),
 		sinceShot:   len(replay.Records),
+		position:    replay.Position,
 		settled:     replay.PreviousLead == 0,
 	}
 	for _, j := range s.ordered() {
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -90,6 +91,7 @@
 	if err != nil {
 		panic(err)
 	}
+	o.SetBranches(w.now, []model.Branch{{ID: "b", Share: 1}})
 	w.vms = append(w.vms, &testVM{log: l, owner: o})
 }
 
@@ -110,7 +112,7 @@
 }
 
 func (w *world) reply(vm *testVM, r Reply) {
-	if r.Err != nil {
+	if r.Err != nil || r.Status.Code == schedule.Invalid || r.Status.Code == schedule.NeverFits {
 		return
 	}
 	job, isCancel := w.asked[r.Token]
@@ -475,22 +477,34 @@
 
 func TestOwnersUnderFaults(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
-		for range 4 {
+		for i := range 4 {
 			w := newWorld(3)
-			w.takeOver()
-			w.brisk(t, 0, 2, time.Second, "")
-			w.submit(w.vms[0], 3, true)
-			w.submit(w.vms[0], 1, false)
-			actions := rapid.StateMachineActions(faultActions{w})
-			actions["brisk2"] = actions["Brisk"]
-			actions["ops2"] = actions["Ops"]
-			check := actions[""]
-			for name, action := range actions {
-				actions[name] = func(t *rapid.T) { proptest.Step(); action(t) }
+			if i == 0 {
+				w.decider = newScheduler
 			}
-			actions[""] = check
-			t.Repeat(actions)
-			w.settle(t)
+			runFaults(t, w)
 		}
 	})
 }
+
+// newScheduler returns the product's own decision.
+func newScheduler() schedule.Decider {
+	return schedule.New(schedule.DefaultOptions(), rand.New(rand.NewPCG(1, 2)))
+}
+
+func runFaults(t *rapid.T, w *world) {
+	w.takeOver()
+	w.brisk(t, 0, 2, time.Second, "")
+	w.submit(w.vms[0], 3, true)
+	w.submit(w.vms[0], 1, false)
+	actions := rapid.StateMachineActions(faultActions{w})
+	actions["brisk2"] = actions["Brisk"]
+	actions["ops2"] = actions["Ops"]
+	check := actions[""]
+	for name, action := range actions {
+		actions[name] = func(t *rapid.T) { proptest.Step(); action(t) }
+	}
+	actions[""] = check
+	t.Repeat(actions)
+	w.settle(t)
+}
--- a/internal/partition/place.go
+++ b/internal/partition/place.go
@@ -160,7 +160,7 @@
 func (o *Owner) startAttempt(a *attempt) {
 	w := o.workers[a.worker]
 	switch {
-	case a.withdrawn:
+	case a.withdrawn || o.canceled(a.job):
 		o.end(a, model.OutcomeNotStart, "withdrawn before its start")
 		return
 	case w == nil || w.boot != a.boot || !w.usable():
--- a/internal/partition/scenario_test.go
+++ b/internal/partition/scenario_test.go
@@ -1,6 +1,8 @@
 package partition
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -175,3 +177,37 @@
 		t.Fatalf("replies %+v", replies)
 	}
 }
+
+// A placement that was decided while its job's cancellation was being logged
+// stands behind it in the log, and must not be started.
+func TestCancelWinsOverPlacementBehindIt(t *testing.T) {
+	w := newWorld(1)
+	w.decider = newScheduler
+	w.listed[0] = false
+	w.takeOver()
+	w.submit(w.vms[0], 1, true)
+	w.brisk(t, 0, 2, time.Second, "")
+	w.cancel(w.vms[0], "p~1")
+	w.listed[0] = true
+	w.brisk(t, 0, 3, time.Second, "Append")
+	w.brisk(t, 0, 3, time.Second, "")
+	if len(w.begun["p~1/0"]) != 0 {
+		t.Fatalf("attempts %v of a cancelled job", w.begun["p~1/0"])
+	}
+}
+
+// An owner that takes over a log without room takes a snapshot and goes on.
+func TestTakeoverOfFullLog(t *testing.T) {
+	w := startWorld(t, 1)
+	var err error
+	for n := 0; err == nil; n++ {
+		job := model.Job{ID: model.JobID(fmt.Sprintf("p~full%d", n)), Branch: "b", Kind: model.KindBatch,
+			Tasks: 1, Size: model.Resources{MilliCPU: 1}, Restartable: true}
+		err = w.vms[0].log.Append(context.Background(), [][]byte{encode(logged{Submitted: &jobSubmitted{Job: job}})})
+	}
+	w.takeOver()
+	w.brisk(t, 1, 5, time.Second, "")
+	if w.workers[0].running() != 2 {
+		t.Fatalf("%d tasks run of a full log's jobs", w.workers[0].running())
+	}
+}
--- a/internal/partition/takeover.go
+++ b/internal/partition/takeover.go
@@ -52,6 +52,7 @@
 	// PreviousLead after TakenAt, but for clock drift.
 	PreviousLead time.Duration
 	TakenAt      time.Time // when the answer to the takeover arrived, by Options.Clock
+	Position     int64     // of the log: the state that the replay gives is the one there
 }
 
 // ReadRecord returns the partition's ownership record, or platform.ErrNotFound.
@@ -95,7 +96,9 @@
 			return Replay{}, err
 		}
 	}
-	return replay, l.seal(ctx, &replay)
+	err = l.seal(ctx, &replay)
+	replay.Position = l.seq
+	return replay, err
 }
 
 func (l *Log) raiseEpoch(ctx context.Context) (Replay, error) {
