slopes: what control costs a VM by workers and by task starts

Cause: docs/CAPACITY.md is to be worked out from measured slopes. Change: a command that runs three VMs with real processes at several sizes and samples processor time, memory and store calls.

--- a/internal/standin/prove/faults.go
+++ b/internal/standin/prove/faults.go
@@ -48,7 +48,7 @@
 
 const (
 	meanPause    = 700 * time.Millisecond // between the beginnings of two faults
-	longestFault = 9 * time.Second         // more than twice the lease lead
+	longestFault = 9 * time.Second        // more than twice the lease lead
 )
 
 var kinds = []fault{
--- /dev/null
+++ b/internal/standin/slopes/main.go
@@ -0,0 +1,202 @@
+// Command slopes measures what control costs a VM at several sizes, with real
+// processes: at rest by the number of workers, and under task starts by their
+// rate. docs/CAPACITY.md is worked out from its table.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/standin"
+	"filbertcross/internal/standin/cluster"
+)
+
+const vms = 3
+
+func main() {
+	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
+	window := flag.Duration("window", 15*time.Second, "of each measurement")
+	workers := flag.String("workers", "4,32,128", "workers of each VM, one measurement at rest each")
+	rates := flag.String("rates", "10,30,90", "task starts a second of the cluster, one measurement each")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "workers/VM\tstarts/s\tcore %/VM\tMiB/VM\tstore reads/s\twrites/s\tmean write\twrites/start")
+	for _, n := range numbers(*workers) {
+		report(ctx, out, *binaries, n, 0, *window)
+	}
+	for _, n := range numbers(*rates) {
+		report(ctx, out, *binaries, 32, n, *window)
+	}
+}
+
+func numbers(list string) []int {
+	var found []int
+	for text := range strings.SplitSeq(list, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "slopes:", err)
+			os.Exit(2)
+		}
+		found = append(found, n)
+	}
+	return found
+}
+
+func report(ctx context.Context, out *tabwriter.Writer, bin string, workers, rate int, window time.Duration) {
+	m, err := measure(ctx, bin, workers, rate, window)
+	if err != nil {
+		fmt.Fprintf(out, "%d\t%d\tnot measured: %v\n", workers, rate, err)
+	} else {
+		seconds := window.Seconds()
+		fmt.Fprintf(out, "%d\t%.1f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f B\t%.3f\n", workers, float64(m.starts)/seconds,
+			100*m.cpu/seconds/vms, m.memory/vms/(1<<20), float64(m.store.Reads)/seconds, float64(m.store.Writes)/seconds,
+			ratio(m.store.WriteBytes, m.store.Writes), ratio(m.store.Writes, m.starts))
+	}
+	out.Flush()
+}
+
+func ratio(a, b int64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// measurement is what the VMs and the store spent in one window.
+type measurement struct {
+	cpu    float64 // seconds of processor time, all VMs
+	memory float64 // bytes resident at the end, all VMs
+	starts int64   // tasks started
+	store  standin.Counts
+}
+
+const sheet = `branch,workload,kind,share,priority,deadline,tasks,cpus,memory,accelerators,runtime,service
+load,availability,interactive,1,urgent,,,,,,,zalibook
+load,short,batch,1,normal,,10,0.25,64MiB,,1s,
+`
+
+func measure(ctx context.Context, bin string, workers, rate int, window time.Duration) (m measurement, err error) {
+	c, err := cluster.Start(ctx, cluster.Options{
+		Bin: bin, VMs: vms, WorkersPerDomain: workers, WorkerFlags: []string{"--default-runtime", "1s"},
+	})
+	if c != nil {
+		defer c.Procs.KillAll()
+		defer os.RemoveAll(c.Procs.Dir)
+	}
+	if err != nil {
+		return m, err
+	}
+	if err := ready(ctx, c); err != nil {
+		return m, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, window+warmUp)
+	defer cancel()
+	var submitting sync.WaitGroup
+	if rate > 0 {
+		submitting.Go(func() { submit(bounded, c, rate) })
+	}
+	time.Sleep(warmUp)
+	before, err := sample(c)
+	if err != nil {
+		return m, err
+	}
+	time.Sleep(window)
+	after, err := sample(c)
+	cancel()
+	submitting.Wait()
+	m = measurement{cpu: after.cpu - before.cpu, memory: after.memory, starts: after.starts - before.starts, store: standin.Counts{
+		Reads:      after.store.Reads - before.store.Reads,
+		Writes:     after.store.Writes - before.store.Writes,
+		WriteBytes: after.store.WriteBytes - before.store.WriteBytes,
+	}}
+	return m, err
+}
+
+const warmUp = 5 * time.Second
+
+func ready(ctx context.Context, c *cluster.Cluster) error {
+	for _, vm := range c.VMs {
+		if err := c.StartVM(vm); err != nil {
+			return err
+		}
+	}
+	err := cluster.Await(ctx, "the sheet to be accepted", func() bool {
+		_, err := c.VMs[0].Client().ApplySheet(ctx, 0, []byte(sheet), "")
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	return cluster.Await(ctx, "the VMs to be ready", func() bool {
+		for _, vm := range c.VMs {
+			if cluster.Get(vm.URL()+"/readyz", nil) == nil {
+				continue
+			}
+			return false
+		}
+		return true
+	})
+}
+
+const tasksOfJob = 10
+
+// submit sends jobs of ten tasks through the VMs in turn at a steady rate.
+func submit(ctx context.Context, c *cluster.Cluster, rate int) {
+	ticker := time.NewTicker(time.Second * tasksOfJob / time.Duration(rate))
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		client := c.VMs[n%len(c.VMs)].Client()
+		go func() { _, _ = client.SubmitJob(ctx, api.SubmitJob{Branch: "load", Workload: "short"}, "") }()
+	}
+}
+
+// sample reads the VMs' processor time and memory, and the stand-ins' counts.
+func sample(c *cluster.Cluster) (m measurement, err error) {
+	for _, vm := range c.VMs {
+		metrics, err := vm.Client().Text(context.Background(), "/metrics")
+		if err != nil {
+			return m, err
+		}
+		cpu, cpuErr := metric(string(metrics), "process_cpu_seconds_total")
+		memory, memoryErr := metric(string(metrics), "process_resident_memory_bytes")
+		if err := errors.CombineErrors(cpuErr, memoryErr); err != nil {
+			return m, err
+		}
+		m.cpu += cpu
+		m.memory += memory
+	}
+	runs, err := c.Runs()
+	if err != nil {
+		return m, err
+	}
+	m.starts = int64(len(runs))
+	return m, cluster.Get(c.StoreURL+"/counts", &m.store)
+}
+
+func metric(metrics, name string) (float64, error) {
+	for line := range strings.Lines(metrics) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, errors.Newf("no metric %s", name)
+}
