--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -65,6 +66,8 @@
 // *UncertainError, or marked with ErrNotAccepted. A sheet equal to the newest
 // revision is accepted as that one, so that a repeat after a lost answer succeeds.
 func (r *Rollout) Apply(ctx context.Context, base int64, s sheet.Sheet) (Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
 	s.Sort()
 	contents, err := split(s)
 	if err != nil {
@@ -101,6 +104,9 @@
 		return Accepted{}, err
 	}
 	r.records.remove(ctx, stored.Retired)
+	if next.Revision%sweepRevisions == 0 {
+		r.records.sweep(ctx, slices.Concat(next.Parts, next.Retired), time.Now())
+	}
 	return Accepted{Revision: next.Revision, Changes: changes}, nil
 }
 
@@ -136,7 +142,7 @@
 // writeParts writes the parts that differ from the head's. It returns the next head
 // and, also with an error, the parts that may have been written.
 func (r *Rollout) writeParts(ctx context.Context, h head, contents map[int]content) (head, []partRef, error) {
-	stamp := uuid.NewString()
+	stamp := uuid.Must(uuid.NewV7()).String()
 	same := map[int]partRef{}
 	for _, ref := range h.Parts {
 		same[ref.Group] = ref
--- a/internal/rollout/records.go
+++ b/internal/rollout/records.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"filbertcross/internal/platform"
 )
 
 // Times of the calls to the store.
 const (
+	applyTimeout   = time.Minute     // of one Apply
+	orphanAge      = 24 * time.Hour  // of a part that nothing names; far above applyTimeout
+	sweepRevisions = 256             // between sweeps
 	callTimeout    = 2 * time.Second // of one call
 	watchTime      = 25 * time.Second
 	firstPause     = 20 * time.Millisecond // between tries of a write whose answer was lost; doubles
@@ -152,3 +156,34 @@
 		cancel()
 	}
 }
+
+// sweep deletes parts that writers left behind who failed before their head. A part
+// that nothing names is left alone until no writer can still be about to name it.
+func (r records) sweep(ctx context.Context, named []partRef, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := r.store.List(ctx, partPrefix)
+	if err != nil {
+		return // the next sweep finds them
+	}
+	keys := map[string]bool{}
+	for _, ref := range named {
+		keys[ref.key()] = true
+	}
+	for _, e := range entries {
+		if !keys[e.Key] && now.Sub(writtenAt(e.Key)) > orphanAge {
+			_ = r.store.Delete(ctx, e.Key, e.Revision)
+		}
+	}
+}
+
+// writtenAt reads a part's age from its writer's stamp, a UUID of version 7. A key
+// without one counts as new.
+func writtenAt(key string) time.Time {
+	stamp, err := uuid.Parse(key[min(len(key), len(partPrefix)+2*hashBytes+1):])
+	if err != nil || stamp.Version() != 7 {
+		return time.Now()
+	}
+	seconds, nanoseconds := stamp.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds)
+}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
@@ -275,3 +276,21 @@
 		m.converge()
 	})
 }
+
+// TestSweep leaves parts behind and expects only old ones that nothing names to go.
+func TestSweep(t *testing.T) {
+	store := &storeView{fakeStore: &fakeStore{entries: map[string]platform.Entry{}}}
+	vm := newVM("vm-0", store.fakeStore, map[string]*fakeVM{}, 3)
+	contents, _ := split(sheetOf(1, 3))
+	next, fresh, err := vm.writeParts(context.Background(), head{}, contents)
+	if err != nil || len(fresh) < 2 {
+		t.Fatal(len(fresh), err)
+	}
+	for _, age := range []time.Duration{applyTimeout, orphanAge + time.Hour} {
+		vm.records.sweep(context.Background(), next.Parts[1:], time.Now().Add(age))
+		_, orphan := store.entries[next.Parts[0].key()]
+		if want := age < orphanAge; orphan != want || len(store.entries) != len(fresh)-1+map[bool]int{true: 1}[want] {
+			t.Fatalf("after %v: orphan kept %v, %d parts of %d", age, orphan, len(store.entries), len(fresh))
+		}
+	}
+}
