--- a/internal/schedule/finish.go
+++ b/internal/schedule/finish.go
@@ -118,7 +118,10 @@
 	case outcome == model.OutcomeDone:
 		r.job.done++
 		s.endTask(r)
-	case outcome == model.OutcomeCanceled || r.job.closed():
+	case r.job.closed():
+		s.endTask(r)
+	case outcome == model.OutcomeCanceled:
+		s.blameGang(r.job, gangFault)
 		s.endTask(r)
 	case outcome != model.OutcomeNotStart && !r.job.Restartable:
 		s.giveUp(r)
@@ -162,11 +165,15 @@
 // giveUp ends a task whose retries are spent. A gang cannot run without it.
 func (s *Scheduler) giveUp(r *run) {
 	s.stats.GivenUp++
-	j := r.job
+	s.blameGang(r.job, "a task of the gang failed too often or cannot be run again")
+	s.endTask(r)
+}
+
+// blameGang ends the retries of a gang, which cannot run without each of its tasks.
+func (s *Scheduler) blameGang(j *job, why string) {
 	if j.Kind == model.KindGang && j.fault == "" {
-		s.blame(j, "a task of the gang failed too often")
+		s.blame(j, why)
 	}
-	s.endTask(r)
 }
 
 // requeue makes the run's task wait again.
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -2,6 +2,9 @@
 
 import "filbertcross/internal/model"
 
+// gangFault is why a gang whose tasks cannot be run again is given up.
+const gangFault = "a task of the gang is missing and the others cannot be run again"
+
 // review lists a run whose state may call for a decision; wanted decides which.
 func (s *Scheduler) review(r *run) { s.orders = append(s.orders, r) }
 
@@ -34,8 +37,7 @@
 	case j.Kind == model.KindGang && j.waiting > 0 && j.Restartable:
 		s.evict(r, j.Branch, "a task of the gang is missing")
 	case j.Kind == model.KindGang && j.waiting > 0:
-		s.blame(j, "a task of the gang is missing and the others cannot be run again")
-		s.stopRun(r, stopCanceled, ActionStop, j.fault)
+		s.stopRun(r, stopCanceled, ActionStop, gangFault)
 	case r.misplaced:
 		s.move(r, "uses more memory than its worker can give")
 	case r.worker.Leaving && r.worker.drain && j.Restartable:
