--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -1,12 +1,16 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"filbertcross/internal/model"
 )
 
 const (
+	spreadGain      = 0.05 // weight of a report in the mean and the distance from it
+	headroomSpread  = 3    // headroom in distances from the mean
+	headroomLeast   = 1.02
 	peakDecay       = 0.01 // part of the way from peak to a lower report
 	runtimeGain     = 0.3  // weight of the last run in the learned run time
 	minRuns         = 2    // runs before the learned run time counts
@@ -17,15 +21,13 @@
 
 // estimate is what was learned of a workload from its usage reports and ended runs.
 type estimate struct {
-	peak    amount
-	reports int
-	run     time.Duration // smoothed
-	runs    int
+	milliCPU  spread
+	memoryMiB spread
+	reports   int
+	run       time.Duration // smoothed
+	runs      int
 }
 
-// amount is a smoothed model.Resources without accelerators, which are never corrected.
-type amount struct{ milliCPU, memoryMiB float64 }
-
 // observe learns from a report of one task.
 func (e *estimate) observe(used, granted model.Resources, throttled bool) {
 	e.reports++
@@ -33,15 +35,34 @@
 	if throttled && cpu >= limitReached*float64(granted.MilliCPU) {
 		cpu *= throttledGrowth
 	}
-	e.peak.milliCPU = decayingPeak(e.peak.milliCPU, cpu)
-	e.peak.memoryMiB = decayingPeak(e.peak.memoryMiB, float64(used.MemoryMiB))
+	e.milliCPU.add(cpu)
+	e.memoryMiB.add(float64(used.MemoryMiB))
+}
+
+// spread follows the reports of one resource: a peak that decays, the mean and the mean
+// distance from it.
+type spread struct{ peak, mean, distance float64 }
+
+func (d *spread) add(seen float64) {
+	if d.mean == 0 {
+		*d = spread{peak: seen, mean: seen, distance: seen} // wide until reports agree
+		return
+	}
+	d.distance += (math.Abs(seen-d.mean) - d.distance) * spreadGain
+	d.mean += (seen - d.mean) * spreadGain
+	if seen >= d.peak {
+		d.peak = seen
+		return
+	}
+	d.peak += (seen - d.peak) * peakDecay
 }
 
-func decayingPeak(peak, seen float64) float64 {
-	if seen >= peak {
-		return seen
+// want is the peak with a headroom that follows the spread of the reports.
+func (d *spread) want(most float64) float64 {
+	if d.mean == 0 {
+		return d.peak * most
 	}
-	return peak + (seen-peak)*peakDecay
+	return d.peak * min(max(1+headroomSpread*d.distance/d.mean, headroomLeast), most)
 }
 
 // finished learns the run time of a task that ended by itself.
@@ -72,19 +93,19 @@
 		return declared
 	}
 	size := declared
-	size.MilliCPU = corrected(declared.MilliCPU, e.peak.milliCPU, opts)
-	size.MemoryMiB = corrected(declared.MemoryMiB, e.peak.memoryMiB, opts)
+	size.MilliCPU = corrected(declared.MilliCPU, &e.milliCPU, opts)
+	size.MemoryMiB = corrected(declared.MemoryMiB, &e.memoryMiB, opts)
 	return size
 }
 
 // corrected returns the grant for one component.
-func corrected(declared int64, peak float64, opts Options) int64 {
+func corrected(declared int64, seen *spread, opts Options) int64 {
 	if declared == 0 {
 		return 0
 	}
-	want := peak * opts.Headroom
+	want := seen.want(opts.Headroom)
 	size := float64(declared)
-	if peak <= size*honestMargin {
+	if seen.peak <= size*honestMargin {
 		want = min(want, size)
 	}
 	want = min(max(want, size/opts.MaxCorrection), size*opts.MaxCorrection)
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "filbertcross/internal/model"
+import (
+	"slices"
+
+	"filbertcross/internal/model"
+)
 
 // addHold puts a hold on its worker and class.
 func (s *Scheduler) addHold(h *hold) {
@@ -86,16 +90,24 @@
 	}
 }
 
-// expireHolds ends holds whose time is over or whose worker takes no tasks.
+// expireHolds ends holds whose time is over or whose worker takes no tasks; reservations
+// are put off.
 func (s *Scheduler) expireHolds() {
 	for pos := len(s.holders) - 1; pos >= 0; pos-- {
 		c := s.holders[pos]
-		for _, h := range append([]*hold(nil), c.holds...) {
-			if s.cluster.now.After(h.expires) || !h.worker.open() {
+		before := c.heldFor
+		overdue := false
+		for _, h := range slices.Clone(c.holds) {
+			over := s.cluster.now.After(h.expires)
+			if !h.worker.open() || over && !h.reserved {
 				s.end(h)
 			}
+			overdue = overdue || over && h.reserved
+		}
+		if overdue {
+			s.extend(c)
 		}
-		if len(c.holds) == 0 && c.state == classBlocked {
+		if c.heldFor < before && c.state == classBlocked {
 			s.revive(c)
 		}
 	}
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -26,7 +26,7 @@
 	ProbeBackoffMax    time.Duration
 	HealthyAfter       time.Duration // a service that ran so long counts as a success
 	Correct            bool          // learn sizes and run times from usage reports
-	Headroom           float64       // learned peak use is multiplied by this for the grant
+	Headroom           float64       // learned peak use is multiplied by at most this for the grant
 	MinObservations    int           // usage reports of a workload before its grants change
 	MaxCorrection      float64       // grants stay within this factor of the declared size
 	EndedJobs          int           // ended jobs kept for Explain
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -84,12 +84,13 @@
 	pos      int       // position in the heap or list of its state
 	timer    time.Time // the next timer set for the class; zero: none
 	holds    []*hold
-	heldFor  int   // tasks that have a hold
-	scanned  int   // workers looked at for victims since it was blocked
-	quota    bool  // blocked by the branch's quota
-	scanning bool  // the search for victims goes on in the next Decide
-	revived  int64 // round in which it was revived for workers that gained room
-	tried    int64 // round in which it was found not to fit
+	reserved time.Time // when its reservation began
+	heldFor  int       // tasks that have a hold
+	scanned  int       // workers looked at for victims since it was blocked
+	quota    bool      // blocked by the branch's quota
+	scanning bool      // the search for victims goes on in the next Decide
+	revived  int64     // round in which it was revived for workers that gained room
+	tried    int64     // round in which it was found not to fit
 	// rotations counts the jobs put behind others in round rotated.
 	rotated   int64
 	rotations int
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	reserveSample  = 64          // workers looked at for a reservation, and four for each task
-	reserveGrace   = time.Minute // a reservation outlives its expected start so long
-	overdueDivisor = 10          // a run past its expected end is taken to need a tenth more
+	reserveSample  = 64               // workers looked at for a reservation, and four for each task
+	reserveGrace   = time.Minute      // a reservation outlives its expected start so long
+	reserveMax     = 30 * time.Minute // a reservation is given up after so long
+	overdueDivisor = 10               // a run past its expected end is taken to need a tenth more
 )
 
 // slot is room for one task on a worker from a time on.
@@ -25,13 +26,17 @@
 // expected to end before, fit beside it, or go before it by level.
 func (s *Scheduler) reserve(q *query, need int) {
 	c := q.class
-	if len(c.holds) > 0 || !s.deservesReservation(q) || !s.reservationFree(c) {
+	missing := need - c.heldFor
+	if missing <= 0 || !s.deservesReservation(q) || !s.reservationFree(c) {
 		return
 	}
-	chosen := s.earliestSlots(q, need)
-	if len(chosen) < need {
+	chosen := s.earliestSlots(q, missing)
+	if len(chosen) < missing {
 		return
 	}
+	if len(c.holds) == 0 {
+		c.reserved = s.cluster.now
+	}
 	at := chosen[len(chosen)-1].at
 	counts := map[*worker]int{}
 	for _, sl := range chosen {
@@ -49,16 +54,76 @@
 // reservation returns the hold for n tasks on a worker.
 func (s *Scheduler) reservation(q *query, w *worker, n int, at time.Time) *hold {
 	size := times(q.size, n)
+	return &hold{
+		class: q.class, worker: w, size: size, tasks: n, spare: s.roomAt(w, at).Sub(size), from: at,
+		expires: at.Add(reserveGrace), reserved: true,
+	}
+}
+
+// roomAt is what is expected to be free on the worker at a time.
+func (s *Scheduler) roomAt(w *worker, at time.Time) model.Resources {
 	room := w.free()
 	for _, r := range w.runs {
 		if !s.expectedEnd(r).After(at) {
 			room = room.Add(r.size)
 		}
 	}
-	return &hold{
-		class: q.class, worker: w, size: size, tasks: n, spare: room.Sub(size), from: at,
-		expires: at.Add(reserveGrace), reserved: true,
+	return room
+}
+
+// extend puts off the start of a class's reservation, whose time is over since runs last
+// longer than expected. It keeps the workers that will have room still. A reservation
+// that is older than reserveMax ends, so that it does not keep capacity idle for nothing.
+func (s *Scheduler) extend(c *class) {
+	if s.cluster.now.Sub(c.reserved) > reserveMax {
+		s.dropHolds(c)
+		return
+	}
+	at := s.cluster.now
+	for _, h := range slices.Clone(c.holds) {
+		ready, ok := s.readyAt(h)
+		if !ok {
+			s.end(h)
+			continue
+		}
+		at = later(at, ready)
+	}
+	for _, h := range c.holds {
+		h.from, h.expires = at, at.Add(reserveGrace)
+		h.spare = s.roomAt(h.worker, at).Sub(h.size)
+	}
+}
+
+// readyAt returns when the held worker will have the room; false: never.
+func (s *Scheduler) readyAt(h *hold) (time.Time, bool) {
+	room, at := h.worker.free(), s.cluster.now
+	for _, r := range s.byEnd(h.worker) {
+		if h.size.Fits(room) {
+			break
+		}
+		if s.neverEnds(r) {
+			return at, false
+		}
+		room = room.Add(r.size)
+		at = s.expectedEnd(r)
 	}
+	return at, h.size.Fits(room)
+}
+
+// byEnd lists the worker's runs by their expected ends.
+func (s *Scheduler) byEnd(w *worker) []*run {
+	ends := slices.Clone(w.runs)
+	slices.SortFunc(ends, func(a, b *run) int {
+		return cmp.Or(s.expectedEnd(a).Compare(s.expectedEnd(b)), cmp.Compare(a.id, b.id))
+	})
+	return ends
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 func (s *Scheduler) deservesReservation(q *query) bool {
@@ -112,10 +177,7 @@
 	if !w.open() || !q.size.Fits(w.Capacity) || len(w.holds) > 0 || q.job.failedHere(w) {
 		return nil
 	}
-	ends := slices.Clone(w.runs)
-	slices.SortFunc(ends, func(a, b *run) int {
-		return cmp.Or(s.expectedEnd(a).Compare(s.expectedEnd(b)), cmp.Compare(a.id, b.id))
-	})
+	ends := s.byEnd(w)
 	room, at := w.free(), s.cluster.now
 	var found []slot
 	for pos := 0; len(found) < need; pos++ {
