--- a/internal/standin/demo/main.go
+++ b/internal/standin/demo/main.go
@@ -18,12 +18,13 @@
 
 func main() {
 	keep := flag.Bool("keep", false, "leave everything up and print commands to try")
+	short := flag.Bool("short", false, "load for less time and judge nothing by the clock, for CI")
 	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
 	sheet := flag.String("sheet", "examples/demo.csv", "sheet to apply")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	demo := &demo{bin: *binaries, sheet: *sheet}
+	demo := &demo{bin: *binaries, sheet: *sheet, short: *short}
 	os.Exit(demo.main(ctx, *keep))
 }
 
