Even ownership, queues of other owners weighed by wait, load bench

Found: permits delivered to a waiter of a third VM were never given back (TestPermitsShareAllSlots: 'never: all permits are back', holder vm1); waits at peers were refused as late; rendezvous alone left some VMs with few servers. Change: such permits are passed on by name and released in turn; the wait of a borrowing excludes the service time; ownership is rendezvous with an even bound; owners are weighed by expected wait and round trip.

--- a/internal/backend/borrower.go
+++ b/internal/backend/borrower.go
@@ -16,11 +16,11 @@
 		return
 	}
 	for {
-		next, shorter, ok := p.reserveBorrow()
+		next, w, ok := p.reserveBorrow()
 		if !ok {
 			return
 		}
-		c, found := m.loads.choose(m.options.Now(), m.view, p.service, shorter)
+		c, found := m.loads.choose(m.options.Now(), m.view, w)
 		if !found {
 			p.endBorrow()
 			return
@@ -33,24 +33,25 @@
 }
 
 // reserveBorrow counts one more borrowing if a request waits for it. It returns the
-// ask that is next, and how short another VM's queue must be to be waited in.
-func (p *pool) reserveBorrow() (next Ask, shorter int, ok bool) {
+// ask that is next, and what to look for.
+func (p *pool) reserveBorrow() (next Ask, w wish, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.borrows >= min(p.queue.Len(), maxBorrows) {
-		return Ask{}, 0, false
+	if p.borrows >= min(p.localWaiting(), maxBorrows) {
+		return Ask{}, wish{}, false
 	}
 	item, _ := p.queue.Peek()
-	switch {
-	case len(p.slots) == 0:
-		shorter = p.options.Queue.Requests // any queue is shorter than none of one's own
-	case p.borrows < maxWaits:
-		shorter = p.queue.Len() / 2
+	w = wish{service: p.service, mean: max(p.times.Mean(), minimumCost), wait: p.options.Lease}
+	if slots := p.table.Slots(); slots > 0 {
+		w.wait = time.Duration(float64(p.queue.Len()-p.borrows) / float64(slots) * float64(w.mean))
 	}
 	p.borrows++
-	return item.Value.ask, shorter, true
+	return item.Value.ask, w, true
 }
 
+// localWaiting is the number of queued requests that came to this VM.
+func (p *pool) localWaiting() int { return p.queue.Len() - p.visitors }
+
 func (p *pool) endBorrow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -119,7 +120,12 @@
 		return false
 	}
 	p.borrowed++
-	item.Value.settled <- settlement{permit: permit(item.Value)}
+	w := item.Value
+	granted := permit(w)
+	if w.holder != p.self {
+		p.passedOn[w.id] = &passedOn{permit: granted, holder: w.holder, lease: w.lease}
+	}
+	w.settled <- settlement{permit: granted}
 	return true
 }
 
@@ -147,5 +153,10 @@
 func (m *Manager) call(to membership.Member, method peer.Method, params any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return m.caller.Call(ctx, to.Address, method, params, &Empty{})
+	start := m.options.Now()
+	err := m.caller.Call(ctx, to.Address, method, params, &Empty{})
+	if err == nil {
+		m.loads.noteRoundTrip(to.ID, m.options.Now().Sub(start))
+	}
+	return err
 }
--- a/internal/backend/lender.go
+++ b/internal/backend/lender.go
@@ -56,16 +56,28 @@
 	granted := !barred && p.queue.Len() == 0 && p.grant(now, w)
 	refusal := p.refusal(now, w.ask, ReasonFull)
 	owns := len(p.slots) > 0
+	waits := !granted && !barred && owns && wait > 0
+	if waits {
+		p.visitors++
+		w.ask.Deadline = w.ask.Deadline.Add(p.times.Likely()) // it bounds the wait only
+	}
 	p.mu.Unlock()
 	switch {
 	case granted:
 		return (<-w.settled).result()
-	case barred || !owns || wait <= 0:
+	case !waits:
 		return nil, refusal
 	}
+	defer p.endVisit()
 	return p.acquire(ctx, w, func() {})
 }
 
+func (p *pool) endVisit() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.visitors--
+}
+
 // load returns what an answer tells of this VM's load.
 func (p *pool) load(now time.Time) AcquireReply {
 	p.mu.Lock()
--- a/internal/backend/manager.go
+++ b/internal/backend/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -54,7 +56,7 @@
 		self:      view.Self().ID,
 		told:      make(chan struct{}, 1),
 		directory: NewDirectory(options.LeavingHold),
-		ownership: NewOwnership(nil),
+		ownership: NewOwnership(nil, nil),
 		pools:     make(map[string]*pool),
 	}
 }
@@ -86,18 +88,19 @@
 // reassign gives every pool its usable servers and those of them that this VM
 // owns now. It is called with mu held.
 func (m *Manager) reassign(now time.Time) {
-	m.ownership = NewOwnership(m.owners())
+	usable := m.directory.Usable(now)
+	m.ownership = NewOwnership(m.owners(), slices.Concat(slices.Collect(maps.Values(usable))...))
 	opens := now
 	if m.ownership.Members() > 1 && m.options.Policy == PolicyPermits {
 		opens = now.Add(m.options.Handover)
 	}
-	usable := m.directory.Usable(now)
 	for service := range usable {
 		if _, ok := m.pools[service]; !ok {
-			m.pools[service] = newPool(&m.options, service, m.recorder)
+			m.pools[service] = newPool(&m.options, m.self, service, m.recorder)
 		}
 	}
 	for service, p := range m.pools {
+		m.loads.setSlots(service, m.slotsByOwner(usable[service]))
 		p.setServers(now, usable[service], m.owned(usable[service]), opens)
 	}
 }
@@ -120,13 +123,22 @@
 		switch {
 		case m.options.Policy == PolicyLocal:
 			owned[s.ID] = m.localLimit(s)
-		case m.ownership.Owner(s) == m.self:
+		case m.ownership.Owner(s.ID) == m.self:
 			owned[s.ID] = s.Slots
 		}
 	}
 	return owned
 }
 
+// slotsByOwner returns how many slots of the servers each VM owns.
+func (m *Manager) slotsByOwner(servers []Server) map[model.VMID]int {
+	slots := make(map[model.VMID]int)
+	for _, s := range servers {
+		slots[m.ownership.Owner(s.ID)] += s.Slots
+	}
+	return slots
+}
+
 // localLimit is this VM's part of a server's slots, rounded up.
 func (m *Manager) localLimit(s Server) int {
 	if m.options.LocalLimit > 0 {
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -11,9 +11,8 @@
 	releaseTries   = 3                      // after which a permit's lease has to end it
 	handoverLife   = 2                      // handovers for which a former owner's word holds
 	maxBorrows     = 256                    // permits of one service asked of peers at once
-	idleWait       = 200 * time.Millisecond // longest wait in another VM's queue while own slots turn over
+	idleWait       = 200 * time.Millisecond // longest wait in another VM's queue for one permit
 	stallFactor    = 8                      // likely service times without an answer that count as a stall
-	maxWaits       = 4                      // such waits of one service at once
 )
 
 // minimumCost is the least slot time that fair queueing charges for a request.
--- a/internal/backend/ownership.go
+++ b/internal/backend/ownership.go
@@ -13,47 +13,67 @@
 
 // Ownership says which VM owns each backend server's slots: the rendezvous
 // choice among the VMs of the server's failure domain, or among all if there are
-// none. VMs with the same view agree, and one VM's end moves its servers only.
+// none, passing over those that own their even part already. VMs with the same
+// view agree, and one VM's end moves few servers besides its own.
 type Ownership struct {
-	all      *rendezvous.Rendezvous
-	byDomain map[model.FailureDomain]*rendezvous.Rendezvous
-	count    int
+	owners  map[ServerID]model.VMID
+	members int
 }
 
-// NewOwnership returns the ownership among the members that may own: the live
-// and the suspected ones, which keep what they own.
-func NewOwnership(members []membership.Member) *Ownership {
+// NewOwnership assigns the servers to the members that may own: the live and the
+// suspected ones, which keep what they own.
+func NewOwnership(members []membership.Member, servers []Server) *Ownership {
 	members = slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return m.State == membership.Dead || m.State == membership.Leaving
 	})
-	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.ID, b.ID) })
-	o := &Ownership{byDomain: make(map[model.FailureDomain]*rendezvous.Rendezvous), count: len(members)}
-	if len(members) == 0 {
-		return o
-	}
-	ids := make(map[model.FailureDomain][]string)
+	o := &Ownership{owners: make(map[ServerID]model.VMID, len(servers)), members: len(members)}
 	var all []string
+	local := make(map[model.FailureDomain][]string)
 	for _, m := range members {
 		all = append(all, string(m.ID))
-		ids[m.FailureDomain] = append(ids[m.FailureDomain], string(m.ID))
+		local[m.FailureDomain] = append(local[m.FailureDomain], string(m.ID))
+	}
+	groups := make(map[model.FailureDomain][]Server)
+	for _, s := range servers {
+		group := s.FailureDomain
+		if len(local[group]) == 0 {
+			group = "" // of all VMs
+		}
+		groups[group] = append(groups[group], s)
 	}
-	o.all = rendezvous.New(all, xxhash.Sum64String)
-	for domain, names := range ids {
-		o.byDomain[domain] = rendezvous.New(names, xxhash.Sum64String)
+	for group, some := range groups {
+		names := local[group]
+		if len(names) == 0 {
+			names = all
+		}
+		o.assign(names, some)
 	}
 	return o
 }
 
-// Owner returns the VM that owns the server's slots, or "" if there is none.
-func (o *Ownership) Owner(s Server) model.VMID {
-	if o.count == 0 {
-		return ""
+// assign gives each server to its first choice among the VMs that have room.
+func (o *Ownership) assign(names []string, servers []Server) {
+	if len(names) == 0 {
+		return
 	}
-	if domain, ok := o.byDomain[s.FailureDomain]; ok {
-		return model.VMID(domain.Lookup(string(s.ID)))
+	slices.Sort(names)
+	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	room := (len(servers) + len(names) - 1) / len(names)
+	count := make(map[string]int, len(names))
+	choice := rendezvous.New(names, xxhash.Sum64String)
+	for _, s := range servers {
+		name := choice.Lookup(string(s.ID))
+		o.owners[s.ID] = model.VMID(name)
+		count[name]++
+		if count[name] == room {
+			names = slices.DeleteFunc(slices.Clone(names), func(full string) bool { return full == name })
+			choice = rendezvous.New(names, xxhash.Sum64String)
+		}
 	}
-	return model.VMID(o.all.Lookup(string(s.ID)))
 }
 
+// Owner returns the VM that owns the server's slots, or "" if there is none.
+func (o *Ownership) Owner(id ServerID) model.VMID { return o.owners[id] }
+
 // Members returns the number of VMs that may own servers.
-func (o *Ownership) Members() int { return o.count }
+func (o *Ownership) Members() int { return o.members }
--- a/internal/backend/peer_loads.go
+++ b/internal/backend/peer_loads.go
@@ -13,11 +13,17 @@
 // one in the heartbeats' digest.
 const loadLife = 300 * time.Millisecond
 
-// peerLoads knows the other owners' free slots and queues: from their digests,
-// and meanwhile from their answers. Safe for concurrent use.
+// roundTripWeight is the part that one more call has in a peer's round-trip time.
+const roundTripWeight = 0.1
+
+// peerLoads knows the other owners' slots, free slots and queues: from the
+// ownership, from their digests and, meanwhile, from their answers. Safe for
+// concurrent use.
 type peerLoads struct {
-	mu    sync.Mutex
-	notes map[loadKey]peerLoad
+	mu         sync.Mutex
+	notes      map[loadKey]peerLoad
+	slots      map[string]map[model.VMID]int // owned, by service
+	roundTrips map[model.VMID]float64        // seconds
 }
 
 type loadKey struct {
@@ -31,7 +37,20 @@
 	at     time.Time
 }
 
-func newPeerLoads() *peerLoads { return &peerLoads{notes: make(map[loadKey]peerLoad)} }
+func newPeerLoads() *peerLoads {
+	return &peerLoads{
+		notes:      make(map[loadKey]peerLoad),
+		slots:      make(map[string]map[model.VMID]int),
+		roundTrips: make(map[model.VMID]float64),
+	}
+}
+
+// setSlots takes how many slots of the service each VM owns.
+func (l *peerLoads) setSlots(service string, slots map[model.VMID]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slots[service] = slots
+}
 
 // note takes the load of an answer.
 func (l *peerLoads) note(vm model.VMID, service string, load peerLoad) {
@@ -40,53 +59,82 @@
 	l.notes[loadKey{vm, service}] = load
 }
 
+// noteRoundTrip takes how long a call that did not wait took.
+func (l *peerLoads) noteRoundTrip(vm model.VMID, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.roundTrips[vm]
+	if !ok {
+		known = took.Seconds()
+	}
+	l.roundTrips[vm] = known + (took.Seconds()-known)*roundTripWeight
+}
+
 // candidate is another owner that may have a slot.
 type candidate struct {
 	member membership.Member
 	load   peerLoad
+	wait   time.Duration // expected, the call's round trip included
 }
 
-// choose picks the owner to ask for a slot by power of two choices: one with a
-// free slot, in the own failure domain if there is one; failing that, one whose
-// queue is shorter than the given length, to wait in it.
-func (l *peerLoads) choose(now time.Time, view membership.View, service string, shorter int) (candidate, bool) {
+// wish describes what a borrower looks for.
+type wish struct {
+	service string
+	mean    time.Duration // service time
+	wait    time.Duration // expected in the borrower's own queue
+}
+
+// choose picks the owner to ask for a slot by power of two choices, in the own
+// failure domain first: one with a free slot that comes sooner than the own queue
+// turns over, or one to wait at for less than half of the time.
+func (l *peerLoads) choose(now time.Time, view membership.View, w wish) (candidate, bool) {
 	self := view.Self()
-	var near, far, waiting []candidate
+	var near, far []candidate
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range view.Members() {
-		if m.ID == self.ID || m.State != membership.Alive {
+		slots := l.slots[w.service][m.ID]
+		if m.ID == self.ID || m.State != membership.Alive || slots == 0 {
 			continue
 		}
-		load, owns := l.load(now, m, service)
-		c := candidate{member: m, load: load}
-		switch {
-		case !owns:
-		case load.free > 0 && m.FailureDomain == self.FailureDomain:
+		c := l.candidate(now, m, w, slots)
+		if m.FailureDomain == self.FailureDomain {
 			near = append(near, c)
-		case load.free > 0:
+		} else {
 			far = append(far, c)
-		case load.queued < shorter:
-			waiting = append(waiting, c)
 		}
 	}
-	for _, some := range [][]candidate{near, far, waiting} {
-		if len(some) > 0 {
-			c := better(some)
-			l.expect(now, c, service)
+	for _, some := range [][]candidate{near, far} {
+		if len(some) == 0 {
+			continue
+		}
+		if c := better(some); c.worth(w) {
+			l.expect(now, c, w.service)
 			return c, true
 		}
 	}
 	return candidate{}, false
 }
 
-// load returns the newest known load; owns is false for a VM without slots of the service.
-func (l *peerLoads) load(now time.Time, m membership.Member, service string) (load peerLoad, owns bool) {
-	free, owns := m.Digest.FreeSlots[service]
-	if noted, ok := l.notes[loadKey{m.ID, service}]; ok && now.Sub(noted.at) < loadLife {
-		return noted, owns
+// candidate weighs an owner from the newest known load.
+func (l *peerLoads) candidate(now time.Time, m membership.Member, w wish, slots int) candidate {
+	load, ok := l.notes[loadKey{m.ID, w.service}]
+	if !ok || now.Sub(load.at) > loadLife {
+		load = peerLoad{free: m.Digest.FreeSlots[w.service], queued: m.Digest.Queued[w.service]}
+	}
+	seconds := l.roundTrips[m.ID]
+	if load.free == 0 {
+		seconds += float64(load.queued+1) / float64(slots) * w.mean.Seconds()
+	}
+	return candidate{member: m, load: load, wait: time.Duration(seconds * float64(time.Second))}
+}
+
+// worth reports whether asking the owner shortens the wait.
+func (c candidate) worth(w wish) bool {
+	if c.load.free > 0 {
+		return c.wait <= w.wait
 	}
-	return peerLoad{free: free, queued: m.Digest.Queued[service]}, owns
+	return 2*c.wait <= w.wait
 }
 
 // expect counts the request that is about to be made.
@@ -101,10 +149,10 @@
 	l.notes[loadKey{c.member.ID, service}] = load
 }
 
-// better returns the less loaded of two random candidates.
+// better returns the one with the shorter wait of two random candidates.
 func better(some []candidate) candidate {
 	a, b := some[rand.IntN(len(some))], some[rand.IntN(len(some))]
-	if b.load.free > a.load.free || (b.load.free == a.load.free && b.load.queued < a.load.queued) {
+	if b.wait < a.wait {
 		return b
 	}
 	return a
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,6 +14,7 @@
 // borrows, among the requests that wait here. Safe for concurrent use.
 type pool struct {
 	options *Options
+	self    model.VMID
 	service string
 	record  func(def *event.Def, values ...any)
 
@@ -28,8 +29,10 @@
 	barred   map[PermitID]time.Time    // released before they were granted
 	notes    map[ServerID]handoverNote // of former owners
 	lost     map[ServerID]*lostServer  // to be handed over
+	visitors int                       // waiters of other VMs
 	borrows  int                       // permits being asked of other VMs
 	borrowed int                       // permits of other VMs in use here
+	passedOn map[PermitID]*passedOn    // borrowed permits that another VM uses
 }
 
 // waiter is a request that waits for a slot, here or on the VM that asks for a permit.
@@ -41,15 +44,23 @@
 	settled chan settlement // receives exactly once, unless the waiter cancels
 }
 
+// passedOn is a borrowed permit that came when a waiter of another VM was next.
+type passedOn struct {
+	permit *Permit
+	holder model.VMID
+	lease  time.Time
+}
+
 // settlement is what a waiter gets.
 type settlement struct {
 	permit  *Permit
 	refusal *Refusal
 }
 
-func newPool(options *Options, service string, recorder event.Recorder) *pool {
+func newPool(options *Options, self model.VMID, service string, recorder event.Recorder) *pool {
 	return &pool{
 		options:  options,
+		self:     self,
 		service:  service,
 		record:   recorder.Record,
 		servers:  make(map[ServerID]Server),
@@ -61,6 +72,7 @@
 		barred:   make(map[PermitID]time.Time),
 		notes:    make(map[ServerID]handoverNote),
 		lost:     make(map[ServerID]*lostServer),
+		passedOn: make(map[PermitID]*passedOn),
 	}
 }
 
@@ -187,8 +199,7 @@
 	now := p.options.Now()
 	g, ok := p.table.Release(id)
 	if !ok {
-		p.queue.Remove(id)
-		p.barred[id] = now.Add(p.options.Lease)
+		p.releaseUnknown(now, id, o)
 		return
 	}
 	p.observe(o, held, branch)
@@ -201,6 +212,16 @@
 	p.dispatch(now)
 }
 
+// releaseUnknown ends a permit that this VM has not granted itself.
+func (p *pool) releaseUnknown(now time.Time, id PermitID, o Outcome) {
+	if passed, ok := p.passedOn[id]; ok {
+		delete(p.passedOn, id)
+		go passed.permit.Release(o) // it takes the lock again
+		return
+	}
+	p.barred[id] = now.Add(p.options.Lease)
+}
+
 // observe learns from the time that a request held its slot.
 func (p *pool) observe(o Outcome, held time.Duration, branch model.BranchID) {
 	if o != OutcomeAnswered {
--- a/internal/backend/pool_slots.go
+++ b/internal/backend/pool_slots.go
@@ -119,6 +119,11 @@
 	for _, g := range p.table.Overdue(now.Add(-stalled)) {
 		p.judge(now, g.Server, OutcomeTimeout)
 	}
+	for id, passed := range p.passedOn {
+		if now.After(passed.lease) || gone(passed.holder) {
+			p.releaseUnknown(now, id, OutcomeUnused)
+		}
+	}
 	for id, until := range p.barred {
 		if now.After(until) {
 			delete(p.barred, id)
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -86,8 +86,9 @@
 // lost its permits still use.
 func (m *Manager) handOver(p *pool, now time.Time) {
 	for id, held := range p.handovers(now, m.options.Handover/2) {
-		owner, found := m.ownerOf(p.service, id)
+		owner, found := m.ownerOf(id)
 		if !found {
+			p.told(id) // there is nobody to tell
 			continue
 		}
 		request := HandoverRequest{Service: p.service, Server: id, From: m.self, Held: held}
@@ -104,14 +105,9 @@
 }
 
 // ownerOf returns the member that owns the server now, if it is another one.
-func (m *Manager) ownerOf(service string, id ServerID) (membership.Member, bool) {
+func (m *Manager) ownerOf(id ServerID) (membership.Member, bool) {
 	m.mu.RLock()
-	var owner model.VMID
-	for _, s := range m.directory.Usable(m.options.Now())[service] {
-		if s.ID == id {
-			owner = m.ownership.Owner(s)
-		}
-	}
+	owner := m.ownership.Owner(id)
 	m.mu.RUnlock()
 	for _, member := range m.view.Members() {
 		if member.ID == owner && owner != m.self {
--- a/internal/backend/service_time.go
+++ b/internal/backend/service_time.go
@@ -34,7 +34,7 @@
 
 // Likely returns a time that most requests do not exceed.
 func (s *ServiceTime) Likely() time.Duration {
-	return time.Duration((s.mean + 2*s.deviation) * float64(time.Second))
+	return time.Duration((s.mean + 3*s.deviation) * float64(time.Second))
 }
 
 // Wait returns how long the slots take to serve the requests ahead.
--- /dev/null
+++ b/internal/front/loadbench/cluster.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"filbertcross/internal/backend"
+	"filbertcross/internal/event"
+	"filbertcross/internal/front"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/verdict"
+)
+
+// heartbeat is how often a VM's digest reaches the others.
+const heartbeat = 250 * time.Millisecond
+
+// cluster is the backend servers and the entry VMs of one scenario.
+type cluster struct {
+	settings settings
+	servers  []*backendServer
+	vms      []*entryVM
+	stop     context.CancelFunc
+	calls    atomic.Int64 // between VMs
+	costly   atomic.Int64 // of them between failure domains
+
+	mu      sync.RWMutex
+	members []membership.Member
+}
+
+// entryVM is one entry VM.
+type entryVM struct {
+	cluster  *cluster
+	member   membership.Member
+	manager  *backend.Manager
+	handler  *front.Handler
+	http     *httptest.Server
+	handlers map[peer.Method]peer.Handler
+}
+
+func newCluster(s settings, options backend.Options, source model.ConfigurationSource) *cluster {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &cluster{settings: s, stop: stop}
+	var list []platform.VM
+	for i := range s.servers {
+		b := newBackendServer(s, i)
+		c.servers = append(c.servers, b)
+		list = append(list, b.row())
+	}
+	for i := range s.vms {
+		c.vms = append(c.vms, c.newVM(i))
+	}
+	for _, vm := range c.vms {
+		vm.start(ctx, options, source, list)
+	}
+	go c.beat(ctx)
+	return c
+}
+
+func (c *cluster) newVM(index int) *entryVM {
+	id := fmt.Sprintf("vm-%d", index)
+	vm := &entryVM{cluster: c, handlers: make(map[peer.Method]peer.Handler)}
+	vm.member = membership.Member{ID: model.VMID(id), Address: id, FailureDomain: domainOf(c.settings, index)}
+	c.members = append(c.members, vm.member)
+	return vm
+}
+
+func (vm *entryVM) start(ctx context.Context, options backend.Options, source model.ConfigurationSource, list []platform.VM) {
+	vm.manager = backend.NewManager(options, vm, vm, event.Discard{}, tally.NoopScope)
+	vm.manager.Register(vm)
+	vm.handler = front.New(front.Options{}, vm.manager, nil, source, vm, event.Discard{}, tally.NoopScope)
+	vm.http = httptest.NewServer(vm.handler)
+	vm.manager.Update(time.Now(), list)
+	go func() { _ = vm.manager.Run(ctx) }()
+}
+
+// beat carries the digests.
+func (c *cluster) beat(ctx context.Context) {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.exchangeDigests()
+		}
+	}
+}
+
+func (c *cluster) exchangeDigests() {
+	digests := make([]membership.Digest, len(c.vms))
+	for i, vm := range c.vms {
+		digests[i] = membership.Digest{FreeSlots: vm.manager.FreeSlots(), Queued: vm.manager.Queued()}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := make([]membership.Member, len(c.members))
+	for i, m := range c.members {
+		m.Digest = digests[i]
+		members[i] = m
+	}
+	c.members = members
+}
+
+// setState changes what all VMs believe of one.
+func (c *cluster) setState(index int, state membership.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := append([]membership.Member(nil), c.members...)
+	members[index].State = state
+	c.members = members
+}
+
+func (c *cluster) close() {
+	c.stop()
+	for _, vm := range c.vms {
+		vm.http.CloseClientConnections()
+		vm.http.Close()
+	}
+	for _, b := range c.servers {
+		b.stalled.Store(false)
+		b.http.CloseClientConnections()
+		b.http.Close()
+	}
+}
+
+// Self returns the VM's own entry.
+func (vm *entryVM) Self() membership.Member { return vm.member }
+
+// Members returns all VMs. The slice is not changed afterwards.
+func (vm *entryVM) Members() []membership.Member {
+	vm.cluster.mu.RLock()
+	defer vm.cluster.mu.RUnlock()
+	return vm.cluster.members
+}
+
+// Handle takes a handler of the inner protocol.
+func (vm *entryVM) Handle(m peer.Method, h peer.Handler) { vm.handlers[m] = h }
+
+// Call carries a call to another VM as JSON, with the link's delay both ways.
+func (vm *entryVM) Call(ctx context.Context, address string, m peer.Method, params, result any) error {
+	target := vm.cluster.vm(address)
+	if target == nil {
+		return &peer.Error{Code: peer.CodeUnreachable, Message: address, Verdict: verdict.NotRun}
+	}
+	vm.cluster.calls.Add(1)
+	delay := time.Duration(0)
+	if target.member.FailureDomain != vm.member.FailureDomain {
+		vm.cluster.costly.Add(1)
+		delay = vm.cluster.settings.linkDelay
+	}
+	request, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	time.Sleep(delay)
+	reply, err := target.handlers[m](ctx, request)
+	if err != nil {
+		return err
+	}
+	time.Sleep(delay)
+	answer, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, result)
+}
+
+func (c *cluster) vm(address string) *entryVM {
+	for _, vm := range c.vms {
+		if vm.member.Address == address {
+			return vm
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/loadbench/server.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filbertcross/internal/front"
+	"filbertcross/internal/model"
+	"filbertcross/internal/platform"
+)
+
+// service is the name of the one service that is measured.
+const service = "zalibook"
+
+// headerTook carries how long the server had the request, in microseconds.
+const headerTook = "Loadbench-Took"
+
+// backendServer sleeps for each request and refuses those above its slots.
+type backendServer struct {
+	id       string
+	domain   model.FailureDomain
+	settings settings
+	http     *httptest.Server
+	stalled  atomic.Bool
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	inUse   int
+	peak    int // requests present at once, refused ones included
+	refused int
+	busy    time.Duration // slot time served
+}
+
+func newBackendServer(s settings, index int) *backendServer {
+	b := &backendServer{
+		id:       fmt.Sprintf("backend-%d", index),
+		domain:   domainOf(s, index),
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.seed, uint64(index))),
+	}
+	b.http = httptest.NewServer(b)
+	return b
+}
+
+func domainOf(s settings, index int) model.FailureDomain {
+	return model.FailureDomain(fmt.Sprintf("domain-%d", index%s.domains))
+}
+
+func (b *backendServer) address() string { return strings.TrimPrefix(b.http.URL, "http://") }
+
+// row is the server in the platform's list.
+func (b *backendServer) row() platform.VM {
+	return platform.VM{
+		ID: b.id, Role: platform.RoleBackend, Address: b.address(), FailureDomain: b.domain,
+		Service: service, Slots: b.settings.slots, Connections: 64,
+	}
+}
+
+// ServeHTTP runs the request if a slot is free.
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	w.Header().Set(front.HeaderRequestID, r.Header.Get(front.HeaderRequestID))
+	took, ok := b.enter()
+	if !ok {
+		w.Header().Set(front.HeaderRefused, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(took)
+	for b.stalled.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.leave(took)
+	w.Header().Set(headerTook, strconv.FormatInt(time.Since(start).Microseconds(), 10))
+	_, _ = w.Write([]byte("ok"))
+}
+
+func (b *backendServer) enter() (took time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peak = max(b.peak, b.inUse+1)
+	if b.inUse >= b.settings.slots {
+		b.refused++
+		return 0, false
+	}
+	b.inUse++
+	return time.Duration((0.5 + b.random.Float64()) * float64(b.settings.serviceTime)), true
+}
+
+func (b *backendServer) leave(took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inUse--
+	b.busy += took
+}
+
+// resetCounts begins the measured time.
+func (b *backendServer) resetCounts() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy, b.refused, b.peak = 0, 0, b.inUse
+}
