A VM in one process: bad input names its field and changes nothing; store outage

Change: a test builds one VM with wire's Build beside stand-ins on loopback: 16 kinds of bad input, then jobs, sheet revision and the backend server's count are compared; in an outage checks go on, a booking with a key and a job are refused as not run with when to come back, and the key then runs once.

--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,237 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/config"
+	"filbertcross/internal/model"
+	"filbertcross/internal/platform"
+	"filbertcross/internal/standin"
+	"filbertcross/internal/verdict"
+)
+
+const testSheet = `branch,workload,kind,share,priority,deadline,tasks,cpus,memory,accelerators,runtime,service
+sofia,availability,interactive,1,urgent,,,,,,,zalibook
+sofia,rebuild,batch,1,high,10m,2,2,1GiB,,1s,
+sofia,huge,batch,1,high,10m,1,2000,1GiB,,1s,
+`
+
+// testVM is one VM in this process beside stand-ins.
+type testVM struct {
+	url     string
+	client  *api.Client
+	store   *standin.Store
+	backend *standin.Backend
+	worker  *standin.Worker
+	stop    func() error
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func serve(t *testing.T, handler http.Handler) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func startVM(t *testing.T) *testVM {
+	t.Helper()
+	vm := &testVM{
+		store:   standin.NewStore(0, 0),
+		backend: standin.NewBackend(standin.BackendOptions{ID: "backend-1", Slots: 8}),
+		worker: standin.NewWorker(standin.WorkerOptions{
+			ID: "worker-1", Capacity: model.Resources{MilliCPU: 32_000, MemoryMiB: 128 << 10}, DefaultRuntime: 50 * time.Millisecond,
+		}),
+	}
+	list := standin.NewVMList(0)
+	settings := config.Default()
+	settings.Name, settings.FailureDomain = "vm", "bg-south-1"
+	settings.HTTPAddress, settings.PeerAddress = address(t), address(t)
+	settings.StoreURL = serve(t, vm.store.Handler()).URL
+	settings.VMListURL = serve(t, list.Handler()).URL
+	settings.ListInterval, settings.WorkerInterval = 50*time.Millisecond, 50*time.Millisecond
+	settings.DrainDelay = 0
+	settings.MaxBody = 64 << 10
+	for _, row := range []platform.VM{
+		{ID: "vm", Role: platform.RoleEntry, Address: settings.PeerAddress},
+		{ID: "worker-1", Role: platform.RoleWorker, Address: host(serve(t, vm.worker.Handler())), Capacity: model.Resources{MilliCPU: 32_000, MemoryMiB: 128 << 10}},
+		{ID: "backend-1", Role: platform.RoleBackend, Address: host(serve(t, vm.backend.Handler())), Service: "zalibook", Slots: 8, Connections: 64},
+	} {
+		row.FailureDomain = "bg-south-1"
+		list.Put(row)
+	}
+	server, err := Build(settings, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	vm.stop = func() error {
+		cancel()
+		return <-ended
+	}
+	vm.url = "http://" + settings.HTTPAddress
+	vm.client = api.NewClient(vm.url)
+	return vm
+}
+
+func host(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func (vm *testVM) ready(t *testing.T) {
+	t.Helper()
+	eventually(t, "the sheet to be accepted", func() bool {
+		_, err := vm.client.ApplySheet(context.Background(), 0, []byte(testSheet), "")
+		return err == nil
+	})
+	eventually(t, "the VM to be ready", func() bool {
+		_, err := vm.client.Text(context.Background(), "/readyz")
+		return err == nil
+	})
+}
+
+// eventually polls without a bound of its own: go test's timeout ends a hang.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for n := 0; !holds(); n++ {
+		if n%200 == 199 {
+			t.Logf("still waiting for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestBadInputNamesTheFieldAndChangesNothing sends what callers and operators get
+// wrong, and compares the state before and after.
+func TestBadInputNamesTheFieldAndChangesNothing(t *testing.T) {
+	vm := startVM(t)
+	vm.ready(t)
+	ctx := context.Background()
+	if _, err := vm.client.SubmitJob(ctx, api.SubmitJob{Branch: "sofia", Workload: "rebuild"}, "monday"); err != nil {
+		t.Fatal(err)
+	}
+	ran := vm.backend.Counts().Ran
+	service := "/v1/branches/sofia/services/zalibook/bookings"
+	cases := []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		field                    string
+	}{
+		{name: "unknown branch of a request", method: "GET", path: "/v1/branches/varna/services/zalibook/x", status: 404, field: "branch"},
+		{name: "unknown service", method: "GET", path: "/v1/branches/sofia/services/other/x", status: 404, field: "service"},
+		{name: "malformed deadline", method: "GET", path: service, header: map[string]string{"Filbertcross-Deadline": "soon"}, status: 400, field: "Filbertcross-Deadline"},
+		{name: "oversized body", method: "POST", path: service, body: strings.Repeat("x", 65<<10), status: 413, field: "Content-Length"},
+		{name: "unknown branch of a job", method: "POST", path: "/v1/jobs", body: `{"branch":"varna","workload":"rebuild"}`, status: 404, field: "branch"},
+		{name: "unknown workload", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"other"}`, status: 404, field: "workload"},
+		{name: "interactive workload as a job", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"availability"}`, status: 400, field: "workload"},
+		{name: "misspelt field", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","work":"rebuild"}`, status: 400, field: "body"},
+		{name: "deadline in the past", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"rebuild","deadline":"2020-01-01T00:00:00Z"}`, status: 400, field: "deadline"},
+		{name: "too many tasks", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"rebuild","tasks":100000}`, status: 400, field: "tasks"},
+		{name: "job that can never run", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"huge"}`, status: 422, field: "workload"},
+		{name: "key of another job", method: "POST", path: "/v1/jobs", body: `{"branch":"sofia","workload":"rebuild","tasks":1}`, header: map[string]string{api.HeaderIdempotencyKey: "monday"}, status: 422, field: api.HeaderIdempotencyKey},
+		{name: "unknown job", method: "GET", path: "/v1/jobs/none", status: 404, field: "job"},
+		{name: "sheet with a bad row", method: "PUT", path: "/v1/sheet?base=1", body: "branch,workload,kind,share\nsofia,a,batch,many\n", status: 422, field: "sheet"},
+		{name: "sheet without a base", method: "PUT", path: "/v1/sheet", body: testSheet, status: 400, field: "base"},
+		{name: "sheet from an old base", method: "PUT", path: "/v1/sheet?base=0", body: strings.ReplaceAll(testSheet, ",1,", ",2,"), status: 409, field: "base"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, problem := vm.send(t, c.method, c.path, c.body, c.header)
+			if status != c.status || problem.Field != c.field || problem.Verdict != verdict.NotRun.String() {
+				t.Errorf("status %d, field %q, verdict %q (%s); want %d, %q, not-run", status, problem.Field, problem.Verdict, problem.Error, c.status, c.field)
+			}
+		})
+	}
+	jobs, err := vm.client.Jobs(ctx, "")
+	if err != nil || len(jobs) != 1 {
+		t.Errorf("%d jobs, %v; want the one that was accepted", len(jobs), err)
+	}
+	statuses, err := vm.client.SheetStatus(ctx)
+	if err != nil || len(statuses) != 1 || statuses[0].Revision != 1 {
+		t.Errorf("sheet status %v, %v; want revision 1", statuses, err)
+	}
+	if now := vm.backend.Counts().Ran; now != ran {
+		t.Errorf("the backend server ran %d requests, want %d", now, ran)
+	}
+	if err := vm.stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+func (vm *testVM) send(t *testing.T, method, path, body string, header map[string]string) (int, api.Problem) {
+	t.Helper()
+	req, err := http.NewRequest(method, vm.url+path, bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var problem api.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&problem); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, problem
+}
+
+// TestStoreOutage: checks go on, bookings with a key and jobs are refused at once as
+// not run with when to come back, and running the same key later runs it once.
+func TestStoreOutage(t *testing.T) {
+	vm := startVM(t)
+	vm.ready(t)
+	vm.store.Faults.Set(standin.FaultSettings{Down: true})
+	check, _ := vm.send(t, "GET", "/v1/branches/sofia/services/zalibook/availability", "", nil)
+	if check != http.StatusOK {
+		t.Errorf("a check without the store has status %d, want 200", check)
+	}
+	key := map[string]string{api.HeaderIdempotencyKey: "hall-1"}
+	path := "/v1/branches/sofia/services/zalibook/bookings?booking=hall-1"
+	status, problem := vm.send(t, "POST", path, "", key)
+	if status != http.StatusServiceUnavailable || problem.Verdict != verdict.NotRun.String() || problem.RetryAfterMs == 0 {
+		t.Errorf("a booking without the store: status %d, %+v", status, problem)
+	}
+	status, problem = vm.send(t, "POST", "/v1/jobs", `{"branch":"sofia","workload":"rebuild"}`, nil)
+	if status != http.StatusServiceUnavailable || problem.Verdict == verdict.Done.String() || problem.RetryAfterMs == 0 {
+		t.Errorf("a job without the store: status %d, %+v", status, problem)
+	}
+	if ran := vm.backend.Counts().Bookings["hall-1"]; ran != 0 {
+		t.Errorf("a booking told not run ran %d times", ran)
+	}
+	vm.store.Faults.Set(standin.FaultSettings{})
+	eventually(t, "the booking to be done", func() bool {
+		status, _ := vm.send(t, "POST", path, "", key)
+		return status == http.StatusOK
+	})
+	if ran := vm.backend.Counts().Bookings["hall-1"]; ran != 1 {
+		t.Errorf("the booking ran %d times, want once", ran)
+	}
+	if err := vm.stop(); err != nil {
+		t.Error(err)
+	}
+}
