Assigner's rules tested with a driven clock; a stop waits for takeovers on their way

Cause: the assigner had no test of its own, and a takeover under way while a VM released everything could leave a partition in the hands of a VM that ends. Change: the clock is passed in, moves are waited for before the release. Tests follow one partition through its owners. Seen failing, one mechanism broken at a time on a scratch copy: no start delay ('taken before the VM listened for the others'), live owners not respected ('taken from a live owner at once'), no wanted delay ('released before the other VM was wanted for a while'), no grace ('want it taken after the grace, not before'), leaving not noted ('a leaving VM took a partition').

--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -64,6 +64,9 @@
 
 	attempts map[model.PartitionID]*attempt
 	leaving  bool
+	moves    sync.WaitGroup // takeovers and releases on their way; added to under mu while not leaving
+
+	now func() time.Time
 }
 
 // attempt is the state of a partition that this VM does not yet, or no longer, want.
@@ -82,6 +85,7 @@
 		host:     host,
 		recorder: recorder,
 		attempts: map[model.PartitionID]*attempt{},
+		now:      time.Now,
 	}
 	a.interval = a.logInterval
 	return a
@@ -93,7 +97,7 @@
 	defer a.mu.Unlock()
 	a.vms = vms
 	if a.heard.IsZero() {
-		a.heard = time.Now()
+		a.heard = a.now()
 	}
 }
 
@@ -118,9 +122,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
 			a.loadLayout(ctx)
-			a.step(ctx, now)
+			a.step(ctx)
 		}
 	}
 }
@@ -185,7 +189,8 @@
 }
 
 // step compares what this VM hosts with what it is wanted for.
-func (a *assigner) step(ctx context.Context, now time.Time) {
+func (a *assigner) step(ctx context.Context) {
+	now := a.now()
 	layout, loaded := a.Layout()
 	if !loaded {
 		return
@@ -210,7 +215,7 @@
 			continue
 		}
 		try.busy = true
-		go a.move(ctx, info, wish, try, members)
+		a.moves.Go(func() { a.move(ctx, info, wish, try, members) })
 	}
 }
 
@@ -233,14 +238,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	try.busy = false
-	try.retryAt = time.Now().Add(takeoverRetry)
+	try.retryAt = a.now().Add(takeoverRetry)
 }
 
 // take takes the partition over unless a live owner may still give it up by itself.
 func (a *assigner) take(ctx context.Context, info partition.Info, try *attempt, members []membership.Member) {
 	bounded, cancel := context.WithTimeout(ctx, storeCallsPerTakeover*a.settings.StoreTimeout)
 	defer cancel()
-	if time.Since(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
+	if a.now().Sub(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
 		return
 	}
 	begun := time.Now()
@@ -294,11 +299,13 @@
 	a.recorder.Record(event.PartitionReleased, id, log.Epoch())
 }
 
-// ReleaseAll gives every partition up and takes none from then on.
+// ReleaseAll waits for the takeovers on their way, gives every partition up and
+// takes none from then on.
 func (a *assigner) ReleaseAll(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
+	a.moves.Wait()
 	var releases sync.WaitGroup
 	for id := range a.host.Hosted() {
 		releases.Add(1)
