--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -117,7 +117,7 @@
 // whole reads the answer to its end and checks that it belongs to the attempt.
 func (c *connections) whole(a attempt, in *http.Response) (*ledger.Answer, error) {
 	defer in.Body.Close() // closes the connection if the answer is not read to its end
-	if in.Header.Get(HeaderRequestID) != a.id {
+	if c.crossed(a, in) {
 		return nil, errCrossed
 	}
 	if unframed(in) {
@@ -136,6 +136,13 @@
 	return &ledger.Answer{Status: in.StatusCode, Header: endToEnd(in.Header), Body: body}, nil
 }
 
+// crossed reports whether the answer names another attempt, or none where the
+// backend servers are known to name it.
+func (c *connections) crossed(a attempt, in *http.Response) bool {
+	named := in.Header.Get(HeaderRequestID)
+	return named != a.id && (named != "" || c.options.RequireRequestID)
+}
+
 // unframed reports whether only the connection's end would mark the answer's end,
 // so that a cut one looks whole.
 func unframed(in *http.Response) bool {
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"filbertcross/internal/ledger"
 	"filbertcross/internal/verdict"
@@ -67,6 +69,28 @@
 	_ = conn.Close()
 }
 
+// slowAnswer is how long a late answer takes.
+const slowAnswer = 50 * time.Millisecond
+
+// late runs the request at once and answers after the request's deadline.
+func late(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	time.Sleep(5 * slowAnswer)
+	_, _ = w.Write([]byte(r.URL.Path))
+}
+
+// twice sends the whole answer two times, and keeps the connection open for a
+// request that would take the second one for its own.
+func twice(w http.ResponseWriter, r *http.Request, run func()) {
+	run()
+	conn, _, _ := http.NewResponseController(w).Hijack()
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		HeaderRequestID, r.Header.Get(HeaderRequestID), len(r.URL.Path), r.URL.Path)
+	_, _ = conn.Write([]byte(answer + answer))
+	time.Sleep(slowAnswer)
+	_ = conn.Close()
+}
+
 // raw runs the request and sends an answer as it stands.
 func raw(text string) func(http.ResponseWriter, *http.Request, func()) {
 	return func(w http.ResponseWriter, r *http.Request, run func()) {
@@ -124,3 +148,11 @@
 	}
 	return nil
 }
+
+// sinkConn keeps what is written to it.
+type sinkConn struct {
+	net.Conn
+	strings.Builder
+}
+
+func (c *sinkConn) Write(b []byte) (int, error) { return c.Builder.Write(b) }
--- a/internal/front/options.go
+++ b/internal/front/options.go
@@ -20,6 +20,11 @@
 	RetryBurst      float64       // retries allowed at once
 	MaxAttempts     int           // of one request
 	Now             func() time.Time
+
+	// RequireRequestID refuses answers that do not return the request's id. Set it
+	// where the backend servers return it: it is what tells a duplicated answer from
+	// the answer to the next request on the same connection.
+	RequireRequestID bool
 }
 
 // Defaults of Options.
