Membership: rounds of indirect probes end before the next begins

Cause: BenchmarkDetection found a cut-off VM among 12 dead only after 11.0 s: a new round of probes began as the answers of the last one timed out, and they were dropped. Ruled out: a shorter silence before death (the verdict waited for the round, not the silence).

--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -19,8 +19,8 @@
 	deadIntervals         = 6   // of silence
 	deadGaps              = 3   // of silence, in mean gaps, if that is longer
 	maxDeadIntervals      = 24  // of silence, however slow the VM was before
-	probeIntervals        = 4   // between rounds of indirect probes
-	probeTimeoutIntervals = 4
+	probeIntervals        = 3   // between rounds of indirect probes
+	probeTimeoutIntervals = 2   // for the answer to a probe; below probeIntervals, so that each round ends
 	retryIntervals        = 10  // between heartbeats to a dead VM
 	forgetIntervals       = 200 // after death of a VM that the list does not show
 )
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -267,10 +267,19 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, probeShare(ctx))
+	defer cancel()
 	err = m.exchange(ctx, request.Address)
 	return probeAnswer{Reached: err == nil, Refused: err != nil && refusedConnection(err)}, nil
 }
 
+// probeShare is the part of a probe's time that its heartbeat may take, so that the
+// answer is back in time also when there is none.
+func probeShare(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline) * 3 / 4
+}
+
 // publish records the changes and renews the view. Called with mu held.
 func (m *Membership) publish() {
 	for _, c := range m.detector.takeChanges() {
