schedule: a level binds others while work of that tier and above is within the share

Shares are now counted by tier; gangs are the last victims, and for work that is not urgent only where their branch keeps more than the gainer.

--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -128,7 +128,16 @@
 // yields reports whether the hold does not stand in the way of the task: it is its own,
 // the task goes before it, or is expected to end before it is needed.
 func (h *hold) yields(q *query) bool {
-	return h.class == q.class || !q.polite && q.level < h.class.level || q.ends.Before(h.from)
+	return h.class == q.class || !q.polite && h.after(q) || q.ends.Before(h.from)
+}
+
+// after reports whether the task goes before the hold's. In a branch the levels count also
+// above its share.
+func (h *hold) after(q *query) bool {
+	if h.class.branch == q.class.branch {
+		return q.class.level < h.class.level
+	}
+	return q.level < h.class.level
 }
 
 // Held lists the holds of the query's class.
--- a/internal/schedule/grant.go
+++ b/internal/schedule/grant.go
@@ -39,6 +39,7 @@
 	r.posJob = len(j.runs)
 	j.runs = append(j.runs, r)
 	j.branch.usage = j.branch.usage.Add(r.size)
+	j.branch.claimed[j.Tier] = j.branch.claimed[j.Tier].Add(r.size)
 	j.spread(r.worker, 1)
 	s.note(j, 0, 1)
 }
@@ -57,6 +58,7 @@
 	j.runs = j.runs[:len(j.runs)-1]
 	b := j.branch
 	b.usage = b.usage.Sub(r.size)
+	b.claimed[j.Tier] = b.claimed[j.Tier].Sub(r.size)
 	if !b.released {
 		b.released = true
 		s.released = append(s.released, b)
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -17,6 +17,7 @@
 	h.worker.holds = append(h.worker.holds, h)
 	if !h.reserved {
 		c.branch.held = c.branch.held.Add(h.size)
+		c.branch.claimed[c.key.tier] = c.branch.claimed[c.key.tier].Add(h.size)
 	}
 }
 
@@ -32,6 +33,7 @@
 	c.heldFor--
 	if !h.reserved {
 		c.branch.held = c.branch.held.Sub(size)
+		c.branch.claimed[c.key.tier] = c.branch.claimed[c.key.tier].Sub(size)
 	}
 	if h.tasks > 0 {
 		return
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -10,8 +10,8 @@
 // Preemption rules, by claim. A claim is the tier, but levelLate for work about to miss its
 // deadline.
 //
-//   - Urgent work takes from any work that is not urgent; beyond its branch's share only
-//     from its own branch and from branches above theirs.
+//   - Urgent work takes from any work that is not urgent; once urgent work alone fills its
+//     branch's share, only from its own branch and from branches above theirs.
 //   - Other work takes from its own branch only where its claim is strictly higher; from
 //     another branch only while its own is below its share and the other above, never
 //     from a higher claim, and at an equal claim only if its branch holds no more
@@ -34,15 +34,19 @@
 	cost    cost
 }
 
-// cost orders plans: those that harm no branch within its share first, then by the
-// highest claim harmed, then by the work lost for each task.
+// cost orders plans: those that stop no gang first, then those that harm no branch within
+// its share, then by the highest claim harmed, then by the work lost for each task.
 type cost struct {
+	gangs  int // tasks of gangs that stop with a victim elsewhere
 	within int
 	claim  level
 	lost   float64
 }
 
 func (a cost) less(b cost) bool {
+	if a.gangs != b.gangs {
+		return a.gangs < b.gangs
+	}
 	if a.within != b.within {
 		return a.within < b.within
 	}
@@ -116,19 +120,19 @@
 		if b.running == 0 {
 			continue
 		}
-		highest := b.highestRunning()
+		last := b.lastRunning()
 		switch {
 		case b == c.branch:
-			if c.claim() < highest {
+			if c.claim() < last {
 				return true
 			}
 		case c.claim() == levelUrgent:
-			if highest > levelUrgent && (below || s.above(b)) {
+			if last > levelUrgent && (s.above(b) || !s.aboveIn(c.branch, model.TierUrgent)) {
 				return true
 			}
-		case below && s.above(b) && c.claim() < highest:
+		case below && s.above(b) && c.claim() < last:
 			return true
-		case below && s.above(b) && c.claim() == highest:
+		case below && s.above(b) && c.claim() == last:
 			if after < s.weighted(b, model.Resources{}) {
 				return true
 			}
@@ -137,8 +141,8 @@
 	return false
 }
 
-// highestRunning returns the highest level at which tasks of the branch started to run.
-func (b *branch) highestRunning() level {
+// lastRunning returns the level of the branch's running tasks that goes last.
+func (b *branch) lastRunning() level {
 	for t := model.TierLow; t > model.TierUrgent; t-- {
 		if b.tiers[t] > 0 {
 			return levelOf(t)
@@ -215,7 +219,7 @@
 		}
 	}
 	for _, h := range w.holds {
-		if h.class == q.class || q.level >= h.class.level {
+		if h.class == q.class || !h.after(q) {
 			room = room.Sub(h.size)
 		}
 	}
@@ -236,6 +240,9 @@
 		}
 	}
 	slices.SortStableFunc(victims, func(a, b victim) int {
+		if d := len(a.all()) - len(b.all()); d != 0 {
+			return d
+		}
 		if a.above != b.above {
 			if a.above {
 				return -1
@@ -303,7 +310,7 @@
 		return false
 	}
 	if claim == levelUrgent {
-		return own || v.above || !s.overShare(c.branch)
+		return own || v.above || !s.aboveIn(c.branch, model.TierUrgent)
 	}
 	if v.run.job.evictions(v.run.index) >= s.opts.PreemptionsPerTask {
 		return false
@@ -325,7 +332,7 @@
 			break
 		}
 		from := v.run.job.branch
-		loss := taken[from].Add(v.run.size)
+		loss := taken[from].Add(v.size())
 		if !s.keepsOrder(q.class, v, gain, loss) {
 			continue
 		}
@@ -342,11 +349,17 @@
 	p.price()
 }
 
-// keepsOrder reports whether, at an equal claim, the gaining branch holds no more
-// afterwards than the losing one.
+// size is what the victim's branch loses.
+func (v *victim) size() model.Resources {
+	return times(v.run.size, len(v.all()))
+}
+
+// keepsOrder reports whether, at an equal claim or where a whole gang would stop, the
+// gaining branch holds no more afterwards than the losing one.
 func (s *Scheduler) keepsOrder(c *class, v victim, gain, loss model.Resources) bool {
 	b := v.run.job.branch
-	if c.claim() < v.claim || b == c.branch {
+	gang := v.run.job.Kind == model.KindGang && c.claim() > levelUrgent
+	if b == c.branch || c.claim() < v.claim && !gang {
 		return true
 	}
 	return s.weighted(c.branch, gain) <= s.weighted(b, model.Resources{}.Sub(loss))
@@ -368,6 +381,7 @@
 		if !v.above {
 			p.cost.within++
 		}
+		p.cost.gangs += len(v.all()) - 1
 		p.cost.claim = min(p.cost.claim, v.claim)
 		p.cost.lost += v.lost / float64(p.tasks)
 	}
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -72,7 +72,8 @@
 }
 
 // extend puts off the start of a class's reservation, whose time is over since runs last
-// longer than expected. It keeps the workers that will have room still. A reservation
+// longer than expected. It keeps the workers that have room now or soon; the rest is
+// reserved anew. A reservation
 // that is older than reserveMax ends, so that it does not keep capacity idle for nothing.
 func (s *Scheduler) extend(c *class) {
 	if s.cluster.now.Sub(c.reserved) > reserveMax {
@@ -82,7 +83,7 @@
 	at := s.cluster.now
 	for _, h := range slices.Clone(c.holds) {
 		ready, ok := s.readyAt(h)
-		if !ok {
+		if !ok || ready.Sub(s.cluster.now) > reserveGrace {
 			s.end(h)
 			continue
 		}
--- a/internal/schedule/share.go
+++ b/internal/schedule/share.go
@@ -7,14 +7,15 @@
 // divided by its weight.
 type branch struct {
 	model.Branch
-	listed    bool                 // in the configuration in force
-	usage     model.Resources      // granted to its runs
-	stopping  model.Resources      // part of usage that preemption is taking away
-	held      model.Resources      // kept for its tasks on workers that preemption empties
-	waiting   int                  // tasks
-	running   int                  // tasks that hold capacity
-	tiers     [model.TierCount]int // tasks that hold capacity by tier
-	released  bool                 // usage fell since the last Decide
+	listed    bool                             // in the configuration in force
+	usage     model.Resources                  // granted to its runs
+	stopping  model.Resources                  // part of usage that preemption is taking away
+	held      model.Resources                  // kept for its tasks on workers that preemption empties
+	claimed   [model.TierCount]model.Resources // granted and held, by tier
+	waiting   int                              // tasks
+	running   int                              // tasks that hold capacity
+	tiers     [model.TierCount]int             // tasks that hold capacity by tier
+	released  bool                             // usage fell since the last Decide
 	queues    [levelCount]classHeap
 	activePos [levelCount]int // position in queue.active; -1: not in it
 }
@@ -59,6 +60,16 @@
 	return s.weighted(b, model.Resources{}) >= s.entitled()
 }
 
+// aboveIn reports whether the branch holds at least its share in work of the tier and of
+// those before it. Its lower work, which may be lent, does not count.
+func (s *Scheduler) aboveIn(b *branch, tier model.Tier) bool {
+	var sum model.Resources
+	for t := model.TierUrgent; t <= tier; t++ {
+		sum = sum.Add(b.claimed[t])
+	}
+	return dominant(sum, s.cluster.total)/b.weight() >= s.entitled()
+}
+
 // withinQuota reports whether the branch's quota allows so much more.
 func (b *branch) withinQuota(more model.Resources) bool {
 	return underQuota(b.usage.Add(more), b.Quota)
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -46,15 +46,16 @@
 	return a.seq < b.seq
 }
 
-// key returns the class's place in the order. A branch above its share competes no higher
-// than levelNormal, so that a flood of urgent work or of deadlines takes nothing from
-// others; among its own classes their levels go on to count.
+// key returns the class's place in the order. A branch that holds its share in work of the
+// class's tier and above competes no higher than levelNormal with more of it, so that a
+// flood of urgent work or of deadlines takes nothing from others; among its own classes
+// their levels go on to count.
 func (s *Scheduler) key(c *class) turnKey {
 	k := turnKey{level: c.level, own: c.level, due: c.due, seq: c.seq}
 	k.share = s.weighted(c.branch, model.Resources{})
 	switch {
-	case k.share >= s.entitled():
-		k.level = max(c.level, levelNormal)
+	case c.level < levelNormal && s.aboveIn(c.branch, c.key.tier):
+		k.level = levelNormal
 	case c.level == levelLate:
 		k.share = 0
 	}
