--- a/internal/schedule/proof/settle.go
+++ b/internal/schedule/proof/settle.go
@@ -16,8 +16,8 @@
 	settleLimit  = 1000 // decisions asked for in a round
 )
 
-// Settle plays a host without faults until every task that can run has ended, and reports
-// a task that is still left after a bounded number of rounds. It returns the clock at the end.
+// Settle plays a host without faults until every task that can run or was cancelled has
+// ended, and reports one that is still left after a bounded number of rounds. It returns the clock at the end.
 func (o *Oracle) Settle(now time.Time) time.Time {
 	for range settleRounds {
 		if o.owed() == nil {
@@ -48,8 +48,12 @@
 	}
 }
 
-// stuck reports whether the run waits for tasks of its gang that do not run.
+// stuck reports whether the run goes on until the Decider ends it: its job is cancelled, or it
+// waits for tasks of its gang that do not run.
 func (t *taskRecord) stuck() bool {
+	if t.job.canceled {
+		return !t.asked
+	}
 	return t.job.Kind == model.KindGang && !t.asked && t.job.count(phaseWaiting) > 0
 }
 
@@ -64,10 +68,14 @@
 	return model.OutcomePreempted
 }
 
-// owed returns a task that has not ended although it can run, or nil.
+// owed returns a task that has not ended although it can run or was cancelled, or nil.
 func (o *Oracle) owed() *taskRecord {
 	for _, t := range o.order {
-		if t.phase != phaseEnded && !t.job.canceled && !t.job.failed && o.canRun(t) {
+		switch {
+		case t.phase == phaseEnded:
+		case t.job.canceled && t.held():
+			return t
+		case !t.job.canceled && !t.job.failed && o.canRun(t):
 			return t
 		}
 	}
--- a/internal/schedule/proof/violation.go
+++ b/internal/schedule/proof/violation.go
@@ -23,7 +23,7 @@
 	RuleStop        Rule = "stop"         // only a cancelled, failing, oversized or broken job is stopped
 	RuleLimit       Rule = "limit"        // Decide returns no more than its limit
 	RuleExplain     Rule = "explain"      // Explain counts each task once
-	RuleLost        Rule = "lost"         // a task that can run is placed in the end
+	RuleLost        Rule = "lost"         // a task that can run ends, and so does one that was cancelled
 	RuleWorkerGone  Rule = "removed held" // the host removes only empty workers
 )
 
