--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -104,11 +105,25 @@
 	return count
 }
 
+// loopback is an address of this process's own in 127.0.0.0/8: neither another run
+// nor an outgoing connection, which leaves from 127.0.0.1, can take its ports. Where
+// only 127.0.0.1 exists it is used.
+var loopback = sync.OnceValue(func() string {
+	pid := os.Getpid()
+	own := fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+	listener, err := net.Listen("tcp", own+":0")
+	if err != nil {
+		return "127.0.0.1"
+	}
+	listener.Close()
+	return own
+})
+
 // FreeAddresses returns loopback addresses that were free a moment ago.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", loopback()+":0")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/standin/cluster/relay.go
+++ b/internal/standin/cluster/relay.go
@@ -26,7 +26,7 @@
 
 // NewRelay listens on a free loopback address for connections to target.
 func NewRelay(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/slopes/main.go
+++ b/internal/standin/measure/slopes.go
@@ -1,18 +1,12 @@
-// Command slopes measures what control costs a VM at several sizes, with real
-// processes: at rest by the number of workers, and under task starts by their
-// rate. docs/CAPACITY.md is worked out from its table.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -23,47 +17,29 @@
 	"filbertcross/internal/standin/cluster"
 )
 
-const vms = 3
+// workersUnderLoad is the number of workers of each VM while tasks start.
+const workersUnderLoad = 32
 
-func main() {
-	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
-	window := flag.Duration("window", 15*time.Second, "of each measurement")
-	workers := flag.String("workers", "4,32,128", "workers of each VM, one measurement at rest each")
-	rates := flag.String("rates", "10,30,90", "task starts a second of the cluster, one measurement each")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+// slopes prints one line for each size.
+func slopes(ctx context.Context, bin string, vms int, workers, rates []int, window time.Duration) {
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(out, "workers/VM\tstarts/s\tcore %/VM\tMiB/VM\tstore reads/s\twrites/s\tmean write\twrites/start")
-	for _, n := range numbers(*workers) {
-		report(ctx, out, *binaries, n, 0, *window)
+	fmt.Fprintln(out, "VMs\tworkers/VM\tstarts/s\tcore %/VM\tMiB/VM\tstore reads/s\twrites/s\tmean write\twrites/start")
+	for _, n := range workers {
+		report(ctx, out, bin, vms, n, 0, window)
 	}
-	for _, n := range numbers(*rates) {
-		report(ctx, out, *binaries, 32, n, *window)
+	for _, n := range rates {
+		report(ctx, out, bin, vms, workersUnderLoad, n, window)
 	}
 }
 
-func numbers(list string) []int {
-	var found []int
-	for text := range strings.SplitSeq(list, ",") {
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "slopes:", err)
-			os.Exit(2)
-		}
-		found = append(found, n)
-	}
-	return found
-}
-
-func report(ctx context.Context, out *tabwriter.Writer, bin string, workers, rate int, window time.Duration) {
-	m, err := measure(ctx, bin, workers, rate, window)
+func report(ctx context.Context, out *tabwriter.Writer, bin string, vms, workers, rate int, window time.Duration) {
+	m, err := measure(ctx, bin, vms, workers, rate, window)
 	if err != nil {
-		fmt.Fprintf(out, "%d\t%d\tnot measured: %v\n", workers, rate, err)
+		fmt.Fprintf(out, "%d\t%d\t%d\tnot measured: %v\n", vms, workers, rate, err)
 	} else {
 		seconds := window.Seconds()
-		fmt.Fprintf(out, "%d\t%.1f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f B\t%.3f\n", workers, float64(m.starts)/seconds,
-			100*m.cpu/seconds/vms, m.memory/vms/(1<<20), float64(m.store.Reads)/seconds, float64(m.store.Writes)/seconds,
+		fmt.Fprintf(out, "%d\t%d\t%.1f\t%.2f\t%.1f\t%.1f\t%.1f\t%.0f B\t%.3f\n", vms, workers, float64(m.starts)/seconds,
+			100*m.cpu/seconds/float64(vms), m.memory/float64(vms)/(1<<20), float64(m.store.Reads)/seconds, float64(m.store.Writes)/seconds,
 			ratio(m.store.WriteBytes, m.store.Writes), ratio(m.store.Writes, m.starts))
 	}
 	out.Flush()
@@ -89,7 +65,7 @@
 load,short,batch,1,normal,,10,0.25,64MiB,,1s,
 `
 
-func measure(ctx context.Context, bin string, workers, rate int, window time.Duration) (m measurement, err error) {
+func measure(ctx context.Context, bin string, vms, workers, rate int, window time.Duration) (m measurement, err error) {
 	c, err := cluster.Start(ctx, cluster.Options{
 		Bin: bin, VMs: vms, WorkersPerDomain: workers, WorkerFlags: []string{"--default-runtime", "1s"},
 	})
