--- a/Makefile
+++ b/Makefile
@@ -7,19 +7,28 @@
 
 build:
 	$(GO) build -o bin/filbertcross ./cmd/filbertcross
+	$(GO) build -o bin/standin ./internal/standin/cmd/standin
 
 demo: build
-	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep)
+	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep) $(if $(SHORT),-short)
 
 # lint checks the format, vets, runs staticcheck and compares the wire output.
 lint:
 	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) tool wire diff ./internal/server
 
-# test runs every test with the race detector and fixed seeds.
-test: lint
+# test runs every test with the race detector and fixed seeds, then real processes:
+# a short randomised run and the demo, both judged by what must hold, not by the clock.
+test: lint build
 	FILBERTCROSS_SEED=$(SEED) $(GO) test -race -count=1 -timeout 8m ./...
+	$(GO) run ./internal/standin/prove -seed $(SEED) -duration 10s
+	$(GO) run ./internal/standin/demo -short
+
+# prove runs real processes under random work and faults from SEED for DURATION.
+prove: build
+	$(GO) run ./internal/standin/prove -seed $(SEED) -duration $(DURATION)
 
 clean:
 	rm -rf bin .demo
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,9 @@
 	CodeUnknown                     // the method is not known there
 	CodeInvalid                     // the message could not be read
 	CodeNotOwner                    // the VM does not own what the call is about
+	CodeBusy                        // too many calls of the method are running there
+	CodeExpired                     // the call arrived after its deadline
+	CodeStopping                    // the VM is stopping
 )
 
 // Error is the failure of a call to a peer.
@@ -44,6 +47,9 @@
 	Code    Code
 	Message string
 	Verdict verdict.Verdict // whether the handler may have run
+	// NoListener says that the address was reached and no process listens there; it
+	// goes with CodeUnreachable and is set only on the caller's side.
+	NoListener bool
 }
 
 // Error returns the message with its code and verdict.
--- /dev/null
+++ b/internal/server/sheets.go
@@ -0,0 +1,108 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/rollout"
+	"filbertcross/internal/sheet"
+	"filbertcross/internal/verdict"
+)
+
+// sheets checks, compares and applies the operators' sheets.
+type sheets struct {
+	rollout *rollout.Rollout
+}
+
+// apply puts a sheet in force if the configuration that it was made from still is.
+func (s *sheets) apply(ctx context.Context, base int64, csv []byte, charset sheet.Charset) (api.SheetAccepted, error) {
+	parsed, report := sheet.Parse(csv, charset)
+	if err := invalidSheet(report); err != nil {
+		return api.SheetAccepted{}, err
+	}
+	result, err := s.rollout.Apply(ctx, base, parsed)
+	if err != nil {
+		return api.SheetAccepted{}, applyError(err)
+	}
+	return accepted(result.Revision, result.Changes, report), nil
+}
+
+// diff compares a sheet with the configuration in force.
+func (s *sheets) diff(csv []byte, charset sheet.Charset) (api.SheetAccepted, error) {
+	parsed, report := sheet.Parse(csv, charset)
+	if err := invalidSheet(report); err != nil {
+		return api.SheetAccepted{}, err
+	}
+	revision := int64(0)
+	if c := s.rollout.Source().InForce(); c != nil {
+		revision = c.Revision
+	}
+	return accepted(revision, sheet.Diff(s.current(), parsed), report), nil
+}
+
+// current is the configuration in force as a sheet; empty if there is none.
+func (s *sheets) current() sheet.Sheet {
+	c := s.rollout.Source().InForce()
+	if c == nil {
+		return sheet.Sheet{}
+	}
+	return sheet.Sheet{Branches: c.Branches, Workloads: c.Workloads}
+}
+
+func accepted(revision int64, changes sheet.Changes, report sheet.Report) api.SheetAccepted {
+	answer := api.SheetAccepted{Revision: revision, Changes: []string{}}
+	for _, change := range changes {
+		answer.Changes = append(answer.Changes, change.String())
+	}
+	for _, notice := range report.Notices {
+		answer.Notices = append(answer.Notices, notice.String())
+	}
+	return answer
+}
+
+func invalidSheet(report sheet.Report) error {
+	if len(report.Problems) == 0 {
+		return nil
+	}
+	return &api.StatusError{Status: http.StatusUnprocessableEntity, Problem: api.Problem{
+		Error:   "the sheet was refused whole; nothing changed",
+		Field:   "sheet",
+		Verdict: verdict.NotRun.String(),
+		Rows:    report.Problems,
+	}}
+}
+
+// applyError says whether a sheet that was not accepted may still become so.
+func applyError(err error) error {
+	var conflict *rollout.ConflictError
+	var uncertain *rollout.UncertainError
+	switch {
+	case errors.As(err, &conflict):
+		failure := &api.StatusError{Status: http.StatusConflict, Problem: api.Problem{
+			Error:   fmt.Sprintf("the sheet starts from revision %d, but %d is in force", conflict.Base, conflict.Revision),
+			Field:   "base",
+			Verdict: verdict.NotRun.String(),
+		}}
+		for _, change := range conflict.Changes {
+			failure.Problem.Conflicts = append(failure.Problem.Conflicts, change.String())
+		}
+		return failure
+	case errors.As(err, &uncertain):
+		return comeBack(verdict.MayHaveRun, jobRetryAfter, "%v", err)
+	default:
+		return comeBack(verdict.NotRun, jobRetryAfter, "%v", err)
+	}
+}
+
+// status returns the revision in force on every VM and since when.
+func (s *sheets) status(ctx context.Context) []api.SheetStatus {
+	var found []api.SheetStatus
+	for _, one := range s.rollout.Status(ctx) {
+		found = append(found, api.SheetStatus{VM: one.VM, Revision: one.Revision, Since: one.Since, Problem: one.Problem})
+	}
+	return found
+}
--- a/internal/standin/demo/main.go
+++ b/internal/standin/demo/main.go
@@ -18,26 +18,22 @@
 
 func main() {
 	keep := flag.Bool("keep", false, "leave everything up and print commands to try")
+	short := flag.Bool("short", false, "load for less time and judge nothing by the clock, for CI")
 	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
 	sheet := flag.String("sheet", "examples/demo.csv", "sheet to apply")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	demo, err := newDemo(*binaries, *sheet)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
+	demo := &demo{bin: *binaries, sheet: *sheet, short: *short}
 	os.Exit(demo.main(ctx, *keep))
 }
 
 func (d *demo) main(ctx context.Context, keep bool) int {
-	defer d.procs.killAll()
 	bounded, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
 	err := d.run(bounded)
 	if err != nil {
-		d.checks.fail("the demo ran to its end", err.Error())
+		d.checks.Fail("the demo ran to its end", err.Error())
 	}
 	if keep {
 		d.printCommands()
@@ -46,11 +42,14 @@
 	if err == nil && !keep {
 		d.stopGracefully(bounded)
 	}
-	d.procs.killAll()
-	d.checks.expect("no process is left behind", d.procs.alive() == 0, fmt.Sprintf("%d alive", d.procs.alive()))
-	d.checks.print()
-	if d.checks.failed() {
-		fmt.Println("logs are in", d.procs.dir)
+	if d.cluster != nil {
+		procs := d.cluster.Procs
+		procs.KillAll()
+		d.checks.Expect("no process is left behind", procs.Alive() == 0, fmt.Sprintf("%d alive", procs.Alive()))
+		fmt.Println("logs are in", procs.Dir)
+	}
+	d.checks.Print()
+	if d.checks.Failed() {
 		return 1
 	}
 	return 0
