--- a/internal/backend/manager.go
+++ b/internal/backend/manager.go
@@ -101,7 +101,7 @@
 	}
 	for service, p := range m.pools {
 		m.loads.setSlots(service, m.slotsByOwner(usable[service]))
-		p.setServers(now, usable[service], m.owned(usable[service]), opens)
+		p.setServers(now, usable[service], m.ownership.Members(), m.owned(usable[service]), opens)
 	}
 }
 
--- /dev/null
+++ b/internal/backend/ownership_test.go
@@ -0,0 +1,62 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/proptest"
+)
+
+// TestOwnership: VMs that see the same members in any order agree on an owner of
+// every server, in its failure domain if a VM is there, and share them evenly.
+func TestOwnership(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		domain := rapid.Custom(func(t *rapid.T) model.FailureDomain {
+			return model.FailureDomain(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "domain")))
+		})
+		state := rapid.SampledFrom([]membership.State{membership.Alive, membership.Suspect, membership.Dead, membership.Leaving})
+		members, home := []membership.Member{}, map[model.VMID]model.FailureDomain{}
+		inDomain := map[model.FailureDomain]int{}
+		for i := range rapid.IntRange(1, 9).Draw(t, "vms") {
+			m := membership.Member{ID: model.VMID(fmt.Sprint("vm", i)), FailureDomain: domain.Draw(t, "of vm"), State: state.Draw(t, "state")}
+			members = append(members, m)
+			if m.State == membership.Alive || m.State == membership.Suspect {
+				home[m.ID] = m.FailureDomain
+				inDomain[m.FailureDomain]++
+			}
+		}
+		var servers []Server
+		perDomain := map[model.FailureDomain]int{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "servers") {
+			s := Server{ID: ServerID(fmt.Sprint("b", i)), FailureDomain: domain.Draw(t, "of server")}
+			servers = append(servers, s)
+			perDomain[s.FailureDomain]++
+		}
+		o := NewOwnership(members, servers)
+		again := NewOwnership(rapid.Permutation(members).Draw(t, "members"), rapid.Permutation(servers).Draw(t, "order"))
+		owned := map[model.VMID]int{}
+		for _, s := range servers {
+			proptest.Step()
+			owner := o.Owner(s.ID)
+			if again.Owner(s.ID) != owner {
+				t.Fatalf("%s is owned by %s and %s", s.ID, owner, again.Owner(s.ID))
+			}
+			at, live := home[owner]
+			if live != (len(home) > 0) || (inDomain[s.FailureDomain] > 0 && at != s.FailureDomain) {
+				t.Fatalf("%s of %s is owned by %q of %s", s.ID, s.FailureDomain, owner, at)
+			}
+			if inDomain[s.FailureDomain] > 0 {
+				owned[owner]++
+			}
+		}
+		for vm, n := range owned {
+			if vms := inDomain[home[vm]]; n > (perDomain[home[vm]]+vms-1)/vms {
+				t.Fatalf("%s owns %d of %d servers beside %d VMs", vm, n, perDomain[home[vm]], vms)
+			}
+		}
+	})
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	servers  map[ServerID]Server // usable ones of the service, owned here or not
 	slots    map[ServerID]int    // of owned servers: slots that may be used when healthy
+	part     int                       // of the service's slots, if they are shared evenly
 	table    *SlotTable
 	queue    *FairQueue[*waiter]
 	times    ServiceTime
@@ -151,10 +152,11 @@
 }
 
 // wait estimates how long a new request of the branch waits: the queue drains at
-// the rate of the permits that are in use.
+// the rate of the permits that are in use, or of this VM's slots where fewer are,
+// as just after a change of owners.
 func (p *pool) wait(ask Ask) time.Duration {
-	inUse := max(1, p.table.Granted()+p.borrowed)
-	return p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), inUse)
+	slots := max(1, p.table.Granted()+p.borrowed, p.table.Slots(), p.part)
+	return p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), slots)
 }
 
 // cost is the slot time that a request of the branch is expected to take, in seconds.
--- a/internal/backend/pool_slots.go
+++ b/internal/backend/pool_slots.go
@@ -20,18 +20,21 @@
 	at     time.Time // when it was told
 }
 
-// setServers takes the usable servers of the service and those of them that
-// this VM owns, with the number of slots that it may use of each. Slots of newly
+// setServers takes the usable servers of the service, how many VMs share them, and
+// those that this VM owns with the number of slots that it may use of each. Slots of newly
 // owned servers are granted from opens on, or as soon as their former owner says
 // how many it still uses.
-func (p *pool) setServers(now time.Time, usable []Server, owned map[ServerID]int, opens time.Time) {
+func (p *pool) setServers(now time.Time, usable []Server, members int, owned map[ServerID]int, opens time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.servers
 	p.servers = make(map[ServerID]Server, len(usable))
+	slots := 0
 	for _, s := range usable {
 		p.servers[s.ID] = s
+		slots += s.Slots
 	}
+	p.part = slots / max(1, members)
 	for id, s := range known {
 		if _, kept := owned[id]; !kept && p.table.Owns(id) {
 			p.disown(s)
--- a/internal/front/failure_test.go
+++ b/internal/front/failure_test.go
@@ -6,6 +6,35 @@
 	"testing"
 )
 
+// TestStalledServer leaves a safe request without an answer on one server: it is
+// answered by the other one in time.
+func TestStalledServer(t *testing.T) {
+	stop := make(chan struct{})
+	stalled := newFakeServer(t, "b1", func(_ http.ResponseWriter, r *http.Request, run func()) {
+		run()
+		<-stop
+	})
+	defer close(stop)
+	front := newFront(t, Options{DefaultDeadline: 40 * slowAnswer}, newFakeLedger(), stalled, newFakeServer(t, "b2", answerPath))
+	for stalled.ran("/check") == 0 {
+		if got := send(t, front, "GET", "/check", "").Header.Get(HeaderVerdict); got != "done" {
+			t.Fatalf("verdict %q", got)
+		}
+	}
+}
+
+// TestAnswerWithoutID answers without the request's id: taken or refused as set.
+func TestAnswerWithoutID(t *testing.T) {
+	for _, required := range []bool{false, true} {
+		server := newFakeServer(t, "b1", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		front := newFront(t, Options{RequireRequestID: required}, newFakeLedger(), server)
+		got := send(t, front, "POST", "/book", "").Header.Get(HeaderVerdict)
+		if want := map[bool]string{false: "done", true: "may-have-run"}[required]; got != want {
+			t.Errorf("verdict %q with the id required: %v, want %q", got, required, want)
+		}
+	}
+}
+
 // TestVerdicts breaks requests in each way on the first backend server tried and
 // compares the verdict with the servers' own count of executions.
 func TestVerdicts(t *testing.T) {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -57,7 +58,7 @@
 		id:       r.id + "." + strconv.Itoa(n),
 		request:  r,
 		server:   permit.Server,
-		deadline: r.deadline,
+		deadline: h.attemptDeadline(r, n),
 	}
 	answer, failed := h.connections.exchange(context.WithoutCancel(ctx), a)
 	if failed != nil {
@@ -68,6 +69,17 @@
 	return answer, nil
 }
 
+// attemptDeadline is the request's deadline, or half of the time left if the
+// method is safe and another attempt can follow: a server that stalls then costs
+// the caller time and no answer.
+func (h *Handler) attemptDeadline(r *request, n int) time.Time {
+	if !r.safe() || n >= h.options.MaxAttempts || !h.retryAvailable(r.service) {
+		return r.deadline
+	}
+	now := h.options.Now()
+	return now.Add(r.deadline.Sub(now) / 2)
+}
+
 // mayRetry reports whether the request may be sent once more.
 func (h *Handler) mayRetry(r *request, f *failure, attempts int) bool {
 	if !f.verdict.Retryable(r.idempotent()) {
@@ -91,6 +103,12 @@
 	return h.budget(service).Withdraw()
 }
 
+func (h *Handler) retryAvailable(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.budget(service).Available()
+}
+
 func (h *Handler) budget(service string) *RetryBudget {
 	b, ok := h.budgets[service]
 	if !ok {
--- a/internal/front/headers.go
+++ b/internal/front/headers.go
@@ -20,7 +20,7 @@
 
 // hopByHop are the headers that concern one connection only.
 var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/internal/front/loadbench/scenarios.go
+++ b/internal/front/loadbench/scenarios.go
@@ -32,19 +32,20 @@
 	use      float64 // of the slots
 	refused  int     // by the servers, as their slots were full
 	peak     int     // most requests present at one server
+	open     int     // most connections open to one server
 	calls    float64 // between VMs for each answered request
 	costly   float64 // of them between failure domains
 }
 
-const header = "scenario                       in time/s  not run/s  may run/s  median ms  p99 ms  added med  added p99  slot use  refused  peak  calls  costly"
+const header = "scenario                       in time/s  not run/s  may run/s  median ms  p99 ms  added med  added p99  slot use  refused  peak  conns  calls  costly"
 
 func (o outcome) row(name string) string {
 	per := func(n int) float64 { return float64(n) / o.settings.measured.Seconds() }
-	return fmt.Sprintf("%-28s %11.0f %10.0f %10.1f %10.1f %7.1f %10.2f %10.2f %8.1f%% %8d %5d %6.2f %7.2f",
+	return fmt.Sprintf("%-28s %11.0f %10.0f %10.1f %10.1f %7.1f %10.2f %10.2f %8.1f%% %8d %5d %6d %6.2f %7.2f",
 		name, per(o.inTime), per(o.notRun), per(o.mayRun),
 		milliseconds(quantile(o.watched.answered, 50)), milliseconds(quantile(o.watched.answered, 99)),
 		milliseconds(quantile(o.watched.added, 50)), milliseconds(quantile(o.watched.added, 99)),
-		100*o.use, o.refused, o.peak, o.calls, o.costly)
+		100*o.use, o.refused, o.peak, o.open, o.calls, o.costly)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -101,6 +102,7 @@
 	for _, b := range c.servers {
 		o.refused += b.refused
 		o.peak = max(o.peak, b.peak)
+		o.open = max(o.open, b.mostOpen)
 	}
 	return o, nil
 }
--- a/internal/front/loadbench/server.go
+++ b/internal/front/loadbench/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -30,12 +31,13 @@
 	http     *httptest.Server
 	stalled  atomic.Bool
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	inUse   int
-	peak    int // requests present at once, refused ones included
-	refused int
-	busy    time.Duration // slot time served
+	mu             sync.Mutex
+	random         *rand.Rand
+	inUse          int
+	peak           int // requests present at once, refused ones included
+	open, mostOpen int // connections
+	refused        int
+	busy           time.Duration // slot time served
 }
 
 func newBackendServer(s settings, index int) *backendServer {
@@ -45,10 +47,24 @@
 		settings: s,
 		random:   rand.New(rand.NewPCG(s.seed, uint64(index))),
 	}
-	b.http = httptest.NewServer(b)
+	b.http = httptest.NewUnstartedServer(b)
+	b.http.Config.ConnState = b.countConnection
+	b.http.Start()
 	return b
 }
 
+func (b *backendServer) countConnection(_ net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		b.open++
+		b.mostOpen = max(b.mostOpen, b.open)
+	case http.StateClosed:
+		b.open--
+	}
+}
+
 func domainOf(s settings, index int) model.FailureDomain {
 	return model.FailureDomain(fmt.Sprintf("domain-%d", index%s.domains))
 }
@@ -105,5 +121,5 @@
 func (b *backendServer) resetCounts() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.busy, b.refused, b.peak = 0, 0, b.inUse
+	b.busy, b.refused, b.peak, b.mostOpen = 0, 0, b.inUse, b.open
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// safe reports whether a late run of the request changes nothing, so that an
+// attempt may be given up while it is still under way.
+func (r *request) safe() bool {
+	switch r.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
+
 // keyed reports whether the ledger keeps the request from running twice.
 func (r *request) keyed() bool { return r.key != "" && !r.idempotent() }
 
--- a/internal/front/retry_budget.go
+++ b/internal/front/retry_budget.go
@@ -17,9 +17,12 @@
 // Deposit counts a request.
 func (b *RetryBudget) Deposit() { b.tokens = min(b.burst, b.tokens+b.ratio) }
 
+// Available reports whether there is a token.
+func (b *RetryBudget) Available() bool { return b.tokens >= 1 }
+
 // Withdraw takes a token for a retry, if there is one.
 func (b *RetryBudget) Withdraw() bool {
-	if b.tokens < 1 {
+	if !b.Available() {
 		return false
 	}
 	b.tokens--
