Hand slots over apart from draining; bounded memory of peers, bars and transports

Cause: the server stops in steps, and a VM that has told the others must give its slots up then, not after its last request.

--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -8,6 +8,7 @@
 	gossipInterval = time.Second            // between two rounds of words on leaving servers
 	gossipFanout   = 3                      // VMs told in a round
 	callTimeout    = 500 * time.Millisecond // for a call to a peer, besides what it may wait
+	barLife        = 10 * time.Second       // for which a permit that was released first cannot be granted
 	releaseTries   = 3                      // after which a permit's lease has to end it
 	handoverLife   = 2                      // handovers for which a former owner's word holds
 	maxBorrows     = 256                    // permits of one service asked of peers at once
--- a/internal/backend/peer_loads.go
+++ b/internal/backend/peer_loads.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -70,6 +71,18 @@
 	l.roundTrips[vm] = known + (took.Seconds()-known)*roundTripWeight
 }
 
+// forget drops what is known of VMs that are members no more.
+func (l *peerLoads) forget(members []membership.Member) {
+	known := make(map[model.VMID]bool, len(members))
+	for _, m := range members {
+		known[m.ID] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.notes, func(k loadKey, _ peerLoad) bool { return !known[k.vm] })
+	maps.DeleteFunc(l.roundTrips, func(vm model.VMID, _ float64) bool { return !known[vm] })
+}
+
 // candidate is another owner that may have a slot.
 type candidate struct {
 	member membership.Member
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,7 +21,7 @@
 	mu       sync.Mutex
 	servers  map[ServerID]Server // usable ones of the service, owned here or not
 	slots    map[ServerID]int    // of owned servers: slots that may be used when healthy
-	part     int                       // of the service's slots, if they are shared evenly
+	part     int                 // of the service's slots, if they are shared evenly
 	table    *SlotTable
 	queue    *FairQueue[*waiter]
 	times    ServiceTime
@@ -221,7 +221,7 @@
 		go passed.permit.Release(o) // it takes the lock again
 		return
 	}
-	p.barred[id] = now.Add(p.options.Lease)
+	p.barred[id] = now.Add(barLife)
 }
 
 // observe learns from the time that a request held its slot.
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -27,6 +27,8 @@
 			m.gossip(m.peers())
 		case <-gossip.C:
 			m.gossip(someOf(m.peers(), gossipFanout))
+			m.loads.forget(m.view.Members())
+			m.report(m.options.Now())
 		}
 	}
 }
@@ -43,6 +45,12 @@
 		p.tick(now, func(vm model.VMID) bool { return dead[vm] })
 		m.borrow(p)
 		m.handOver(p, now)
+	}
+}
+
+// report sets the gauges.
+func (m *Manager) report(now time.Time) {
+	for _, p := range m.allPools() {
 		m.metrics.pool(p, now)
 	}
 }
@@ -140,13 +148,19 @@
 	return members[:min(n, len(members))]
 }
 
-// Drain gives the owned servers to the other VMs and waits until no permit of
-// them is in use and every handover is told.
-func (m *Manager) Drain(ctx context.Context) error {
+// HandOver gives the owned servers to the other VMs: from now on requests that
+// still come here borrow permits. It does not wait.
+func (m *Manager) HandOver() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.stopping = true
 	m.reassign(m.options.Now())
-	m.mu.Unlock()
+}
+
+// Drain hands over and waits until no permit of this VM is in use and the new
+// owners know. Run must still be running.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.HandOver()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"filbertcross/internal/backend"
 )
@@ -23,8 +24,12 @@
 	*http.Transport
 	address string
 	idle    int
+	used    time.Time
 }
 
+// transportLife is how long the transport of a server that is not used is kept.
+const transportLife = 10 * time.Minute
+
 func newConnections(options *Options, members func() int) *connections {
 	return &connections{
 		options:    options,
@@ -39,18 +44,32 @@
 	idle := idleConnections(s, c.members())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.options.Now()
 	known, ok := c.transports[s.ID]
 	if ok && known.address == s.Address && known.idle == idle {
+		known.used = now
 		return known.Transport
 	}
 	if ok {
 		known.CloseIdleConnections()
 	}
-	t := &serverTransport{Transport: c.dialer(idle), address: s.Address, idle: idle}
+	t := &serverTransport{Transport: c.dialer(idle), address: s.Address, idle: idle, used: now}
 	c.transports[s.ID] = t
+	c.forgetUnused(now)
 	return t.Transport
 }
 
+// forgetUnused drops the transports of servers that are gone. It is called with
+// mu held, when a new server comes.
+func (c *connections) forgetUnused(now time.Time) {
+	for id, t := range c.transports {
+		if now.Sub(t.used) > transportLife {
+			t.CloseIdleConnections()
+			delete(c.transports, id)
+		}
+	}
+}
+
 // idleConnections is how many unused connections a VM may keep to the server:
 // those in use are bounded by the slots, and the rest is shared by the VMs.
 func idleConnections(s backend.Server, members int) int {
