--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -391,11 +391,7 @@
 		s.blockByQuota(c)
 		return false
 	}
-	if runs := s.place(c, q); runs != nil {
-		s.commit(c, q, runs)
-		return true
-	}
-	if s.preempt(q, need) {
+	if s.place(c, q, need) {
 		return true
 	}
 	s.reserve(q, need)
@@ -403,16 +399,28 @@
 	return false
 }
 
-// place has the class's policy choose workers: first beside what is held for others, then,
-// where the class goes before them, also in their room.
-func (s *Scheduler) place(c *class, q *query) []*run {
+// place places or makes room: first beside what is held for others, then by preemption
+// there, and last, where the class goes before the holds, in their room.
+func (s *Scheduler) place(c *class, q *query, need int) bool {
 	q.polite = len(s.holders) > 0
+	if s.tryPolicy(c, q) || s.preempt(q, need) {
+		return true
+	}
+	if !q.polite {
+		return false
+	}
+	q.polite = false
+	return s.tryPolicy(c, q) || s.preempt(q, need)
+}
+
+// tryPolicy has the class's policy choose workers and commits its choice.
+func (s *Scheduler) tryPolicy(c *class, q *query) bool {
 	runs := c.policy.place(&s.cluster, s, q)
-	if runs == nil && q.polite {
-		q.polite = false
-		runs = c.policy.place(&s.cluster, s, q)
+	if runs == nil {
+		return false
 	}
-	return runs
+	s.commit(c, q, runs)
+	return true
 }
 
 // commit turns assumed runs into decisions.
