--- a/internal/schedule/explain.go
+++ b/internal/schedule/explain.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "filbertcross/internal/model"
+import (
+	"time"
+
+	"filbertcross/internal/model"
+)
 
 // Explain says why the job waits: its class's reason, and how many workers each filter
 // turns down for its next task now. It looks at every worker.
@@ -47,6 +51,8 @@
 		return "waits before the next start after failures"
 	case j.Kind == model.KindGang && len(j.runs) > 0:
 		return "waits until the gang's other tasks have stopped"
+	case len(j.class.holds) > 0 && j.class.holds[0].reserved:
+		return "waits for reserved workers, expected at " + j.class.holds[0].from.UTC().Format(time.RFC3339)
 	case j.class.state == classActive:
 		return "waits for its turn"
 	}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -82,6 +82,7 @@
 	waiting  int // tasks of its jobs, also of those that back off
 	state    classState
 	pos      int       // position in the heap or list of its state
+	retry    bool      // a retry of the search for victims is set
 	timer    time.Time // the next timer set for the class; zero: none
 	holds    []*hold
 	reserved time.Time // when its reservation began
@@ -186,6 +187,7 @@
 	at     time.Time
 	job    *job    // its back-off ends
 	class  *class  // its level changes or it is starved
+	retry  bool    // the class looks for victims again instead
 	worker *worker // takes tasks again after a pause
 }
 
@@ -280,6 +282,15 @@
 	*list = append(*list, c)
 }
 
+// setRetry has a blocked class look for victims again at the time, unless that is set.
+func (q *queue) setRetry(c *class, at time.Time) {
+	if c.retry {
+		return
+	}
+	c.retry = true
+	heap.Push(&q.timers, timer{at: at, class: c, retry: true})
+}
+
 // setTimer has the class looked at again at the time, unless an earlier timer does so.
 func (q *queue) setTimer(c *class, at time.Time) {
 	if at.IsZero() || (!c.timer.IsZero() && !at.Before(c.timer)) {
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -143,7 +143,7 @@
 	}
 	s.blockFull(c)
 	if s.mayGain(c) {
-		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
+		s.queue.setRetry(c, s.cluster.now.Add(preemptRetry))
 	}
 }
 
@@ -295,14 +295,24 @@
 			s.enqueue(t.job)
 		case t.worker != nil:
 			s.cluster.noteFreed(t.worker)
+		case t.retry:
+			s.runRetry(t.class)
 		default:
 			s.runClassTimer(t)
 		}
 	}
 }
 
-// runClassTimer looks again at a class: its level may have changed, its first job may be
-// starved now, or victims may have appeared.
+// runRetry makes a blocked class active again, since victims may have appeared.
+func (s *Scheduler) runRetry(c *class) {
+	c.retry = false
+	if c.state == classBlocked && !c.quota {
+		s.revive(c)
+	}
+}
+
+// runClassTimer looks again at a class: its level may have changed, or its first job may
+// be starved now.
 func (s *Scheduler) runClassTimer(t timer) {
 	c := t.class
 	if !t.at.Equal(c.timer) {
