The last VM keeps its partitions while it drains

Cause: a VM that leaves is not wanted for its own partitions; the last one gave them up to nobody a second after SIGTERM, while it still served for the drain delay (time line of the demo: partition-released, then answer-not-recorded). Ruled out: the ledger and the front end, which only reported it. Change: a partition is released only if another VM is wanted for it; ReleaseAll still gives up everything at the end. The test was seen failing without it ('the last VM released a partition to nobody').

--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -211,8 +211,8 @@
 		if mine == wish || try.busy || now.Before(try.retryAt) {
 			continue
 		}
-		if !wish && now.Sub(try.since) < wantedDelay {
-			continue
+		if !wish && (wanted[info.ID] == "" || now.Sub(try.since) < wantedDelay) {
+			continue // nobody else is there, or only for a moment
 		}
 		try.busy = true
 		a.moves.Go(func() { a.move(ctx, info, wish, try, members) })
--- a/internal/server/assigner_test.go
+++ b/internal/server/assigner_test.go
@@ -163,3 +163,14 @@
 		t.Fatalf("record %+v, %v; want it released", record, err)
 	}
 }
+
+// TestAssignerKeepsWhatNobodyElseWants: the last VM serves to its end.
+func TestAssignerKeepsWhatNobodyElseWants(t *testing.T) {
+	store := platform.NewHTTPStore(serve(t, standin.NewStore(0, 0).Handler()).URL, time.Second)
+	a := newAssignerRig(t, store, "vm-a")
+	a.pass(startDelay)
+	a.view.members = []membership.Member{member("vm-a", membership.Leaving), member("vm-b", membership.Dead)}
+	if !a.pass(wantedDelay) || !a.pass(2*wantedDelay) {
+		t.Fatal("the last VM released a partition to nobody")
+	}
+}
