Roll-out: past revisions keep their parts only

Ruled out: no history (a conflict could not name what the other changed). Change: 16 past revisions as encoded parts, unchanged ones shared, decoded on demand. The state machine now holds what a conflict names against the accepted sheets. Seen failing: conflict's changes the wrong way round ('conflict names ...'), and again lower revision adopted.

--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -244,8 +244,8 @@
 func (r *Rollout) conflict(base, revision int64, current sheet.Sheet) error {
 	r.recorder.Record(event.ConfigurationConflict, base, revision)
 	e := &ConflictError{Base: base, Revision: revision}
-	if old := r.source.at(base); old != nil {
-		e.Changes, e.Known = sheet.Diff(old.sheet(), current), true
+	if old, ok := r.source.at(base); ok {
+		e.Changes, e.Known = sheet.Diff(old, current), true
 	}
 	if base == 0 {
 		e.Changes, e.Known = sheet.Diff(sheet.Sheet{}, current), true
--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -188,6 +189,32 @@
 	benchChanges(b, f, func(i int) sheet.Sheet { return morning(int64(i) + 2) })
 }
 
+// BenchmarkMemory measures the live heap of one VM's configuration after many
+// one-row changes, its history included. The other eight are measured with it.
+func BenchmarkMemory(b *testing.B) {
+	before := liveHeap()
+	f := startFleet(b)
+	s := morning(1)
+	f.apply(b, 0, s)
+	const changes = 40
+	for i := range changes {
+		s.Workloads[i].Tasks++
+		f.apply(b, int64(i)+1, s)
+	}
+	for range b.N {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(liveHeap()-before)/benchVMs/(1<<20), "MiB/VM")
+	runtime.KeepAlive(f)
+}
+
+func liveHeap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // BenchmarkAtRest counts the store's calls while nothing changes.
 func BenchmarkAtRest(b *testing.B) {
 	f := startFleet(b)
--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -72,12 +72,12 @@
 	}
 	var answer partsAnswer
 	size := 0
-	current := r.source.current.Load()
+	held := r.source.held()
 	for _, key := range request.Keys {
-		if current == nil || current.contents[key] == nil {
+		c := held[key]
+		if c == nil {
 			return nil, &peer.Error{Code: peer.CodeNotOwner, Message: "no part " + key, Verdict: verdict.NotRun}
 		}
-		c := current.contents[key]
 		if size += len(c); size > maxAnswerBytes && len(answer.Contents) > 0 {
 			break
 		}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -169,10 +169,10 @@
 func (r *Rollout) known(h head) (map[string]content, []partRef) {
 	contents := map[string]content{}
 	var missing []partRef
-	current := r.source.current.Load()
+	held := r.source.held()
 	for _, ref := range h.Parts {
-		if current != nil && current.contents[ref.key()] != nil {
-			contents[ref.key()] = current.contents[ref.key()]
+		if c := held[ref.key()]; c != nil {
+			contents[ref.key()] = c
 		} else {
 			missing = append(missing, ref)
 		}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -68,11 +68,31 @@
 	case errors.As(err, &uncertain):
 	case errors.Is(err, ErrNotAccepted):
 		m.refused = append(m.refused, s)
+		m.checkConflict(base, err)
 	default:
 		m.t.Fatalf("untyped error %v", err)
 	}
 }
 
+// checkConflict holds what a conflict names against the accepted sheets.
+func (m *machine) checkConflict(base int64, err error) {
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	from, fromKnown := m.sheets[base]
+	to, toKnown := m.sheets[conflict.Revision]
+	if conflict.Revision <= base {
+		m.t.Fatalf("conflict of revision %d with %d", base, conflict.Revision)
+	}
+	if !conflict.Known || !toKnown || (!fromKnown && base != 0) {
+		return
+	}
+	if want := sheet.Diff(from, to).String(); conflict.Changes.String() != want {
+		m.t.Fatalf("conflict names %q, want %q", conflict.Changes, want)
+	}
+}
+
 // repeat lets an operator apply an accepted sheet once more. It may only be taken for
 // accepted before if it is the newest.
 func (m *machine) repeat(vm *fakeVM, revision int64) {
--- a/internal/rollout/source.go
+++ b/internal/rollout/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +13,7 @@
 )
 
 // historyRevisions is how many revisions back a conflict can be explained.
-const historyRevisions = 32
+const historyRevisions = 16
 
 // accepted is one accepted configuration with the record and parts it came from. It
 // is immutable.
@@ -23,8 +24,11 @@
 	since         time.Time // in force on this VM, wall clock
 }
 
-func (a *accepted) sheet() sheet.Sheet {
-	return sheet.Sheet{Branches: a.configuration.Branches, Workloads: a.configuration.Workloads}
+// past is a configuration that was in force: its parts, which unchanged ones share
+// with later revisions, and not the much larger rows decoded from them.
+type past struct {
+	revision int64
+	contents []content
 }
 
 // Source gives the configuration in force on this VM. Safe for concurrent use.
@@ -34,8 +38,8 @@
 	current  atomic.Pointer[accepted]
 	changed  chan struct{}
 
-	mu      sync.Mutex  // serialises put
-	history []*accepted // newest last, the one in force included
+	mu      sync.Mutex // serialises put
+	history []past     // newest last, the one in force included
 }
 
 var _ model.ConfigurationSource = (*Source)(nil)
@@ -68,9 +72,14 @@
 func (s *Source) put(h head, contents map[string]content, from string) error {
 	ordered := make([]content, len(h.Parts))
 	kept := make(map[string]content, len(h.Parts))
+	held := s.held()
 	for i, ref := range h.Parts {
-		ordered[i] = contents[ref.key()]
-		kept[ref.key()] = ordered[i]
+		key := ref.key()
+		ordered[i] = held[key]
+		if ordered[i] == nil {
+			ordered[i] = contents[key]
+		}
+		kept[key] = ordered[i]
 		if ordered[i].hash() != ref.Hash {
 			return errCorrupt
 		}
@@ -91,8 +100,7 @@
 		return nil
 	}
 	s.replace(a)
-	s.history = append(s.history, a)
-	s.history = s.history[max(0, len(s.history)-historyRevisions):]
+	s.remember(past{revision: h.Revision, contents: ordered})
 	s.recorder.Record(event.ConfigurationInForce, h.Revision, was, from)
 	select {
 	case s.changed <- struct{}{}:
@@ -123,14 +131,31 @@
 	}
 }
 
-// at returns a recent configuration by revision, or nil.
-func (s *Source) at(revision int64) *accepted {
+// held returns the parts of the configuration in force by key.
+func (s *Source) held() map[string]content {
+	if a := s.current.Load(); a != nil {
+		return a.contents
+	}
+	return nil
+}
+
+// remember is called with mu held.
+func (s *Source) remember(p past) {
+	s.history = append(s.history, p)
+	if len(s.history) > historyRevisions {
+		s.history = slices.Clone(s.history[1:]) // lets go of the oldest
+	}
+}
+
+// at returns a recent revision's sheet.
+func (s *Source) at(revision int64) (sheet.Sheet, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range s.history {
-		if a.head.Revision == revision {
-			return a
+	for _, p := range s.history {
+		if p.revision == revision {
+			joined, err := join(p.contents)
+			return joined, err == nil
 		}
 	}
-	return nil
+	return sheet.Sheet{}, false
 }
