--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"os"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -154,3 +155,22 @@
 		t.Fatalf("%d lines and no notice of the lost ones", lines)
 	}
 }
+
+// BenchmarkRecord measures one event and the memory of a full ring.
+func BenchmarkRecord(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	log := NewLog(LogOptions{VM: "entry-1-0a1b2c3d", FailureDomain: "nl-noord-a"})
+	for i := range DefaultRingEntries {
+		log.Record(MemberSuspect, "entry-2-0a1b2c3d", "10.0.0.1:8081", "alive", i)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		log.Record(MemberSuspect, "entry-2-0a1b2c3d", "10.0.0.1:8081", "alive", i)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB/ring")
+}
--- /dev/null
+++ b/internal/event/timeline/timeline_test.go
@@ -0,0 +1,69 @@
+package timeline
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+)
+
+// fakePeers answers for logs by address, through the JSON of the peer link.
+type fakePeers map[string]peer.Handler
+
+func (f fakePeers) Call(ctx context.Context, address string, _ peer.Method, params, result any) error {
+	h, ok := f[address]
+	if !ok {
+		return &peer.Error{Code: peer.CodeUnreachable, Message: address}
+	}
+	sent, _ := json.Marshal(params)
+	answer, err := h(ctx, sent)
+	if err != nil {
+		return err
+	}
+	data, _ := json.Marshal(answer)
+	return json.Unmarshal(data, result)
+}
+
+// at registers a log's handler under an address.
+type at struct {
+	fakePeers
+	address string
+}
+
+func (a at) Handle(_ peer.Method, h peer.Handler) { a.fakePeers[a.address] = h }
+
+// TestCollect reads a ring of several pages, one that has lost events, the own one
+// and a VM that does not answer.
+func TestCollect(t *testing.T) {
+	const events = 2*event.MaxListEntries + 7
+	peers := fakePeers{}
+	logs := map[model.VMID]*event.Log{}
+	for id, ring := range map[model.VMID]int{"own": 10, "long": events, "short": 5} {
+		logs[id] = event.NewLog(event.LogOptions{VM: id, RingEntries: ring})
+		Register(at{peers, string(id)}, logs[id])
+	}
+	for range events {
+		logs["long"].Record(event.PeerDrained, "x")
+		logs["short"].Record(event.PeerDrained, "x")
+	}
+	logs["own"].Record(event.PeerDrained, "x")
+	vms := []VM{{ID: "own"}, {ID: "long", Address: "long"}, {ID: "short", Address: "short"}, {ID: "gone", Address: "gone"}}
+	line := NewCollector(peers, logs["own"]).Collect(context.Background(), vms, 0)
+	count := map[model.VMID]int{}
+	for _, e := range line.Entries {
+		count[e.VM]++
+	}
+	if count["own"] != 1 || count["long"] != events || count["short"] != 5 {
+		t.Errorf("entries by VM: %v", count)
+	}
+	if !slices.Equal(line.Unread, []model.VMID{"gone"}) || !slices.Equal(line.Incomplete, []model.VMID{"short"}) {
+		t.Errorf("unread %v, incomplete %v", line.Unread, line.Incomplete)
+	}
+	if !slices.IsSortedFunc(line.Entries, func(a, b event.Entry) int { return int(int64(a.Stamp) - int64(b.Stamp)) }) {
+		t.Error("the time line is out of order")
+	}
+}
--- a/internal/sheet/sheet_test.go
+++ b/internal/sheet/sheet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/csv"
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -281,3 +282,25 @@
 		}
 	})
 }
+
+// BenchmarkParse reads a sheet of 260 branches with 10 rows each.
+func BenchmarkParse(b *testing.B) {
+	var s Sheet
+	for i := range 260 {
+		branch := model.Branch{ID: model.BranchID(fmt.Sprintf("Висше училище %d", i)), Share: 3}
+		s.Branches = append(s.Branches, branch)
+		for row := range 10 {
+			s.Workloads = append(s.Workloads, model.Workload{Branch: branch.ID, ID: model.WorkloadID(fmt.Sprint("rebuild-", row)), Kind: model.KindBatch,
+				Share: 3, Tasks: 4, Size: model.Resources{MilliCPU: 500, MemoryMiB: 1024}, Deadline: time.Hour})
+		}
+	}
+	var data bytes.Buffer
+	if err := Write(&data, s); err != nil {
+		b.Fatal(err)
+	}
+	for range b.N {
+		if _, report := Parse(data.Bytes(), CharsetUnicode); report.Err() != nil {
+			b.Fatal(report.Err())
+		}
+	}
+}
