Start-up: heads confirmed by many VMs at once; clearer member and peer events

Ruled out: no confirmation after a watch (a watch may lag as a read may). Change: a conflicting confirmation is tried again within 50 ms, ten times; the member's key is 'member'; joined members were 'new'; peer-unreachable is recorded once until the link is up again.

--- a/internal/event/catalogue_membership.go
+++ b/internal/event/catalogue_membership.go
@@ -10,8 +10,8 @@
 	})
 	PeerUnreachable = Define(Def{
 		ID: 6001, Name: "peer-unreachable", Level: Info,
-		Text: "A connection to a peer could not be opened; it is tried again after the backoff.",
-		Does: "Look for the VM's stop or a cut link at the same time if it repeats.",
+		Text: "A connection to a peer could not be opened; it is tried again after growing pauses, without further events.",
+		Does: "Look for the VM's stop or a cut link at the same time.",
 		Keys: []string{"address", "backoff", "error"},
 	})
 	PeerStalled = Define(Def{
@@ -43,24 +43,24 @@
 		ID: 6100, Name: "member-alive", Level: Info,
 		Text: "An entry VM joined or its heartbeats are timely again.",
 		Does: "Nothing.",
-		Keys: []string{"vm", "address", "was", "reason"},
+		Keys: []string{"member", "address", "was", "reason"},
 	})
 	MemberSuspect = Define(Def{
 		ID: 6101, Name: "member-suspect", Level: Info,
 		Text: "An entry VM's heartbeats are late or slow; it gets no new work and keeps what it owns.",
 		Does: "Look at its processor time and at the link between the two VMs if it lasts.",
-		Keys: []string{"vm", "address", "was", "reason"},
+		Keys: []string{"member", "address", "was", "reason"},
 	})
 	MemberDead = Define(Def{
 		ID: 6102, Name: "member-dead", Level: Warn,
 		Text: "An entry VM is taken for dead; others take over what it owned.",
 		Does: "If the VM runs, look for a cut between failure domains at the same time.",
-		Keys: []string{"vm", "address", "was", "reason"},
+		Keys: []string{"member", "address", "was", "reason"},
 	})
 	MemberLeaving = Define(Def{
 		ID: 6103, Name: "member-leaving", Level: Info,
 		Text: "An entry VM is stopping and gets no new work.",
 		Does: "Nothing.",
-		Keys: []string{"vm", "address", "was", "reason"},
+		Keys: []string{"member", "address", "was", "reason"},
 	})
 )
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -283,7 +283,11 @@
 // publish records the changes and renews the view. Called with mu held.
 func (m *Membership) publish() {
 	for _, c := range m.detector.takeChanges() {
-		m.recorder.Record(changeEvents[c.to], c.member.ID, c.member.Address, c.from, c.reason)
+		was := c.from.String()
+		if c.reason == joined {
+			was = "new"
+		}
+		m.recorder.Record(changeEvents[c.to], c.member.ID, c.member.Address, was, c.reason)
 	}
 	var members []Member
 	known := map[model.VMID]bool{}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -90,7 +90,9 @@
 	l.failure = &Error{Code: CodeUnreachable, Message: err.Error(), Verdict: verdict.NotRun,
 		NoListener: errors.Is(err, syscall.ECONNREFUSED)}
 	l.retryAt = time.Now().Add(backoff)
-	l.client.recorder.Record(event.PeerUnreachable, l.address, backoff, err.Error())
+	if l.failures == 1 {
+		l.client.recorder.Record(event.PeerUnreachable, l.address, backoff, err.Error())
+	}
 }
 
 // backoff doubles with every failure in a row and is spread by half.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -21,6 +21,8 @@
 	peerInterval  = 500 * time.Millisecond // between looks at the peers' revisions
 	retryInterval = 500 * time.Millisecond // after a failed look at the store, spread by half
 	peerTimeout   = 2 * time.Second        // of one call to a peer
+	confirmPause  = 50 * time.Millisecond  // longest, between tries to confirm the first head
+	confirmTries  = 10
 )
 
 // Rollout accepts sheets on this VM and keeps its configuration current. Safe for
@@ -120,21 +122,27 @@
 }
 
 func (r *Rollout) firstLook(ctx context.Context, wait time.Duration) error {
-	h, err := r.records.read(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
-		h, err = r.awaitFirst(ctx, wait)
-	}
-	if err != nil || h.Revision == 0 {
-		return err
-	}
-	if err := r.records.confirm(ctx, &h); err != nil {
-		return err
-	}
-	if err := r.adopt(ctx, h); err != nil {
-		return err
+	for try := 1; ; try++ {
+		h, err := r.records.read(ctx)
+		if errors.Is(err, platform.ErrNotFound) {
+			h, err = r.awaitFirst(ctx, wait)
+		}
+		if err != nil || h.Revision == 0 {
+			return err
+		}
+		err = r.records.confirm(ctx, &h)
+		if err == nil {
+			err = r.adopt(ctx, h)
+			if err == nil {
+				r.watched = h.revision
+			}
+			return err
+		}
+		// Other VMs that start at the same time confirm the same head.
+		if !errors.Is(err, platform.ErrConflict) || try == confirmTries || r.records.pause(ctx, rand.N(confirmPause)) != nil {
+			return err
+		}
 	}
-	r.watched = h.revision
-	return nil
 }
 
 // awaitFirst waits until the store has a head at all and returns it; its revision
