--- a/internal/backend/borrower.go
+++ b/internal/backend/borrower.go
@@ -97,7 +97,7 @@
 		return
 	}
 	delivered := p.deliver(granted, func(w *waiter) *Permit {
-		permit := &Permit{ID: r.Permit, Server: s}
+		permit := &Permit{ID: r.Permit, Server: s, Likely: p.times.Likely()}
 		permit.release = func(o Outcome) {
 			held := m.options.Now().Sub(granted)
 			p.endBorrowed(o, held, w.ask.Branch)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -175,7 +175,7 @@
 	if !ok {
 		return false
 	}
-	permit := &Permit{ID: w.id, Server: p.servers[g.Server]}
+	permit := &Permit{ID: w.id, Server: p.servers[g.Server], Likely: p.times.Likely()}
 	permit.release = func(o Outcome) { p.release(w.id, o, p.options.Now().Sub(now), w.ask.Branch) }
 	w.settled <- settlement{permit: permit}
 	return true
--- a/internal/backend/router.go
+++ b/internal/backend/router.go
@@ -43,6 +43,7 @@
 type Permit struct {
 	ID      PermitID
 	Server  Server
+	Likely  time.Duration // a service time that most requests do not exceed; 0: not known yet
 	release func(Outcome)
 }
 
--- a/internal/front/failure_test.go
+++ b/internal/front/failure_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // TestStalledServer leaves a safe request without an answer on one server: it is
@@ -23,6 +24,22 @@
 	}
 }
 
+// TestHalfTimeIsAmple sends a safe request with less time than two runs need: it is
+// not given up for a second run, which could not be in time either.
+func TestHalfTimeIsAmple(t *testing.T) {
+	server := newFakeServer(t, "b1", func(w http.ResponseWriter, r *http.Request, run func()) {
+		time.Sleep(slowAnswer)
+		answerPath(w, r, run)
+	})
+	front := newFront(t, Options{DefaultDeadline: slowAnswer * 8 / 5}, newFakeLedger(), server)
+	for _, path := range []string{"/learn", "/1", "/2", "/3"} {
+		send(t, front, "GET", path, "")
+		if n := server.ran(path); n > 1 {
+			t.Errorf("%s ran %d times", path, n)
+		}
+	}
+}
+
 // TestAnswerWithoutID answers without the request's id: taken or refused as set.
 func TestAnswerWithoutID(t *testing.T) {
 	for _, required := range []bool{false, true} {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -14,6 +14,10 @@
 	"filbertcross/internal/verdict"
 )
 
+// ampleFactor is how many likely service times an attempt gets at least before it
+// is given up for another one.
+const ampleFactor = 4
+
 // forward gets the request a slot and sends it, again where its verdict, its
 // deadline and the retry budget allow it.
 func (h *Handler) forward(ctx context.Context, r *request) (*ledger.Answer, *Problem) {
@@ -58,7 +62,7 @@
 		id:       r.id + "." + strconv.Itoa(n),
 		request:  r,
 		server:   permit.Server,
-		deadline: h.attemptDeadline(r, n),
+		deadline: h.attemptDeadline(r, permit.Likely, n),
 	}
 	answer, failed := h.connections.exchange(context.WithoutCancel(ctx), a)
 	if failed != nil {
@@ -70,14 +74,18 @@
 }
 
 // attemptDeadline is the request's deadline, or half of the time left if the
-// method is safe and another attempt can follow: a server that stalls then costs
-// the caller time and no answer.
-func (h *Handler) attemptDeadline(r *request, n int) time.Time {
+// method is safe, another attempt can follow and the half is ample: a server that
+// stalls then costs the caller time and no answer.
+func (h *Handler) attemptDeadline(r *request, likely time.Duration, n int) time.Time {
 	if !r.safe() || n >= h.options.MaxAttempts || !h.retryAvailable(r.service) {
 		return r.deadline
 	}
 	now := h.options.Now()
-	return now.Add(r.deadline.Sub(now) / 2)
+	half := r.deadline.Sub(now) / 2
+	if half < ampleFactor*likely {
+		return r.deadline
+	}
+	return now.Add(half)
 }
 
 // mayRetry reports whether the request may be sent once more.
