--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -406,8 +406,8 @@
 	if s.tryPolicy(c, q) || s.preempt(q, need) {
 		return true
 	}
-	if !q.polite {
-		return false
+	if !q.polite || c.scanning || c.heldFor >= c.waiting {
+		return false // nothing is held for others, or room is being made elsewhere
 	}
 	q.polite = false
 	return s.tryPolicy(c, q) || s.preempt(q, need)
