--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -37,7 +37,7 @@
 	size  model.Resources // to be granted
 	ends  time.Time       // expected
 	level level           // at which the class competes now
-	// polite keeps the task out of room held for others, also where it goes before them.
+	// polite keeps the task out of reserved room also where it goes before that.
 	polite bool
 }
 
@@ -128,7 +128,7 @@
 // yields reports whether the hold does not stand in the way of the task: it is its own,
 // the task goes before it, or is expected to end before it is needed.
 func (h *hold) yields(q *query) bool {
-	return h.class == q.class || !q.polite && h.after(q) || q.ends.Before(h.from)
+	return h.class == q.class || !(q.polite && h.reserved) && h.after(q) || q.ends.Before(h.from)
 }
 
 // after reports whether the task goes before the hold's. In a branch the levels count also
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -219,7 +219,7 @@
 		}
 	}
 	for _, h := range w.holds {
-		if h.class == q.class || q.polite || !h.after(q) {
+		if h.class == q.class || q.polite && h.reserved || !h.after(q) {
 			room = room.Sub(h.size)
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -399,15 +399,15 @@
 	return false
 }
 
-// place places or makes room: first beside what is held for others, then by preemption
-// there, and last, where the class goes before the holds, in their room.
+// place places or makes room: first beside what is reserved for others, then by preemption
+// there, and last, where the class goes before the reservations, in their room.
 func (s *Scheduler) place(c *class, q *query, need int) bool {
 	q.polite = len(s.holders) > 0
 	if s.tryPolicy(c, q) || s.preempt(q, need) {
 		return true
 	}
 	if !q.polite || c.scanning || c.heldFor >= c.waiting {
-		return false // nothing is held for others, or room is being made elsewhere
+		return false // nothing is reserved, or room is being made elsewhere
 	}
 	q.polite = false
 	return s.tryPolicy(c, q) || s.preempt(q, need)
