Ledger: patience through hand-overs and takeovers

Cause: during a hand-over Append returns ErrDeposed, which took no effect, and Begin turned it into a refusal that Router does not repeat; and 400 ms of tries are shorter than a takeover. Change: ErrDeposed becomes ErrNotOwner, and Router tries until the request's deadline less 200 ms, at most 3 s; a store that does not answer is still refused at once. Seen failing without it: TestRouterOutlastsTakeover 'not run: partition: a newer epoch owns it'. A first try of the test's clock (waiting for the hosts in the router's pause) deadlocked and was replaced by a lock.

--- a/internal/ledger/host.go
+++ b/internal/ledger/host.go
@@ -149,13 +149,22 @@
 		}
 		return result, nil
 	}
-	if err := p.logBegin(ctx, r, result.Token); err != nil {
+	err = p.logBegin(ctx, r, result.Token)
+	if deposed(err) {
+		return BeginResult{}, ErrNotOwner
+	}
+	if err != nil {
 		h.recorder.Record(event.LedgerRefused, id, r.Branch, r.Key, err)
 		return BeginResult{}, refused(err)
 	}
 	return result, nil
 }
 
+// deposed reports whether a record was refused since another VM owns the partition.
+func deposed(err error) bool {
+	return errors.Is(err, partition.ErrDeposed) && !errors.Is(err, partition.ErrInDoubt)
+}
+
 // claim answers from the state, or reserves a free key with a new token.
 func (p *home) claim(r BeginRequest) (result BeginResult, known bool, err error) {
 	now := p.host.now()
@@ -257,7 +266,7 @@
 }
 
 // Finish records the outcome of a run. Errors: ErrNotOwner, ErrUnknownRun, ErrBusy
-// and those of partition.Log.Append; after an error the key stays as it was, and
+// and those of partition.Log.Append but ErrDeposed; after an error the key stays as it was, and
 // Finish may be called again.
 func (h *Host) Finish(ctx context.Context, id model.PartitionID, r FinishRequest) error {
 	p, err := h.home(id)
@@ -280,6 +289,9 @@
 	p.host.background.Go(func() { done <- p.append(id, record{Finished: f}, nil) })
 	select {
 	case err := <-done:
+		if deposed(err) {
+			return ErrNotOwner
+		}
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,12 +29,14 @@
 // come and go. The oracle: a key is executed at most once while it is kept, a
 // recorded answer is the execution's, and a key is free only if nothing ran.
 type machine struct {
+	clock     sync.Mutex // guards now against the hosts' goroutines
 	now       time.Time
 	storage   *fakeStorage
 	peers     *fakePeers
 	directory *fakeDirectory
 	router    *Router
 	epochs    int
+	retries   int // pauses of the router
 	maxTotal  int // bytes of recorded answers kept
 	dead      map[model.VMID]bool
 	hosts     []*Host
@@ -60,7 +63,8 @@
 	m.router = &Router{
 		Layout:    func() (partition.Layout, bool) { return partition.Layout{KeyPartitions: 1}, true },
 		Directory: m.directory, Caller: m.peers,
-		Sleep: func(context.Context, time.Duration) error { return nil },
+		Now:   func() time.Time { return m.now },
+		Sleep: m.sleep,
 	}
 	m.TakeOver(nil)
 	return m
@@ -70,7 +74,7 @@
 	log, replay := m.storage.takeOver()
 	limits := Limits{Retain: time.Hour, MaxKeys: 100, MaxAnswerBytes: 100, MaxTotalBytes: m.maxTotal}
 	host := NewHost(limits, func(vm model.VMID) bool { return m.dead[vm] },
-		func() time.Time { return m.now }, event.Discard{})
+		m.hostClock, event.Discard{})
 	if err := host.Open("k-0", log, replay); err != nil {
 		panic(err)
 	}
@@ -89,6 +93,24 @@
 	}
 }
 
+// sleep lets time pass; a router that waits long enough learns of the newest owner.
+func (m *machine) sleep(ctx context.Context, d time.Duration) error {
+	m.clock.Lock()
+	m.now = m.now.Add(d)
+	m.clock.Unlock()
+	if m.retries++; m.retries%20 == 0 {
+		m.directory.address = fmt.Sprint(m.epochs)
+	}
+	return ctx.Err()
+}
+
+// hostClock is read by goroutines of the hosts.
+func (m *machine) hostClock() time.Time {
+	m.clock.Lock()
+	defer m.clock.Unlock()
+	return m.now
+}
+
 func (m *machine) Misroute(t *rapid.T) {
 	m.directory.address = fmt.Sprint(rapid.IntRange(max(1, m.epochs-2), m.epochs).Draw(t, "owner"))
 }
@@ -289,3 +311,15 @@
 		t.Fatalf("%d callers may run", runs)
 	}
 }
+
+// A former owner's log takes nothing: the router waits for the new one.
+func TestRouterOutlastsTakeover(t *testing.T) {
+	m := newMachine(100)
+	former := m.directory.address
+	m.TakeOver(nil)
+	m.directory.address = former
+	r := BeginRequest{Branch: "b", Key: "x", Deadline: m.now.Add(time.Minute)}
+	if result, err := m.router.Begin(context.Background(), r); err != nil || result.State != Run {
+		t.Fatalf("%+v, %v", result, err)
+	}
+}
--- a/internal/ledger/router.go
+++ b/internal/ledger/router.go
@@ -29,8 +29,9 @@
 
 // Bounds of a router's repeats.
 const (
-	routerTries = 4
-	routerPause = 100 * time.Millisecond
+	routerPatience = 3 * time.Second        // longer than a takeover after a VM's death
+	routerMargin   = 200 * time.Millisecond // of the request's deadline kept for its sending
+	routerPause    = 100 * time.Millisecond
 )
 
 type beginMessage struct {
@@ -93,6 +94,8 @@
 	Directory Directory
 	Host      *Host
 	Caller    peer.Caller
+	// Now reads the wall clock; nil: time.Now.
+	Now func() time.Time
 	// Sleep waits between tries; nil: a real timer.
 	Sleep func(ctx context.Context, d time.Duration) error
 }
@@ -104,7 +107,8 @@
 func (r *Router) Begin(ctx context.Context, request BeginRequest) (BeginResult, error) {
 	request.Run = uuid.NewString()
 	var result BeginResult
-	err := r.reach(ctx, request.Branch, request.Key, func(id model.PartitionID, address string, local bool) (err error) {
+	until := r.until(request.Deadline.Add(-routerMargin))
+	err := r.reach(ctx, until, request.Branch, request.Key, func(id model.PartitionID, address string, local bool) (err error) {
 		if local {
 			result, err = r.Host.Begin(ctx, id, request)
 			return err
@@ -120,7 +124,7 @@
 
 // Finish records how a run ended; a repeat of it changes nothing.
 func (r *Router) Finish(ctx context.Context, request FinishRequest) error {
-	return r.reach(ctx, request.Branch, request.Key, func(id model.PartitionID, address string, local bool) error {
+	return r.reach(ctx, r.until(time.Time{}), request.Branch, request.Key, func(id model.PartitionID, address string, local bool) error {
 		if local {
 			return r.Host.Finish(ctx, id, request)
 		}
@@ -128,29 +132,41 @@
 	})
 }
 
+// until returns when to stop trying: after the patience, or at the deadline if
+// there is an earlier one.
+func (r *Router) until(deadline time.Time) time.Time {
+	end := r.now().Add(routerPatience)
+	if !deadline.IsZero() && deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
+func (r *Router) now() time.Time {
+	if r.Now != nil {
+		return r.Now()
+	}
+	return time.Now()
+}
+
 // reach calls the owner of the key's home, and again while it is not known or the
 // answer was lost.
-func (r *Router) reach(ctx context.Context, branch model.BranchID, key string,
+func (r *Router) reach(ctx context.Context, until time.Time, branch model.BranchID, key string,
 	call func(id model.PartitionID, address string, local bool) error) error {
 	layout, ok := r.Layout()
 	if !ok {
 		return errors.New("ledger: the layout is not known yet")
 	}
 	id := layout.KeyPartition(branch, key)
-	err := ErrNotOwner
-	for try := range routerTries {
-		if try > 0 && r.pause(ctx) != nil {
-			return err
-		}
-		address, local, ok := r.Directory.Owner(id)
-		if !ok {
-			continue
+	for {
+		err := ErrNotOwner
+		if address, local, ok := r.Directory.Owner(id); ok {
+			err = call(id, address, local)
 		}
-		if err = call(id, address, local); !repeatable(err) {
+		if !repeatable(err) || r.now().After(until) || r.pause(ctx) != nil {
 			return err
 		}
 	}
-	return err
 }
 
 // repeatable reports whether the owner was not found, was busy with the key, or its
