--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,12 +14,14 @@
 // borrows, among the requests that wait here. Safe for concurrent use.
 type pool struct {
 	options *Options
+	self    model.VMID
 	service string
 	record  func(def *event.Def, values ...any)
 
 	mu       sync.Mutex
 	servers  map[ServerID]Server // usable ones of the service, owned here or not
 	slots    map[ServerID]int    // of owned servers: slots that may be used when healthy
+	part     int                 // of the service's slots, if they are shared evenly
 	table    *SlotTable
 	queue    *FairQueue[*waiter]
 	times    ServiceTime
@@ -28,8 +30,10 @@
 	barred   map[PermitID]time.Time    // released before they were granted
 	notes    map[ServerID]handoverNote // of former owners
 	lost     map[ServerID]*lostServer  // to be handed over
+	visitors int                       // waiters of other VMs
 	borrows  int                       // permits being asked of other VMs
 	borrowed int                       // permits of other VMs in use here
+	passedOn map[PermitID]*passedOn    // borrowed permits that another VM uses
 }
 
 // waiter is a request that waits for a slot, here or on the VM that asks for a permit.
@@ -41,15 +45,23 @@
 	settled chan settlement // receives exactly once, unless the waiter cancels
 }
 
+// passedOn is a borrowed permit that came when a waiter of another VM was next.
+type passedOn struct {
+	permit *Permit
+	holder model.VMID
+	lease  time.Time
+}
+
 // settlement is what a waiter gets.
 type settlement struct {
 	permit  *Permit
 	refusal *Refusal
 }
 
-func newPool(options *Options, service string, recorder event.Recorder) *pool {
+func newPool(options *Options, self model.VMID, service string, recorder event.Recorder) *pool {
 	return &pool{
 		options:  options,
+		self:     self,
 		service:  service,
 		record:   recorder.Record,
 		servers:  make(map[ServerID]Server),
@@ -61,6 +73,7 @@
 		barred:   make(map[PermitID]time.Time),
 		notes:    make(map[ServerID]handoverNote),
 		lost:     make(map[ServerID]*lostServer),
+		passedOn: make(map[PermitID]*passedOn),
 	}
 }
 
@@ -139,10 +152,11 @@
 }
 
 // wait estimates how long a new request of the branch waits: the queue drains at
-// the rate of the permits that are in use.
+// the rate of the permits that are in use, or of this VM's slots where fewer are,
+// as just after a change of owners.
 func (p *pool) wait(ask Ask) time.Duration {
-	inUse := max(1, p.table.Granted()+p.borrowed)
-	return p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), inUse)
+	slots := max(1, p.table.Granted()+p.borrowed, p.table.Slots(), p.part)
+	return p.times.Wait(p.queue.Ahead(ask.Branch, ask.Share), slots)
 }
 
 // cost is the slot time that a request of the branch is expected to take, in seconds.
@@ -187,8 +201,7 @@
 	now := p.options.Now()
 	g, ok := p.table.Release(id)
 	if !ok {
-		p.queue.Remove(id)
-		p.barred[id] = now.Add(p.options.Lease)
+		p.releaseUnknown(now, id, o)
 		return
 	}
 	p.observe(o, held, branch)
@@ -201,6 +214,16 @@
 	p.dispatch(now)
 }
 
+// releaseUnknown ends a permit that this VM has not granted itself.
+func (p *pool) releaseUnknown(now time.Time, id PermitID, o Outcome) {
+	if passed, ok := p.passedOn[id]; ok {
+		delete(p.passedOn, id)
+		go passed.permit.Release(o) // it takes the lock again
+		return
+	}
+	p.barred[id] = now.Add(barLife)
+}
+
 // observe learns from the time that a request held its slot.
 func (p *pool) observe(o Outcome, held time.Duration, branch model.BranchID) {
 	if o != OutcomeAnswered {
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -82,14 +82,16 @@
 	waiting  int // tasks of its jobs, also of those that back off
 	state    classState
 	pos      int       // position in the heap or list of its state
+	retry    bool      // a retry of the search for victims is set
 	timer    time.Time // the next timer set for the class; zero: none
 	holds    []*hold
-	heldFor  int   // tasks that have a hold
-	scanned  int   // workers looked at for victims since it was blocked
-	quota    bool  // blocked by the branch's quota
-	scanning bool  // the search for victims goes on in the next Decide
-	revived  int64 // round in which it was revived for workers that gained room
-	tried    int64 // round in which it was found not to fit
+	reserved time.Time // when its reservation began
+	heldFor  int       // tasks that have a hold
+	scanned  int       // workers looked at for victims since it was blocked
+	quota    bool      // blocked by the branch's quota
+	scanning bool      // the search for victims goes on in the next Decide
+	revived  int64     // round in which it was revived for workers that gained room
+	tried    int64     // round in which it was found not to fit
 	// rotations counts the jobs put behind others in round rotated.
 	rotated   int64
 	rotations int
@@ -109,6 +111,14 @@
 	return nil
 }
 
+// together returns how many tasks of the first job have to be placed at once.
+func (c *class) together() int {
+	if j := c.head(); j != nil {
+		return c.policy.together(j)
+	}
+	return 1
+}
+
 // clear drops all jobs, none of which has a waiting task.
 func (c *class) clear() {
 	for _, j := range c.jobs {
@@ -177,6 +187,7 @@
 	at     time.Time
 	job    *job    // its back-off ends
 	class  *class  // its level changes or it is starved
+	retry  bool    // the class looks for victims again instead
 	worker *worker // takes tasks again after a pause
 }
 
@@ -271,6 +282,15 @@
 	*list = append(*list, c)
 }
 
+// setRetry has a blocked class look for victims again at the time, unless that is set.
+func (q *queue) setRetry(c *class, at time.Time) {
+	if c.retry {
+		return
+	}
+	c.retry = true
+	heap.Push(&q.timers, timer{at: at, class: c, retry: true})
+}
+
 // setTimer has the class looked at again at the time, unless an earlier timer does so.
 func (q *queue) setTimer(c *class, at time.Time) {
 	if at.IsZero() || (!c.timer.IsZero() && !at.Before(c.timer)) {
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -27,6 +27,7 @@
 type turnKey struct {
 	level level
 	share float64
+	own   level // orders the classes of one branch that share binds
 	due   time.Time
 	seq   int64
 }
@@ -37,23 +38,27 @@
 		return a.level < b.level
 	case a.share != b.share:
 		return a.share < b.share
+	case a.own != b.own:
+		return a.own < b.own
 	case !a.due.Equal(b.due):
 		return a.due.Before(b.due)
 	}
 	return a.seq < b.seq
 }
 
-// key returns the class's place in the order. A branch above its share goes back to its
-// tier with late work, so that a flood of deadlines takes nothing from others.
+// key returns the class's place in the order. A branch that holds its share in work of the
+// class's tier and above competes no higher than levelNormal with more of it, so that a
+// flood of urgent work or of deadlines takes nothing from others; among its own classes
+// their levels go on to count.
 func (s *Scheduler) key(c *class) turnKey {
-	k := turnKey{level: c.level, due: c.due, seq: c.seq}
-	if c.level == levelLate && !s.overShare(c.branch) {
-		return k
-	}
-	if c.level == levelLate {
-		k.level = levelOf(c.key.tier)
-	}
+	k := turnKey{level: c.level, own: c.level, due: c.due, seq: c.seq}
 	k.share = s.weighted(c.branch, model.Resources{})
+	switch {
+	case c.level < levelNormal && s.aboveIn(c.branch, c.key.tier):
+		k.level = levelNormal
+	case c.level == levelLate:
+		k.share = 0
+	}
 	return k
 }
 
@@ -138,7 +143,7 @@
 	}
 	s.blockFull(c)
 	if s.mayGain(c) {
-		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
+		s.queue.setRetry(c, s.cluster.now.Add(preemptRetry))
 	}
 }
 
@@ -290,14 +295,24 @@
 			s.enqueue(t.job)
 		case t.worker != nil:
 			s.cluster.noteFreed(t.worker)
+		case t.retry:
+			s.runRetry(t.class)
 		default:
 			s.runClassTimer(t)
 		}
 	}
 }
 
-// runClassTimer looks again at a class: its level may have changed, its first job may be
-// starved now, or victims may have appeared.
+// runRetry makes a blocked class active again, since victims may have appeared.
+func (s *Scheduler) runRetry(c *class) {
+	c.retry = false
+	if c.state == classBlocked && !c.quota {
+		s.revive(c)
+	}
+}
+
+// runClassTimer looks again at a class: its level may have changed, or its first job may
+// be starved now.
 func (s *Scheduler) runClassTimer(t timer) {
 	c := t.class
 	if !t.at.Equal(c.timer) {
--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -12,9 +12,12 @@
 	"filbertcross/internal/membership"
 	"filbertcross/internal/model"
 	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 )
 
+const methodLayout peer.Method = "layout.get"
+
 const (
 	assignInterval = 200 * time.Millisecond
 	// releaseGrace is how long a live owner that is no longer wanted has for
@@ -22,6 +25,9 @@
 	releaseGrace = 3 * time.Second
 	// wantedDelay is how long another VM must be wanted before a partition is released to it.
 	wantedDelay = time.Second
+	// startDelay is how long a VM listens for the others before it takes anything
+	// over, so that VMs that start together do not hand everything around.
+	startDelay = time.Second
 	// takeoverRetry is the wait after a takeover that failed.
 	takeoverRetry = 500 * time.Millisecond
 	// storeCallsPerTakeover bounds one takeover: its timeout is that many store timeouts.
@@ -45,6 +51,7 @@
 	settings config.Settings
 	store    platform.Store
 	view     membership.View
+	caller   peer.Caller
 	host     tenancies
 	recorder event.Recorder
 	interval func() time.Duration // least time between writes of a partition's log
@@ -53,9 +60,13 @@
 	layout partition.Layout
 	loaded bool
 	vms    []platform.VM
+	heard  time.Time // when the first list was taken
 
 	attempts map[model.PartitionID]*attempt
 	leaving  bool
+	moves    sync.WaitGroup // takeovers and releases on their way; added to under mu while not leaving
+
+	now func() time.Time
 }
 
 // attempt is the state of a partition that this VM does not yet, or no longer, want.
@@ -65,14 +76,16 @@
 	busy    bool
 }
 
-func newAssigner(settings config.Settings, store platform.Store, view membership.View, host tenancies, recorder event.Recorder) *assigner {
+func newAssigner(settings config.Settings, store platform.Store, view membership.View, caller peer.Caller, host tenancies, recorder event.Recorder) *assigner {
 	a := &assigner{
 		settings: settings,
 		store:    store,
 		view:     view,
+		caller:   caller,
 		host:     host,
 		recorder: recorder,
 		attempts: map[model.PartitionID]*attempt{},
+		now:      time.Now,
 	}
 	a.interval = a.logInterval
 	return a
@@ -83,6 +96,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.vms = vms
+	if a.heard.IsZero() {
+		a.heard = a.now()
+	}
 }
 
 // Layout returns the layout of the partitions, if it is known.
@@ -106,9 +122,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
 			a.loadLayout(ctx)
-			a.step(ctx, now)
+			a.step(ctx)
 		}
 	}
 }
@@ -124,6 +140,9 @@
 	bounded, cancel := context.WithTimeout(ctx, a.settings.StoreTimeout)
 	defer cancel()
 	read, err := partition.LoadLayout(bounded, a.store, vms, a.settings.KeyPartitions)
+	if err != nil && !loaded {
+		read, err = a.layoutOfPeer(ctx, err)
+	}
 	if err != nil {
 		a.recorder.Record(event.LayoutFailed, err)
 		return
@@ -133,6 +152,30 @@
 	a.layout, a.loaded = read, true
 }
 
+// layoutAnswer is the layout that a VM knows.
+type layoutAnswer struct {
+	Layout partition.Layout `json:"layout"`
+	Known  bool             `json:"known"`
+}
+
+// layoutOfPeer asks the other VMs, so that one that starts in an outage of the
+// store can serve; without an answer it returns the store's error.
+func (a *assigner) layoutOfPeer(ctx context.Context, storeError error) (partition.Layout, error) {
+	for _, m := range a.view.Members() {
+		if m.ID == a.view.Self().ID || m.State != membership.Alive {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, a.settings.StoreTimeout)
+		var answer layoutAnswer
+		err := a.caller.Call(bounded, m.Address, methodLayout, struct{}{}, &answer)
+		cancel()
+		if err == nil && answer.Known {
+			return answer.Layout, nil
+		}
+	}
+	return partition.Layout{}, storeError
+}
+
 func hasUnplaced(layout partition.Layout, vms []platform.VM) bool {
 	for _, vm := range vms {
 		if vm.Role != platform.RoleWorker {
@@ -146,7 +189,8 @@
 }
 
 // step compares what this VM hosts with what it is wanted for.
-func (a *assigner) step(ctx context.Context, now time.Time) {
+func (a *assigner) step(ctx context.Context) {
+	now := a.now()
 	layout, loaded := a.Layout()
 	if !loaded {
 		return
@@ -157,7 +201,7 @@
 	hosted := a.host.Hosted()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || now.Sub(a.heard) < startDelay {
 		return
 	}
 	for _, info := range layout.Partitions() {
@@ -171,7 +215,7 @@
 			continue
 		}
 		try.busy = true
-		go a.move(ctx, info, wish, try, members)
+		a.moves.Go(func() { a.move(ctx, info, wish, try, members) })
 	}
 }
 
@@ -194,14 +238,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	try.busy = false
-	try.retryAt = time.Now().Add(takeoverRetry)
+	try.retryAt = a.now().Add(takeoverRetry)
 }
 
 // take takes the partition over unless a live owner may still give it up by itself.
 func (a *assigner) take(ctx context.Context, info partition.Info, try *attempt, members []membership.Member) {
 	bounded, cancel := context.WithTimeout(ctx, storeCallsPerTakeover*a.settings.StoreTimeout)
 	defer cancel()
-	if time.Since(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
+	if a.now().Sub(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
 		return
 	}
 	begun := time.Now()
@@ -255,11 +299,13 @@
 	a.recorder.Record(event.PartitionReleased, id, log.Epoch())
 }
 
-// ReleaseAll gives every partition up and takes none from then on.
+// ReleaseAll waits for the takeovers on their way, gives every partition up and
+// takes none from then on.
 func (a *assigner) ReleaseAll(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
+	a.moves.Wait()
 	var releases sync.WaitGroup
 	for id := range a.host.Hosted() {
 		releases.Add(1)
