--- a/internal/partition/entries.go
+++ b/internal/partition/entries.go
@@ -14,10 +14,9 @@
 	Canceled  *jobCanceled  `cbor:"2,keyasint,omitempty"`
 	Placed    *taskPlaced   `cbor:"3,keyasint,omitempty"`
 	Ended     *taskEnded    `cbor:"4,keyasint,omitempty"`
-	HandedOut *jobHandedOut `cbor:"5,keyasint,omitempty"`
 }
 
-// jobSubmitted accepts a job, at its home or handed over from there.
+// jobSubmitted accepts a job.
 type jobSubmitted struct {
 	Job model.Job `cbor:"1,keyasint"`
 }
@@ -47,12 +46,6 @@
 	At         time.Time     `cbor:"6,keyasint"`
 }
 
-// jobHandedOut says that another partition runs the job from now on.
-type jobHandedOut struct {
-	Job model.JobID       `cbor:"1,keyasint"`
-	To  model.PartitionID `cbor:"2,keyasint"`
-}
-
 // taskID names a job's task.
 func taskID(job model.JobID, index int) model.TaskID {
 	return model.TaskID(string(job) + "/" + strconv.Itoa(index))
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -30,12 +30,11 @@
 
 // jobState is a job as the log says.
 type jobState struct {
-	Job      model.Job         `cbor:"1,keyasint"`
-	Tasks    []taskState       `cbor:"2,keyasint"`
-	Canceled bool              `cbor:"3,keyasint,omitempty"`
-	HandedTo model.PartitionID `cbor:"4,keyasint,omitempty"`
-	Order    int64             `cbor:"5,keyasint"` // of submission
-	EndedAt  time.Time         `cbor:"6,keyasint"` // of its last task; zero: not ended
+	Job      model.Job   `cbor:"1,keyasint"`
+	Tasks    []taskState `cbor:"2,keyasint"`
+	Canceled bool        `cbor:"3,keyasint,omitempty"`
+	Order    int64       `cbor:"5,keyasint"` // of submission
+	EndedAt  time.Time   `cbor:"6,keyasint"` // of its last task; zero: not ended
 }
 
 // jobKey is the idempotency key of a submission.
@@ -128,10 +127,6 @@
 			j.Canceled = true
 			j.noteEnd(r.Canceled.At)
 		}
-	case r.HandedOut != nil:
-		if j := s.jobs[r.HandedOut.Job]; j != nil {
-			j.HandedTo = r.HandedOut.To
-		}
 	case r.Placed != nil:
 		s.applyPlaced(*r.Placed)
 	case r.Ended != nil:
--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -11,7 +11,6 @@
 	Job         model.Job            `json:"job"`
 	Canceled    bool                 `json:"canceled"`
 	Ended       bool                 `json:"ended"`
-	HandedTo    model.PartitionID    `json:"handed_to,omitempty"`
 	Tasks       []TaskStatus         `json:"tasks"`
 	Explanation schedule.Explanation `json:"explanation"`
 }
@@ -36,7 +35,7 @@
 	if j == nil {
 		return JobStatus{}, false
 	}
-	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended(), HandedTo: j.HandedTo}
+	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended()}
 	s.Explanation, _ = o.decider.Explain(id)
 	for i, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, o.taskStatus(taskID(id, i), t))
@@ -85,7 +84,7 @@
 
 // waiting counts the job's tasks that wait for a placement.
 func (j *jobState) waiting() int {
-	if j.Canceled || j.HandedTo != "" {
+	if j.Canceled {
 		return 0
 	}
 	n := 0
