--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -68,7 +68,7 @@
 		now: time.Unix(1000, 0), store: newFakeStore(), cut: map[[2]int]bool{},
 		jobs: map[model.JobID]model.Job{}, acked: map[model.JobID]bool{},
 		canceled: map[model.JobID]map[model.TaskID]int64{}, asked: map[Token]model.JobID{},
-		begun: map[model.TaskID]map[int64]bool{}, decider: func() schedule.Decider { return newFirstFit() },
+		begun: map[model.TaskID]map[int64]bool{}, decider: newScheduler,
 	}
 	for i := range workers {
 		w.workers = append(w.workers, &fakeWorker{id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true,
@@ -477,12 +477,8 @@
 
 func TestOwnersUnderFaults(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
-		for i := range 4 {
-			w := newWorld(3)
-			if i == 0 {
-				w.decider = newScheduler
-			}
-			runFaults(t, w)
+		for range 4 {
+			runFaults(t, newWorld(3))
 		}
 	})
 }
--- a/internal/partition/scenario_test.go
+++ b/internal/partition/scenario_test.go
@@ -102,13 +102,17 @@
 	}
 }
 
+// overfilling is a decision that believes in ten times each worker's capacity.
+type overfilling struct{ schedule.Decider }
+
+func (o overfilling) UpsertWorker(now time.Time, w schedule.Worker) {
+	w.Capacity.MilliCPU *= 10
+	o.Decider.UpsertWorker(now, w)
+}
+
 func TestOwnerRefusesToOverfill(t *testing.T) {
 	w := newWorld(1)
-	w.decider = func() schedule.Decider {
-		f := newFirstFit()
-		f.overfill = true
-		return f
-	}
+	w.decider = func() schedule.Decider { return overfilling{newScheduler()} }
 	w.takeOver()
 	w.brisk(t, 0, 2, time.Second, "")
 	w.submit(w.vms[0], 5, true)
@@ -182,7 +186,6 @@
 // stands behind it in the log, and must not be started.
 func TestCancelWinsOverPlacementBehindIt(t *testing.T) {
 	w := newWorld(1)
-	w.decider = newScheduler
 	w.listed[0] = false
 	w.takeOver()
 	w.submit(w.vms[0], 1, true)
