--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -156,6 +156,19 @@
 	b.ReportMetric(float64(after.WriteBytes-before.WriteBytes)/float64(b.N), "written-B/change")
 }
 
+// BenchmarkFirstSheet applies the first sheet to nine VMs that wait for one.
+func BenchmarkFirstSheet(b *testing.B) {
+	var longest time.Duration
+	for range b.N {
+		b.StopTimer()
+		f := startFleet(b)
+		time.Sleep(time.Second)
+		b.StartTimer()
+		longest = max(longest, f.apply(b, 0, morning(1)))
+	}
+	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+}
+
 // BenchmarkOneRow changes one branch of 260 with 2,600 rows.
 func BenchmarkOneRow(b *testing.B) {
 	f := startFleet(b)
