Leaving VMs own slots when no other VM is left

Cause: a lone VM, or all VMs together, that hand over would own nothing, and requests still queued would be refused. Found by reading the server's stopping order.

--- a/internal/backend/manager.go
+++ b/internal/backend/manager.go
@@ -105,15 +105,15 @@
 	}
 }
 
-// owners returns the members without this VM if it is stopping.
+// owners returns the members, this VM among the leaving ones if it is stopping.
 func (m *Manager) owners() []membership.Member {
-	var owners []membership.Member
-	for _, member := range m.view.Members() {
-		if member.ID != m.self || !m.stopping {
-			owners = append(owners, member)
+	members := slices.Clone(m.view.Members())
+	for i := range members {
+		if members[i].ID == m.self && m.stopping {
+			members[i].State = membership.Leaving
 		}
 	}
-	return owners
+	return members
 }
 
 // owned returns the slots that this VM may use of each server it owns.
--- a/internal/backend/ownership.go
+++ b/internal/backend/ownership.go
@@ -20,12 +20,9 @@
 	members int
 }
 
-// NewOwnership assigns the servers to the members that may own: the live and the
-// suspected ones, which keep what they own.
+// NewOwnership assigns the servers to the members that may own.
 func NewOwnership(members []membership.Member, servers []Server) *Ownership {
-	members = slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
-		return m.State == membership.Dead || m.State == membership.Leaving
-	})
+	members = mayOwn(members)
 	o := &Ownership{owners: make(map[ServerID]model.VMID, len(servers)), members: len(members)}
 	var all []string
 	local := make(map[model.FailureDomain][]string)
@@ -51,6 +48,24 @@
 	return o
 }
 
+// mayOwn returns the live members and the suspected ones, which keep what they
+// own; the leaving ones only if there is no other, as when all VMs stop.
+func mayOwn(members []membership.Member) []membership.Member {
+	var staying, leaving []membership.Member
+	for _, m := range members {
+		switch m.State {
+		case membership.Alive, membership.Suspect:
+			staying = append(staying, m)
+		case membership.Leaving:
+			leaving = append(leaving, m)
+		}
+	}
+	if len(staying) == 0 {
+		return leaving
+	}
+	return staying
+}
+
 // assign gives each server to its first choice among the VMs that have room.
 func (o *Ownership) assign(names []string, servers []Server) {
 	if len(names) == 0 {
--- a/internal/backend/router.go
+++ b/internal/backend/router.go
@@ -58,7 +58,6 @@
 	ReasonNoServer Reason = "no backend server of the service is known"
 	ReasonFull     Reason = "the queue is full"
 	ReasonLate     Reason = "it cannot be answered in time"
-	ReasonStopping Reason = "the VM is stopping"
 	ReasonCanceled Reason = "the caller went away"
 )
 
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -71,10 +71,8 @@
 // ownersSignature names the members that may own servers.
 func ownersSignature(members []membership.Member) []string {
 	var names []string
-	for _, member := range members {
-		if member.State == membership.Alive || member.State == membership.Suspect {
-			names = append(names, string(member.ID))
-		}
+	for _, member := range mayOwn(members) {
+		names = append(names, string(member.ID))
 	}
 	slices.Sort(names)
 	return names
