Owner: no stop before the start is resolved; Release waits for the write that is out

Tagging stops was weighed; instead none is sent while the start is open (it then ends by a report, or by its lapse).

Release cancelled the write that was out, so submissions of a planned stop became uncertain; it now waits. Seen failing without: 'append: write of partitions/p/log/000002: context canceled'.

--- a/internal/partition/attempt.go
+++ b/internal/partition/attempt.go
@@ -40,6 +40,7 @@
 	leaseUntil platform.WorkerClock // newest grant under this epoch
 	knownAt    time.Time            // when the start was known to have worked
 	stopAs     model.Outcome        // how it ends when stopped
+	stopWanted bool                 // a stop is due once the start is resolved
 	stopSent   time.Time
 	checkpoint string
 }
@@ -49,7 +50,7 @@
 
 // lostOutcome is the outcome of an attempt that ended without a word of its worker.
 func (a *attempt) lostOutcome() model.Outcome {
-	if a.phase == attemptStopping {
+	if a.phase == attemptStopping || a.stopWanted {
 		return a.stopAs
 	}
 	return model.OutcomeLost
--- a/internal/partition/fakestore_test.go
+++ b/internal/partition/fakestore_test.go
@@ -36,7 +36,7 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]platform.Entry{}} }
 
-func noSleep(context.Context, time.Duration) error { return nil }
+func noSleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
 
 func (s *fakeStore) next() fault {
 	if s.interruptIn--; s.interruptIn < 0 && s.interrupt != nil {
@@ -91,10 +91,14 @@
 	return found, nil
 }
 
-func (s *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte,
+func (s *fakeStore) CompareAndSwap(ctx context.Context, key string, value []byte,
 	expected platform.Revision) (platform.Revision, error) {
 	s.writes++
-	switch s.next() {
+	f := s.next()
+	if ctx.Err() != nil {
+		f = requestLost
+	}
+	switch f {
 	case refused:
 		return 0, platform.ErrUnavailable
 	case answerLost:
--- a/internal/partition/horizon.go
+++ b/internal/partition/horizon.go
@@ -54,13 +54,28 @@
 }
 
 // Release gives the partition up. The caller has stopped granting leases; appends
-// are refused from now on. Another VM may then take over without waiting for
-// this one to be declared dead.
+// are refused from now on, and the write that is out is waited for within ctx.
+// Another VM may then take over without waiting for this one to be declared dead.
 func (l *Log) Release(ctx context.Context) error {
-	l.Close()
+	l.close(ErrDeposed)
+	l.waitIdle(ctx)
+	l.cancel()
 	return l.changeRecord(ctx, func(r *Record) { r.Released = true })
 }
 
+func (l *Log) waitIdle(ctx context.Context) {
+	l.mu.Lock()
+	flushing, idle := l.flushing, l.idle
+	l.mu.Unlock()
+	if !flushing {
+		return
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
 func (l *Log) changeRecord(ctx context.Context, change func(*Record)) error {
 	l.recordMu.Lock()
 	defer l.recordMu.Unlock()
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -31,9 +31,10 @@
 	mu       sync.Mutex // guards the fields below
 	queue    []*batch
 	flushing bool
-	closed   error // set once; no append is taken any more
-	seq      int64 // of the last entry known to stand in the log
-	covered  int64 // by the newest snapshot known
+	idle     chan struct{} // closed when the present flusher ends
+	closed   error         // set once; no append is taken any more
+	seq      int64         // of the last entry known to stand in the log
+	covered  int64         // by the newest snapshot known
 	horizon  time.Time
 	writing  time.Time // since when a write is out; zero: none
 
@@ -118,6 +119,7 @@
 	l.queue = append(l.queue, b)
 	if !l.flushing {
 		l.flushing = true
+		l.idle = make(chan struct{})
 		go l.flush()
 	}
 	return nil
@@ -148,6 +150,7 @@
 	}
 	if n == 0 {
 		l.flushing = false
+		close(l.idle)
 		return nil
 	}
 	group := l.queue[:n:n]
--- a/internal/partition/log_test.go
+++ b/internal/partition/log_test.go
@@ -179,3 +179,27 @@
 		}
 	}
 }
+
+// A planned stop does not cut the write off that is out.
+func TestReleaseWaitsForTheWriteThatIsOut(t *testing.T) {
+	m := &logMachine{store: newFakeStore(), now: time.Unix(1000, 0)}
+	l, _, err := TakeOver(context.Background(), m.store, m.options(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	released := make(chan error, 1)
+	m.store.interruptIn = 0
+	m.store.interrupt = func() {
+		go func() { released <- l.Release(context.Background()) }()
+		for l.closedError() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond) // room for a wrong Release to cut it off
+	}
+	if err := l.Append(context.Background(), [][]byte{[]byte("r")}); err != nil {
+		t.Fatalf("append: %v", err)
+	}
+	if err := <-released; err != nil {
+		t.Fatalf("release: %v", err)
+	}
+}
--- a/internal/partition/place.go
+++ b/internal/partition/place.go
@@ -217,4 +217,7 @@
 		a.phase = attemptRunning
 		o.emit(o.notice(NoticeStarted, a, ""))
 	}
+	if a.stopWanted {
+		o.sendStop(a)
+	}
 }
--- a/internal/partition/scenario_test.go
+++ b/internal/partition/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -214,3 +215,23 @@
 		t.Fatalf("%d tasks run of a full log's jobs", w.workers[0].running())
 	}
 }
+
+// A stop that was executed before an open start, but whose answer comes after the
+// start's, proves nothing.
+func TestAnswerOfStopBeforeTheStartProvesNothing(t *testing.T) {
+	w := startWorld(t, 1)
+	w.submit(w.vms[0], 1, true)
+	vm := w.vms[0]
+	w.brisk(t, 0, 2, time.Second, "Start")
+	vm.owner.preempt(vm.owner.attempts["p~1/0"])
+	w.drain(vm)
+	for _, kind := range []string{"Stop", "Start", "Start", "Stop"} {
+		for _, o := range vm.ops {
+			if strings.Contains(fmt.Sprintf("%T", o.command), kind) {
+				w.run(0, vm, o)
+				break
+			}
+		}
+	}
+	w.brisk(t, 0, 5, time.Second, "")
+}
--- a/internal/partition/stop.go
+++ b/internal/partition/stop.go
@@ -22,9 +22,12 @@
 	}
 }
 
+// sendStop asks the worker to stop an attempt. While its start is open no stop is
+// sent: it could be executed before the start and answered after it.
 func (o *Owner) sendStop(a *attempt) {
-	if a.phase == attemptRecovered {
-		o.recovered()
+	if a.unresolved {
+		a.stopWanted = true
+		return
 	}
 	a.phase = attemptStopping
 	a.stopSent = o.now
@@ -63,8 +66,7 @@
 	o.advance()
 }
 
-// StopReturned answers a StopTask. Success proves that the attempt is not running,
-// unless its start may still be on the way.
+// StopReturned answers a StopTask. Success proves that the attempt is not running.
 func (o *Owner) StopReturned(now time.Time, ref platform.TaskRef, err error) {
 	if !o.begin(now) {
 		return
@@ -74,7 +76,7 @@
 		return
 	}
 	a := o.attempts[ref.Task]
-	if a == nil || a.ref != ref || a.phase != attemptStopping || a.unresolved || err != nil {
+	if a == nil || a.ref != ref || a.phase != attemptStopping || err != nil {
 		return
 	}
 	o.end(a, a.stopAs, "")
