--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"filbertcross/internal/membership"
 	"filbertcross/internal/model"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/schedule"
@@ -13,6 +14,7 @@
 const (
 	decideLimit   = 4096 // decisions taken at once; a larger gang is not committed as one
 	sweepEvery    = time.Minute
+	summaryAge    = time.Second
 	snapshotEvery = 256 // appends between two snapshots
 )
 
@@ -82,6 +84,9 @@
 	swept        time.Time // when ended jobs were last looked for
 	position     int64
 
+	summary  membership.Tenancy
+	summedAt time.Time
+
 	commands []Command
 	deposed  bool
 	now      time.Time // of the input being taken
--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -68,8 +68,16 @@
 	return jobs
 }
 
-// Summary is what the heartbeats tell the other VMs of the partition.
+// Summary is what the heartbeats tell the other VMs of the partition, at most
+// summaryAge old.
 func (o *Owner) Summary() membership.Tenancy {
+	if o.now.Sub(o.summedAt) >= summaryAge {
+		o.summary, o.summedAt = o.sum(), o.now
+	}
+	return o.summary
+}
+
+func (o *Owner) sum() membership.Tenancy {
 	t := membership.Tenancy{Epoch: o.opts.Epoch}
 	for _, w := range o.workers {
 		if w.usable() {
