--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
@@ -67,11 +68,31 @@
 	case errors.As(err, &uncertain):
 	case errors.Is(err, ErrNotAccepted):
 		m.refused = append(m.refused, s)
+		m.checkConflict(base, err)
 	default:
 		m.t.Fatalf("untyped error %v", err)
 	}
 }
 
+// checkConflict holds what a conflict names against the accepted sheets.
+func (m *machine) checkConflict(base int64, err error) {
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	from, fromKnown := m.sheets[base]
+	to, toKnown := m.sheets[conflict.Revision]
+	if conflict.Revision <= base {
+		m.t.Fatalf("conflict of revision %d with %d", base, conflict.Revision)
+	}
+	if !conflict.Known || !toKnown || (!fromKnown && base != 0) {
+		return
+	}
+	if want := sheet.Diff(from, to).String(); conflict.Changes.String() != want {
+		m.t.Fatalf("conflict names %q, want %q", conflict.Changes, want)
+	}
+}
+
 // repeat lets an operator apply an accepted sheet once more. It may only be taken for
 // accepted before if it is the newest.
 func (m *machine) repeat(vm *fakeVM, revision int64) {
@@ -270,8 +291,30 @@
 			},
 			"follow":   func(t *rapid.T) { m.follow(m.vms[vm.Draw(t, "vm")]) },
 			"restart":  func(t *rapid.T) { m.restart(vm.Draw(t, "vm")) },
+			"restart in trouble": func(t *rapid.T) {
+				m.store.plan = append(slices.Repeat([]fault{none}, rapid.IntRange(0, 4).Draw(t, "calls")), refused)
+				m.restart(vm.Draw(t, "vm"))
+			},
 			"converge": func(*rapid.T) { m.converge() },
 		})
 		m.converge()
 	})
 }
+
+// TestSweep leaves parts behind and expects only old ones that nothing names to go.
+func TestSweep(t *testing.T) {
+	store := &storeView{fakeStore: &fakeStore{entries: map[string]platform.Entry{}}}
+	vm := newVM("vm-0", store.fakeStore, map[string]*fakeVM{}, 3)
+	contents, _ := split(sheetOf(1, 3))
+	next, fresh, err := vm.writeParts(context.Background(), head{}, contents)
+	if err != nil || len(fresh) < 2 {
+		t.Fatal(len(fresh), err)
+	}
+	for _, age := range []time.Duration{applyTimeout, orphanAge + time.Hour} {
+		vm.records.sweep(context.Background(), next.Parts[1:], time.Now().Add(age))
+		_, orphan := store.entries[next.Parts[0].key()]
+		if want := age < orphanAge; orphan != want || len(store.entries) != len(fresh)-1+map[bool]int{true: 1}[want] {
+			t.Fatalf("after %v: orphan kept %v, %d parts of %d", age, orphan, len(store.entries), len(fresh))
+		}
+	}
+}
--- a/internal/schedule/proof/cases/main.go
+++ b/internal/schedule/proof/cases/main.go
@@ -40,6 +40,7 @@
 		{"no fair share", func(rng *rand.Rand) schedule.Decider { return baseline.NewOneBranch(asItIs(rng)) }},
 		{"no quarantine", scheduler(func(o *schedule.Options) { o.QuarantineFraction = 0 })}, // one worker is out at most
 		{"no correction", scheduler(func(o *schedule.Options) { o.Correct = false })},
+		{"waits for the loss", func(rng *rand.Rand) schedule.Decider { return baseline.WaitForLoss{Decider: asItIs(rng)} }},
 		{"first fit", func(*rand.Rand) schedule.Decider { return baseline.NewFirstFit() }},
 		{"random fit", func(rng *rand.Rand) schedule.Decider { return baseline.NewRandomFit(rng) }},
 	}
@@ -69,6 +70,7 @@
 
 // compare plays the cases of every cell and prints the tables in a fixed order.
 func compare(out io.Writer, seed uint64, parallel int, only string) error {
+	var verdicts goals
 	for _, c := range cells() {
 		var day []*result
 		for _, s := range allCases(c, seed) {
@@ -83,8 +85,10 @@
 				day = results
 			}
 			writeCase(out, s, results, day)
+			verdicts.judge(s, results, day)
 		}
 	}
+	verdicts.write(out)
 	return nil
 }
 
--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -25,6 +25,9 @@
 	releaseGrace = 3 * time.Second
 	// wantedDelay is how long another VM must be wanted before a partition is released to it.
 	wantedDelay = time.Second
+	// startDelay is how long a VM listens for the others before it takes anything
+	// over, so that VMs that start together do not hand everything around.
+	startDelay = time.Second
 	// takeoverRetry is the wait after a takeover that failed.
 	takeoverRetry = 500 * time.Millisecond
 	// storeCallsPerTakeover bounds one takeover: its timeout is that many store timeouts.
@@ -57,9 +60,13 @@
 	layout partition.Layout
 	loaded bool
 	vms    []platform.VM
+	heard  time.Time // when the first list was taken
 
 	attempts map[model.PartitionID]*attempt
 	leaving  bool
+	moves    sync.WaitGroup // takeovers and releases on their way; added to under mu while not leaving
+
+	now func() time.Time
 }
 
 // attempt is the state of a partition that this VM does not yet, or no longer, want.
@@ -78,6 +85,7 @@
 		host:     host,
 		recorder: recorder,
 		attempts: map[model.PartitionID]*attempt{},
+		now:      time.Now,
 	}
 	a.interval = a.logInterval
 	return a
@@ -88,6 +96,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.vms = vms
+	if a.heard.IsZero() {
+		a.heard = a.now()
+	}
 }
 
 // Layout returns the layout of the partitions, if it is known.
@@ -111,9 +122,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
 			a.loadLayout(ctx)
-			a.step(ctx, now)
+			a.step(ctx)
 		}
 	}
 }
@@ -178,7 +189,8 @@
 }
 
 // step compares what this VM hosts with what it is wanted for.
-func (a *assigner) step(ctx context.Context, now time.Time) {
+func (a *assigner) step(ctx context.Context) {
+	now := a.now()
 	layout, loaded := a.Layout()
 	if !loaded {
 		return
@@ -189,7 +201,7 @@
 	hosted := a.host.Hosted()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving {
+	if a.leaving || now.Sub(a.heard) < startDelay {
 		return
 	}
 	for _, info := range layout.Partitions() {
@@ -199,11 +211,11 @@
 		if mine == wish || try.busy || now.Before(try.retryAt) {
 			continue
 		}
-		if !wish && now.Sub(try.since) < wantedDelay {
-			continue
+		if !wish && (wanted[info.ID] == "" || now.Sub(try.since) < wantedDelay) {
+			continue // nobody else is there, or only for a moment
 		}
 		try.busy = true
-		go a.move(ctx, info, wish, try, members)
+		a.moves.Go(func() { a.move(ctx, info, wish, try, members) })
 	}
 }
 
@@ -226,14 +238,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	try.busy = false
-	try.retryAt = time.Now().Add(takeoverRetry)
+	try.retryAt = a.now().Add(takeoverRetry)
 }
 
 // take takes the partition over unless a live owner may still give it up by itself.
 func (a *assigner) take(ctx context.Context, info partition.Info, try *attempt, members []membership.Member) {
 	bounded, cancel := context.WithTimeout(ctx, storeCallsPerTakeover*a.settings.StoreTimeout)
 	defer cancel()
-	if time.Since(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
+	if a.now().Sub(try.since) < releaseGrace && a.heldByLiveOwner(bounded, info.ID, members) {
 		return
 	}
 	begun := time.Now()
@@ -287,11 +299,13 @@
 	a.recorder.Record(event.PartitionReleased, id, log.Epoch())
 }
 
-// ReleaseAll gives every partition up and takes none from then on.
+// ReleaseAll waits for the takeovers on their way, gives every partition up and
+// takes none from then on.
 func (a *assigner) ReleaseAll(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
+	a.moves.Wait()
 	var releases sync.WaitGroup
 	for id := range a.host.Hosted() {
 		releases.Add(1)
