--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -289,8 +289,8 @@
 				v.cut = rapid.Bool().Draw(t, "peers")
 				v.store.cut = rapid.Bool().Draw(t, "store")
 			},
-			"follow":   func(t *rapid.T) { m.follow(m.vms[vm.Draw(t, "vm")]) },
-			"restart":  func(t *rapid.T) { m.restart(vm.Draw(t, "vm")) },
+			"follow":  func(t *rapid.T) { m.follow(m.vms[vm.Draw(t, "vm")]) },
+			"restart": func(t *rapid.T) { m.restart(vm.Draw(t, "vm")) },
 			"restart in trouble": func(t *rapid.T) {
 				m.store.plan = append(slices.Repeat([]fault{none}, rapid.IntRange(0, 4).Draw(t, "calls")), refused)
 				m.restart(vm.Draw(t, "vm"))
