prove: backend servers that leave

Cause: the promise on leaving backend servers had no long randomised run. Change: a fault lists a backend server as leaving and compares what it ran after the list's lag and 3 s.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -81,7 +81,7 @@
 		return c, err
 	}
 	for i := range opts.VMs {
-		if err := c.startDomain(fmt.Sprintf("bg-south-%d", i+1)); err != nil {
+		if err := c.startDomain(domainName(i)); err != nil {
 			return c, err
 		}
 		if err := c.prepareVM(i); err != nil {
@@ -123,14 +123,13 @@
 	}
 	backendArgs := []string{"backends"}
 	for n, address := range backends {
-		id := fmt.Sprintf("backend-%s-%d", domain, n)
-		backendArgs = append(backendArgs, "--backend", id+"="+address)
-		if err := c.ListBackend(len(c.Backends)+n, address, domain, false); err != nil {
+		backendArgs = append(backendArgs, "--backend", backendName(domain, n)+"="+address)
+		c.Backends = append(c.Backends, address)
+		if err := c.ListBackend(len(c.Backends)-1, false); err != nil {
 			return err
 		}
 	}
 	c.Workers = append(c.Workers, workers...)
-	c.Backends = append(c.Backends, backends...)
 	if err := c.Procs.Start("workers-"+domain, c.binary("standin"), workerArgs...); err != nil {
 		return err
 	}
@@ -138,12 +137,19 @@
 }
 
 // ListBackend puts a backend server in the platform's list, as leaving or not.
-func (c *Cluster) ListBackend(index int, address, domain string, leaving bool) error {
-	id := fmt.Sprintf("backend-%s-%d", domain, index%backendsPerDomain)
-	row := platform.VM{ID: id, Role: platform.RoleBackend, Address: address, Service: "zalibook", Slots: Slots, Connections: connections, Leaving: leaving}
+func (c *Cluster) ListBackend(index int, leaving bool) error {
+	domain := domainName(index / backendsPerDomain)
+	row := platform.VM{
+		ID: backendName(domain, index%backendsPerDomain), Role: platform.RoleBackend, Address: c.Backends[index],
+		Service: "zalibook", Slots: Slots, Connections: connections, Leaving: leaving,
+	}
 	return c.List(row, domain, fmt.Sprintf("%s-rack-%d", domain, index%backendsPerDomain))
 }
 
+func domainName(index int) string { return fmt.Sprintf("bg-south-%d", index+1) }
+
+func backendName(domain string, n int) string { return fmt.Sprintf("backend-%s-%d", domain, n) }
+
 // List puts a VM in the platform's list.
 func (c *Cluster) List(vm platform.VM, domain, rack string) error {
 	vm.FailureDomain = model.FailureDomain(domain)
@@ -157,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	vm := &VM{Name: fmt.Sprintf("vm-%d", i+1), Domain: fmt.Sprintf("bg-south-%d", i+1), HTTP: addresses[0], peerListen: addresses[1]}
+	vm := &VM{Name: fmt.Sprintf("vm-%d", i+1), Domain: domainName(i), HTTP: addresses[0], peerListen: addresses[1]}
 	advertised, storeURL := vm.peerListen, c.StoreURL
 	if c.opts.Relayed {
 		if vm.Peer, err = NewRelay(vm.peerListen); err != nil {
--- a/internal/standin/prove/faults.go
+++ b/internal/standin/prove/faults.go
@@ -68,6 +68,7 @@
 	{"worker-loses-answers", aWorker, workerFault(standin.FaultSettings{LoseAnswer: 0.4})},
 	{"worker-slow", aWorker, workerFault(standin.FaultSettings{Delay: 400 * time.Millisecond})},
 	{"backend-loses-answers", aBackend, backendFault(standin.FaultSettings{LoseAnswer: 0.5})},
+	{"backend-leaving", aBackend, (*faults).leave},
 	{"backend-slow", aBackend, backendFault(standin.FaultSettings{Delay: 700 * time.Millisecond})},
 }
 
@@ -214,6 +215,43 @@
 	return workerFault(settings)
 }
 
+// leavingGrace is how long a backend server that the list shows as leaving may still
+// get new work: the list's own lag, and the seconds that the promise allows.
+const leavingGrace = time.Second + 3*time.Second
+
+// leave lists a backend server as leaving, and compares what it ran after the grace.
+func (f *faults) leave(ctx context.Context, on string) {
+	index := slices.Index(f.cluster.Backends, on)
+	f.list(index, true)
+	defer f.list(index, false)
+	before, ok := f.ran(ctx, on, leavingGrace)
+	if !ok {
+		return
+	}
+	after, ok := f.ran(ctx, on, leavingGrace)
+	if ok && after != before {
+		f.checks.Fail("a leaving backend server gets no new work after 3 s", fmt.Sprintf("%s ran %d more", on, after-before))
+	}
+}
+
+func (f *faults) list(index int, leaving bool) {
+	if err := f.cluster.ListBackend(index, leaving); err != nil {
+		f.checks.Fail("the list takes a change", err.Error())
+	}
+}
+
+// ran waits and returns what the backend server has run; false when the run ends first.
+func (f *faults) ran(ctx context.Context, address string, wait time.Duration) (int64, bool) {
+	select {
+	case <-ctx.Done():
+		return 0, false
+	case <-time.After(wait):
+	}
+	var counts standin.BackendCounts
+	err := cluster.Get("http://"+address+"/counts", &counts)
+	return counts.Ran, err == nil
+}
+
 func (f *faults) reboot(context.Context, string) {
 	f.mu.Lock()
 	address := aWorker(f)
