--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 GO ?= go
 SEED ?= 1
 DURATION ?= 30s
+# SEED and DURATION are of prove; SEED is of test too
 
 .PHONY: build demo test lint generate prove bench clean
 
@@ -30,5 +31,16 @@
 prove: build
 	$(GO) run ./internal/standin/prove -seed $(SEED) -duration $(DURATION)
 
+# bench measures, each part in one run with one seed; figures go into docs with their command.
+bench: build
+	$(GO) run ./internal/schedule/proof/cases
+	$(GO) test -run '^$$' -bench 'Decide|CancelWave|Urgent' ./internal/schedule
+	$(GO) test -run '^$$' -bench 'Placement|AtRest|Recovery' -benchtime 1000x ./internal/partition
+	$(GO) test -run '^$$' -bench 'Heartbeats|Detection' -benchtime 2x ./internal/membership
+	$(GO) test -run '^$$' -bench 'OneRow$$|Morning' -benchtime 10x ./internal/rollout
+	$(GO) run ./internal/front/loadbench -measure 3s -warmup 1s
+	$(GO) run ./internal/standin/measure -what slopes
+	$(GO) run ./internal/standin/measure -what recovery
+
 clean:
 	rm -rf bin .demo
