--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	if !s.takeTry(c) {
-		c.scanning = true
+		c.scanning = c.claim() == levelUrgent // other work waits for preemptRetry
 		return false
 	}
 	plans := s.plans(q, need)
