Owner: submissions are refused at once while the store hangs

A store that gives no answer left submissions waiting behind the append that was out, to end as 'may have been accepted'. After one second without an answer new ones get platform.ErrUnavailable. Seen failing without: '2 submissions wait for a store that hangs'.

--- a/internal/partition/groupcommit.go
+++ b/internal/partition/groupcommit.go
@@ -41,6 +41,7 @@
 	}
 	o.out, o.pending = o.pending[:n:n], o.pending[n:]
 	o.outToken++
+	o.outSince = o.now
 	o.emit(Append{Token: o.outToken, Records: records})
 }
 
@@ -143,8 +144,11 @@
 	o.advance()
 }
 
-// storeRefuses reports whether the store refused the last append a moment ago.
-func (o *Owner) storeRefuses() bool { return o.now.Before(o.retryAt) }
+// storeRefuses reports whether the store refused the last append a moment ago or
+// leaves the present one without an answer.
+func (o *Owner) storeRefuses() bool {
+	return o.now.Before(o.retryAt) || o.out != nil && o.now.Sub(o.outSince) > stalledAfter
+}
 
 // refusal is what a submission is told while the store takes nothing.
 func refusal() error {
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -15,7 +15,8 @@
 	decideLimit   = 4096 // decisions taken at once; a larger gang is not committed as one
 	sweepEvery    = time.Minute
 	summaryAge    = time.Second
-	snapshotEvery = 256 // appends between two snapshots
+	stalledAfter  = time.Second // an append out so long has new work refused at once
+	snapshotEvery = 256         // appends between two snapshots
 )
 
 // OwnerOptions are the settings of an Owner.
@@ -76,6 +77,7 @@
 	pending      []*item // to be logged by the next append
 	out          []*item // being logged
 	outToken     Token
+	outSince     time.Time
 	retryAt      time.Time // no append and no placement before it
 	submissions  map[model.JobID]*submission
 	keys         map[jobKey]model.JobID // of submissions that are not durable yet
--- a/internal/partition/scenario_test.go
+++ b/internal/partition/scenario_test.go
@@ -68,6 +68,14 @@
 	if len(w.vms[0].owner.submissions) != 0 || w.acked["p~1"] {
 		t.Fatal("the submission waits or was accepted")
 	}
+	w.store.down = false
+	w.brisk(t, 0, 1, time.Second, "")
+	w.submit(w.vms[0], 1, true)
+	w.brisk(t, 0, 2, time.Second, "Append") // the store hangs
+	w.submit(w.vms[0], 1, true)
+	if waiting := len(w.vms[0].owner.submissions); waiting != 1 {
+		t.Fatalf("%d submissions wait for a store that hangs", waiting)
+	}
 }
 
 // The leases of a worker with a slow clock end after those of its owner's: the
