--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -25,7 +25,7 @@
 
 // DefaultLimits returns the limits for production.
 func DefaultLimits() Limits {
-	return Limits{Retain: 24 * time.Hour, MaxKeys: 20_000, MaxAnswerBytes: 64 << 10, MaxTotalBytes: 16 << 20}
+	return Limits{Retain: 24 * time.Hour, MaxKeys: 20_000, MaxAnswerBytes: 64 << 10, MaxTotalBytes: 4 << 20}
 }
 
 // keyID is an idempotency key of a branch.
