Wait estimate counts branches served lately; a timed-out request's slot is spared

Found: the flooder's wait was estimated beside the branches that wait at that moment only, so its queue grew into requests that started too late; and a slot freed at the deadline was granted while its server was still busy, which refused the next request.

--- a/internal/backend/fair_queue.go
+++ b/internal/backend/fair_queue.go
@@ -196,19 +196,23 @@
 // Bytes returns the size of the waiting requests.
 func (q *FairQueue[T]) Bytes() int64 { return q.bytes }
 
-// Ahead estimates how many requests are served before a new one of the branch.
+// Ahead estimates how many requests are served before a new one of the branch,
+// beside the branches that wait or have been served lately.
 func (q *FairQueue[T]) Ahead(branch model.BranchID, share int64) float64 {
 	own := 0
 	shares := max(1, share)
-	for _, b := range q.waiting {
-		if b.id == branch {
+	for _, b := range q.branches {
+		switch {
+		case b.id == branch:
 			own = b.items.Len()
-			continue
+		case b.items.Len() > 0 || b.finish > q.virtual:
+			shares += b.share
 		}
-		shares += b.share
 	}
-	fair := float64(own+1) * float64(shares) / float64(max(1, share))
-	return min(fair, float64(len(q.items)))
+	if len(q.items) == 0 {
+		return 0
+	}
+	return float64(own+1) * float64(shares) / float64(max(1, share))
 }
 
 // Forget drops the accounts of branches that wait for nothing and owe nothing.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -205,7 +205,7 @@
 		return
 	}
 	p.observe(o, held, branch)
-	if o == OutcomeRefused {
+	if o == OutcomeRefused || o == OutcomeTimeout { // the server is still busy
 		p.table.Withhold(now, g.Server, now.Add(max(p.times.Likely(), p.options.RefusedHold)))
 	}
 	if o != OutcomeTimeout { // counted by tick when it was overdue
--- a/internal/front/loadbench/scenarios.go
+++ b/internal/front/loadbench/scenarios.go
@@ -22,7 +22,10 @@
 	vms     int              // instead of the settings' number; 0: as set
 }
 
-// outcome is the row's figures. The first source is the one that is watched.
+// flooder is the branch whose own times are not watched.
+const flooder = "flood"
+
+// outcome is the row's figures.
 type outcome struct {
 	settings settings
 	watched  *results
@@ -53,7 +56,7 @@
 // branches are the sheet in force: a flooder and others of the same share.
 var branches = func() *model.Configuration {
 	c := &model.Configuration{Revision: 1}
-	for _, id := range []model.BranchID{"one", "two", "three", "four", "flood"} {
+	for _, id := range []model.BranchID{"one", "two", "three", "four", flooder} {
 		c.Branches = append(c.Branches, model.Branch{ID: id, Share: 1})
 		c.Workloads = append(c.Workloads, model.Workload{Branch: id, ID: "check", Kind: model.KindInteractive, Service: service})
 	}
@@ -90,9 +93,13 @@
 		time.Sleep(s.measured)
 		busy = c.busy()
 	})
-	o := outcome{settings: s, watched: sources[0].results}
+	o := outcome{settings: s, watched: newResults()}
 	o.use = busy.Seconds() / (float64(s.servers*s.slots) * s.measured.Seconds())
 	for _, src := range sources {
+		if src.branch != flooder {
+			o.watched.answered.Merge(src.results.answered)
+			o.watched.added.Merge(src.results.added)
+		}
 		o.inTime += src.results.inTime
 		o.notRun += src.results.notRun
 		o.mayRun += src.results.mayRun
@@ -139,7 +146,7 @@
 		for _, id := range []string{"one", "two", "three", "four"} {
 			sources = append(sources, &source{branch: id, rate: 0.1 * capacity})
 		}
-		return append(sources, &source{branch: "flood", rate: flood * capacity})
+		return append(sources, &source{branch: flooder, rate: flood * capacity})
 	}
 }
 
