measure: rolling replacement; no port is handed out twice in a run

Change: ports are counted up on the run's own loopback address. measure -what rolling replaces every VM under load.

--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,16 +122,26 @@
 	return own
 })
 
-// FreeAddresses returns loopback addresses that were free a moment ago.
+const firstPort = 20_000
+
+var lastPort atomic.Int64
+
+// FreeAddresses returns loopback addresses that were free a moment ago. No address
+// is returned twice, since its process may not listen on it yet.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", loopback()+":0")
+	for len(addresses) < count {
+		port := firstPort + lastPort.Add(1)
+		if port > math.MaxUint16 {
+			return nil, errors.New("no port is left")
+		}
+		address := net.JoinHostPort(loopback(), strconv.FormatInt(port, 10))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue // somebody else's
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
--- a/internal/standin/cluster/relay.go
+++ b/internal/standin/cluster/relay.go
@@ -26,7 +26,11 @@
 
 // NewRelay listens on a free loopback address for connections to target.
 func NewRelay(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", loopback()+":0")
+	addresses, err := FreeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", addresses[0])
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/measure/main.go
+++ b/internal/standin/measure/main.go
@@ -17,10 +17,11 @@
 )
 
 func main() {
-	what := flag.String("what", "slopes", "slopes or recovery")
+	what := flag.String("what", "slopes", "slopes, recovery or rolling")
 	vms := flag.Int("vms", 3, "entry VMs, one failure domain each")
 	kills := flag.Int("kills", 5, "VMs killed by the recovery measurement, one after the other")
 	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
+	sheetFile := flag.String("sheet", "examples/demo.csv", "sheet of the rolling replacement")
 	window := flag.Duration("window", 15*time.Second, "of each measurement")
 	workers := flag.String("workers", "4,32,128", "workers of each VM, one measurement at rest each")
 	rates := flag.String("rates", "10,30,90", "task starts a second of the cluster, one measurement each")
@@ -35,8 +36,13 @@
 			fmt.Fprintln(os.Stderr, "measure:", err)
 			os.Exit(1)
 		}
+	case "rolling":
+		if err := rolling(ctx, *binaries, *vms, *sheetFile); err != nil {
+			fmt.Fprintln(os.Stderr, "measure:", err)
+			os.Exit(1)
+		}
 	default:
-		fmt.Fprintln(os.Stderr, "measure: -what is slopes or recovery")
+		fmt.Fprintln(os.Stderr, "measure: -what is slopes, recovery or rolling")
 		os.Exit(2)
 	}
 }
--- /dev/null
+++ b/internal/standin/measure/rolling.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/standin/cluster"
+	"filbertcross/internal/verdict"
+)
+
+const (
+	rollingRate = 150              // requests a second
+	stopTimeout = 40 * time.Second // of one graceful stop
+)
+
+// rolling replaces every VM by a new process, one after the other, under load,
+// and compares what callers heard with the backend servers' own account.
+func rolling(ctx context.Context, bin string, vms int, sheetFile string) error {
+	c, err := cluster.Start(ctx, cluster.Options{Bin: bin, VMs: vms, WorkersPerDomain: 2})
+	if c != nil {
+		defer c.Procs.KillAll()
+	}
+	if err != nil {
+		return err
+	}
+	csv, err := os.ReadFile(sheetFile)
+	if err != nil {
+		return err
+	}
+	if err := readyWith(ctx, c, csv); err != nil {
+		return err
+	}
+	var urls []string
+	for _, vm := range c.VMs {
+		urls = append(urls, vm.URL())
+	}
+	load := cluster.NewLoad(urls)
+	load.WatchReadiness(ctx)
+	if err := cluster.Await(ctx, "the load to see the VMs ready", load.Ready); err != nil {
+		return err
+	}
+	loaded, stop := context.WithCancel(ctx)
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		load.Run(loaded, rollingRate, "rolling")
+	}()
+	begun := time.Now()
+	replaceErr := replaceAll(ctx, c, load)
+	stop()
+	<-finished
+	if replaceErr != nil {
+		return replaceErr
+	}
+	counts := load.Counts()
+	fmt.Printf("%d VMs replaced one after the other under %d requests a second in %v: %v\n", vms, rollingRate, time.Since(begun).Round(time.Second), counts)
+	twice, lied, err := judgeBookings(c, load)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("bookings that ran twice: %d; told not run and ran: %d\n", twice, lied)
+	if counts.NoAnswer+counts.MayHaveRun+counts.Wrong+twice+lied > 0 {
+		return errors.New("a planned replacement cut something off")
+	}
+	return nil
+}
+
+func replaceAll(ctx context.Context, c *cluster.Cluster, load *cluster.Load) error {
+	for _, vm := range c.VMs {
+		c.Procs.Signal(vm.Process(), syscall.SIGTERM)
+		code, ended := c.Procs.Wait(vm.Process(), stopTimeout)
+		if !ended || code != 0 {
+			return errors.Newf("%s: ended %v, exit code %d", vm.Name, ended, code)
+		}
+		if err := c.StartVM(vm); err != nil {
+			return err
+		}
+		if err := cluster.Await(ctx, vm.Name, load.Ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func judgeBookings(c *cluster.Cluster, load *cluster.Load) (twice, lied int, err error) {
+	ran, _, err := c.Bookings()
+	for booking, v := range load.Verdicts() {
+		if ran[booking] > 1 {
+			twice++
+		}
+		if v == verdict.NotRun && ran[booking] > 0 {
+			lied++
+		}
+	}
+	return twice, lied, err
+}
--- a/internal/standin/measure/slopes.go
+++ b/internal/standin/measure/slopes.go
@@ -105,13 +105,18 @@
 const warmUp = 5 * time.Second
 
 func ready(ctx context.Context, c *cluster.Cluster) error {
+	return readyWith(ctx, c, []byte(sheet))
+}
+
+// readyWith starts the VMs, puts a sheet in force and waits until all are ready.
+func readyWith(ctx context.Context, c *cluster.Cluster, csv []byte) error {
 	for _, vm := range c.VMs {
 		if err := c.StartVM(vm); err != nil {
 			return err
 		}
 	}
 	err := cluster.Await(ctx, "the sheet to be accepted", func() bool {
-		_, err := c.VMs[0].Client().ApplySheet(ctx, 0, []byte(sheet), "")
+		_, err := c.VMs[0].Client().ApplySheet(ctx, 0, csv, "")
 		return err == nil
 	})
 	if err != nil {
