Metrics: events by name, worker partitions' gauges

Cause: scraping showed nothing of partitions. Change: a recorder that counts each event and gauges set once a tick.

--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -11,6 +11,9 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"filbertcross/internal/config"
+	"filbertcross/internal/event"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
 )
 
 const metricsInterval = time.Second
@@ -37,3 +40,26 @@
 	}, metricsInterval)
 	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}, nil
 }
+
+// meteredRecorder counts the events that pass to the log, by their name.
+type meteredRecorder struct {
+	log   *event.Log
+	scope tally.Scope
+}
+
+// Record implements event.Recorder.
+func (r *meteredRecorder) Record(def *event.Def, values ...any) {
+	r.scope.Tagged(map[string]string{"event": def.Name}).Counter("events").Inc(1)
+	r.log.Record(def, values...)
+}
+
+// reportTenancies sets the gauges of the worker partitions that this VM owns.
+func reportTenancies(scope tally.Scope, digests map[model.PartitionID]membership.Tenancy) {
+	scope.Gauge("partitions_owned").Update(float64(len(digests)))
+	for id, tenancy := range digests {
+		tagged := scope.Tagged(map[string]string{"partition": string(id)})
+		tagged.Gauge("tasks_waiting").Update(float64(tenancy.Waiting))
+		tagged.Gauge("free_milli_cpu").Update(float64(tenancy.Free.MilliCPU))
+		tagged.Gauge("partition_epoch").Update(float64(tenancy.Epoch))
+	}
+}
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -76,10 +76,13 @@
 	return m
 }
 
-func provideControl(s config.Settings, recorder event.Recorder, e *executor, d *digester) *control {
+func provideControl(s config.Settings, recorder event.Recorder, e *executor, d *digester, scope tally.Scope) *control {
 	c := newControl(s, recorder)
 	c.execute = e.Execute
-	c.publish = func(digests map[model.PartitionID]membership.Tenancy) { d.workers.Store(&digests) }
+	c.publish = func(digests map[model.PartitionID]membership.Tenancy) {
+		d.workers.Store(&digests)
+		reportTenancies(scope, digests)
+	}
 	return c
 }
 
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -30,33 +30,37 @@
 	if err != nil {
 		return nil, err
 	}
-	server := providePeerServer(clock, log)
-	client := providePeerClient(clock, log)
+	scope := provideScope(serverMetrics)
+	serverMeteredRecorder := &meteredRecorder{
+		log:   log,
+		scope: scope,
+	}
+	server := providePeerServer(clock, serverMeteredRecorder)
+	client := providePeerClient(clock, serverMeteredRecorder)
 	serverDigester := newDigester()
-	membership := provideMembership(settings, member, clock, client, server, serverDigester, log)
+	membership := provideMembership(settings, member, clock, client, server, serverDigester, serverMeteredRecorder)
 	store := provideStore(settings)
-	rollout := provideRollout(store, membership, client, server, log, serverDigester)
+	rollout := provideRollout(store, membership, client, server, serverMeteredRecorder, serverDigester)
 	httpWorkers := provideWorkers(settings)
-	serverExecutor := newExecutor(settings, httpWorkers, log)
-	serverControl := provideControl(settings, log, serverExecutor, serverDigester)
+	serverExecutor := newExecutor(settings, httpWorkers, serverMeteredRecorder)
+	serverControl := provideControl(settings, serverMeteredRecorder, serverExecutor, serverDigester, scope)
 	serverLoop := provideLoop(serverControl, serverExecutor)
-	host := provideLedgerHost(membership, server, log)
-	serverHosting := provideHosting(serverLoop, host, log, serverDigester)
-	scope := provideScope(serverMetrics)
-	manager := provideBackends(settings, membership, client, server, log, scope, serverDigester)
-	serverAssigner := provideAssigner(settings, store, membership, client, server, serverHosting, log)
+	host := provideLedgerHost(membership, server, serverMeteredRecorder)
+	serverHosting := provideHosting(serverLoop, host, serverMeteredRecorder, serverDigester)
+	manager := provideBackends(settings, membership, client, server, serverMeteredRecorder, scope, serverDigester)
+	serverAssigner := provideAssigner(settings, store, membership, client, server, serverHosting, serverMeteredRecorder)
 	ledgerClient := provideLedger(host, membership, client, serverAssigner)
 	source := provideSource(rollout)
-	handler := provideFront(settings, manager, ledgerClient, source, membership, log, scope)
+	handler := provideFront(settings, manager, ledgerClient, source, membership, serverMeteredRecorder, scope)
 	vmList := provideVMList(settings)
 	serverStatus := provideStatus(source, serverAssigner, membership)
-	serverPoller := providePoller(settings, vmList, log, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
+	serverPoller := providePoller(settings, vmList, serverMeteredRecorder, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
 	serverJobs := provideJobs(serverLoop, client, server, membership, source, serverAssigner)
 	serverSheets := &sheets{
 		rollout: rollout,
 	}
 	serverOperators := provideOperators(serverJobs, serverSheets, source, log, client, server, membership, serverMetrics, serverStatus)
-	httpHandler := provideHandler(serverOperators, handler, log)
+	httpHandler := provideHandler(serverOperators, handler, serverMeteredRecorder)
 	serverServer := &Server{
 		settings:   settings,
 		log:        log,
@@ -95,7 +99,7 @@
 var linkSet = wire.NewSet(
 	provideSelf,
 	provideClock,
-	provideLog, wire.Bind(new(event.Recorder), new(*event.Log)), newMetrics,
+	provideLog, wire.Struct(new(meteredRecorder), "*"), wire.Bind(new(event.Recorder), new(*meteredRecorder)), newMetrics,
 	provideScope,
 	providePeerServer,
 	providePeerClient, wire.Bind(new(peer.Caller), new(*peer.Client)), newDigester,
