Owner: a tick sorts only the attempts that are due; figures corrected

The bench of a tick had measured owners whose tasks had already ended, so the figures said to be with four tasks each were wrong.

--- a/internal/partition/attempt.go
+++ b/internal/partition/attempt.go
@@ -59,10 +59,26 @@
 // sorted lists attempts in a fixed order.
 func sorted(attempts map[model.TaskID]*attempt) []*attempt {
 	list := slices.Collect(maps.Values(attempts))
-	slices.SortFunc(list, func(a, b *attempt) int { return strings.Compare(string(a.ref.Task), string(b.ref.Task)) })
+	slices.SortFunc(list, compareAttempts)
 	return list
 }
 
+// where lists the attempts that match, in a fixed order.
+func (o *Owner) where(match func(*attempt) bool) []*attempt {
+	var list []*attempt
+	for _, a := range o.attempts {
+		if match(a) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, compareAttempts)
+	return list
+}
+
+func compareAttempts(a, b *attempt) int {
+	return strings.Compare(string(a.ref.Task), string(b.ref.Task))
+}
+
 // end takes an attempt that is not running out and logs its outcome.
 func (o *Owner) end(a *attempt, outcome model.Outcome, reason string) {
 	if o.attempts[a.ref.Task] != a {
--- a/internal/partition/bench_test.go
+++ b/internal/partition/bench_test.go
@@ -13,37 +13,37 @@
 	"filbertcross/internal/platform"
 )
 
-// slowStore answers after a delay and takes so many writes a second at most.
+// slowStore answers after 5 ms and takes 300 writes a second at most.
 type slowStore struct {
 	*fakeStore
-	mu     sync.Mutex
-	writes *rate.Limiter
-	delay  time.Duration
+	mu    sync.Mutex
+	limit *rate.Limiter
 }
 
 func newSlowStore() *slowStore {
-	return &slowStore{fakeStore: newFakeStore(), writes: rate.NewLimiter(300, 1), delay: 5 * time.Millisecond}
+	return &slowStore{fakeStore: newFakeStore(), limit: rate.NewLimiter(300, 1)}
 }
 
-func (s *slowStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
-	_ = s.writes.Wait(ctx)
-	time.Sleep(s.delay)
+// call waits as the store does and returns the end of the call.
+func (s *slowStore) call() (end func()) {
+	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	return s.mu.Unlock
+}
+
+func (s *slowStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+	_ = s.limit.Wait(ctx)
+	defer s.call()()
 	return s.fakeStore.CompareAndSwap(ctx, key, value, expected)
 }
 
 func (s *slowStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	time.Sleep(s.delay)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.call()()
 	return s.fakeStore.Get(ctx, key)
 }
 
 func (s *slowStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	time.Sleep(s.delay)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.call()()
 	return s.fakeStore.List(ctx, prefix)
 }
 
@@ -56,16 +56,22 @@
 	return l, replay
 }
 
-// benchWorker does on the bench's goroutine what an agent would: it starts what it
-// is told and reports it done at the next poll.
-type benchWorker struct {
-	clock platform.WorkerClock
-	tasks map[platform.TaskRef]bool
+func benchOwner(b *testing.B, l *Log, replay Replay) *Owner {
+	o, err := NewOwner(DefaultOwnerOptions("p0", l.Epoch(), l.Lead()), replay, l.Horizon(), newScheduler(), time.Now())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return o
+}
+
+func benchJob(n int) model.Job {
+	return model.Job{ID: model.JobID(fmt.Sprintf("p0~%d", n)), Branch: "b", Workload: "w", Kind: model.KindBatch,
+		Tier: model.TierNormal, Tasks: 1, Size: model.Resources{MilliCPU: 1000}, Restartable: true}
 }
 
 // BenchmarkPlacement drives one owner through submission, placement, start and end
-// of single-task jobs against a store of 300 writes a second and 5 ms. Reported:
-// placements a second, and store calls for each placement.
+// of single-task jobs against the slow store. Reported: placements a second, and
+// store calls for each placement.
 func BenchmarkPlacement(b *testing.B) {
 	for _, interval := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
 		for _, jobs := range []int{1, 10, 100} {
@@ -76,68 +82,56 @@
 }
 
 func benchPlacement(b *testing.B, interval time.Duration, jobsPerTick int) {
-	const workers = 48
 	store := newSlowStore()
-	l, replay := benchLog(b, store, interval)
-	o, err := NewOwner(DefaultOwnerOptions("p0", l.Epoch(), l.Lead()), replay, l.Horizon(), newScheduler(), time.Now())
-	if err != nil {
-		b.Fatal(err)
-	}
-	o.SetBranches(time.Now(), []model.Branch{{ID: "b", Share: 1}})
-	h := newBenchHost(o, l, workers)
+	h := newBenchHost(b, store, interval, 48)
 	store.fakeStore.writes, store.reads = 0, 0
 	begun := time.Now()
 	for n := 0; h.ended < b.N; {
-		for range jobsPerTick {
-			if n < b.N {
-				h.submit(n)
-				n++
-			}
+		for range min(jobsPerTick, b.N-n) {
+			n++
+			h.owner.Submit(time.Now(), Token(n), benchJob(n))
 		}
 		h.round()
 	}
-	seconds := time.Since(begun).Seconds()
-	b.ReportMetric(float64(b.N)/seconds, "placements/s")
+	b.ReportMetric(float64(b.N)/time.Since(begun).Seconds(), "placements/s")
 	b.ReportMetric(float64(store.fakeStore.writes)/float64(b.N), "writes/placement")
 	b.ReportMetric(float64(store.reads)/float64(b.N), "reads/placement")
 }
 
-// benchHost carries an owner's commands out; the log's writes on goroutines.
+// benchHost carries an owner's commands out: the log's on goroutines, the workers'
+// at once. A task is done at its worker's next report.
 type benchHost struct {
 	owner   *Owner
 	log     *Log
-	workers map[model.WorkerID]*benchWorker
+	running map[model.WorkerID]map[platform.TaskRef]bool
 	results chan func(time.Time)
 	ended   int
 }
 
-func newBenchHost(o *Owner, l *Log, workers int) *benchHost {
-	h := &benchHost{owner: o, log: l, workers: map[model.WorkerID]*benchWorker{}, results: make(chan func(time.Time), 1000)}
+func newBenchHost(b *testing.B, store platform.Store, interval time.Duration, workers int) *benchHost {
+	l, replay := benchLog(b, store, interval)
+	h := &benchHost{owner: benchOwner(b, l, replay), log: l, results: make(chan func(time.Time), 1000),
+		running: map[model.WorkerID]map[platform.TaskRef]bool{}}
+	h.owner.SetBranches(time.Now(), []model.Branch{{ID: "b", Share: 1}})
 	var vms []platform.VM
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
-		h.workers[model.WorkerID(id)] = &benchWorker{tasks: map[platform.TaskRef]bool{}}
+		h.running[model.WorkerID(id)] = map[platform.TaskRef]bool{}
 		vms = append(vms, platform.VM{ID: id, Role: platform.RoleWorker, Rack: fmt.Sprint(i / 8)})
 	}
-	o.Listed(time.Now(), vms)
+	h.owner.Listed(time.Now(), vms)
 	h.round()
 	return h
 }
 
-func (h *benchHost) submit(n int) {
-	h.owner.Submit(time.Now(), Token(n+1), model.Job{ID: model.JobID(fmt.Sprintf("p0~%d", n)), Branch: "b",
-		Workload: "w", Kind: model.KindBatch, Tier: model.TierNormal, Tasks: 1, Size: model.Resources{MilliCPU: 1000}, Restartable: true})
-}
-
 // round polls all workers, carries the commands out and takes what has come back.
 func (h *benchHost) round() {
 	h.owner.Tick(time.Now())
-	for id, w := range h.workers {
-		h.owner.Reported(time.Now(), time.Now(), id, w.report(id, h.log.Epoch()), nil)
+	for id := range h.running {
+		h.owner.Reported(time.Now(), time.Now(), id, h.report(id), nil)
 	}
 	h.drain()
-	timeout := time.After(time.Millisecond)
-	for {
+	for timeout := time.After(time.Millisecond); ; {
 		select {
 		case deliver := <-h.results:
 			deliver(time.Now())
@@ -148,6 +142,14 @@
 	}
 }
 
+func (h *benchHost) report(id model.WorkerID) platform.Report {
+	r := platform.Report{Worker: id, Boot: "a", Epoch: h.log.Epoch(), Capacity: model.Resources{MilliCPU: 128_000}}
+	for ref := range h.running[id] {
+		r.Tasks = append(r.Tasks, platform.TaskReport{TaskRef: ref, Partition: "p0", Epoch: r.Epoch, State: platform.TaskDone, Ran: time.Second})
+	}
+	return r
+}
+
 func (h *benchHost) drain() {
 	for commands := h.owner.Commands(); len(commands) > 0; commands = h.owner.Commands() {
 		for _, c := range commands {
@@ -176,25 +178,16 @@
 		}()
 	case StartTask:
 		ref := platform.TaskRef{Task: c.Start.Task, Attempt: c.Start.Attempt}
-		h.workers[c.Worker].tasks[ref] = true
+		h.running[c.Worker][ref] = true
 		h.owner.StartReturned(time.Now(), c.Worker, ref, nil)
 	case ForgetAttempts:
 		for _, ref := range c.Refs {
-			delete(h.workers[c.Worker].tasks, ref)
+			delete(h.running[c.Worker], ref)
 			h.ended++
 		}
 	}
 }
 
-// report shows every task as done.
-func (w *benchWorker) report(id model.WorkerID, epoch int64) platform.Report {
-	r := platform.Report{Worker: id, Boot: "a", Clock: w.clock, Epoch: epoch, Capacity: model.Resources{MilliCPU: 128_000}}
-	for ref := range w.tasks {
-		r.Tasks = append(r.Tasks, platform.TaskReport{TaskRef: ref, Partition: "p0", Epoch: epoch, State: platform.TaskDone, Ran: time.Second})
-	}
-	return r
-}
-
 // BenchmarkRecovery measures the parts of a takeover with so many jobs in the log.
 func BenchmarkRecovery(b *testing.B) {
 	for _, jobs := range []int{100, 1000, 10_000} {
@@ -210,12 +203,10 @@
 			for b.Loop() {
 				begun := time.Now()
 				l, replay := benchLog(b, store, 0)
-				takeover += time.Since(begun)
-				begun = time.Now()
-				if _, err := NewOwner(DefaultOwnerOptions("p0", l.Epoch(), l.Lead()), replay, l.Horizon(), newScheduler(), time.Now()); err != nil {
-					b.Fatal(err)
-				}
-				rebuild += time.Since(begun)
+				taken := time.Now()
+				benchOwner(b, l, replay)
+				takeover += taken.Sub(begun)
+				rebuild += time.Since(taken)
 			}
 			b.ReportMetric(float64(takeover.Microseconds())/1000/float64(b.N), "takeover-ms")
 			b.ReportMetric(float64(rebuild.Microseconds())/1000/float64(b.N), "rebuild-ms")
@@ -226,39 +217,30 @@
 func benchRecords(from, n int) [][]byte {
 	var records [][]byte
 	for i := from; i < from+n; i++ {
-		job := model.Job{ID: model.JobID(fmt.Sprintf("p0~%d", i)), Branch: "b", Workload: "w", Kind: model.KindBatch,
-			Tier: model.TierNormal, Tasks: 1, Size: model.Resources{MilliCPU: 1000}, Restartable: true}
-		records = append(records, encode(logged{Submitted: &jobSubmitted{Job: job}}))
-		records = append(records, encode(logged{Placed: &taskPlaced{Task: taskID(job.ID, 0), Attempt: 1,
-			Worker: model.WorkerID(fmt.Sprintf("w%d", i%48)), Boot: "a", Size: job.Size, Epoch: 1}}))
+		job := benchJob(i)
+		placed := taskPlaced{Task: taskID(job.ID, 0), Attempt: 1, Worker: model.WorkerID(fmt.Sprintf("w%d", i%48)),
+			Boot: "a", Size: job.Size, Epoch: 1}
+		records = append(records, encode(logged{Submitted: &jobSubmitted{Job: job}}), encode(logged{Placed: &placed}))
 	}
 	return records
 }
 
-// BenchmarkTick measures an idle owner's poll round over so many workers that run
-// four tasks each: what a larger partition costs in one tick and its reports.
+// BenchmarkTick measures an owner's tick over so many workers with four tasks each.
 func BenchmarkTick(b *testing.B) {
 	for _, workers := range []int{16, 128, 411} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			l, replay := benchLog(b, newFakeStore(), 0)
-			o, err := NewOwner(DefaultOwnerOptions("p0", l.Epoch(), l.Lead()), replay, l.Horizon(), newScheduler(), time.Now())
-			if err != nil {
-				b.Fatal(err)
-			}
-			now := time.Now()
-			o.SetBranches(now, []model.Branch{{ID: "b", Share: 1}})
-			h := newBenchHost(o, l, workers)
+			h := newBenchHost(b, newSlowStore(), 0, workers)
 			for n := range workers * 4 {
-				h.submit(n)
+				h.owner.Submit(time.Now(), Token(n), benchJob(n))
 			}
-			for range 50 {
-				h.round()
+			for len(h.owner.attempts) < workers*4 {
+				deliver := <-h.results
+				deliver(time.Now())
+				h.drain()
 			}
-			b.ResetTimer()
 			for b.Loop() {
-				o.Tick(time.Now())
-				o.Summary()
-				o.Commands()
+				h.owner.Tick(time.Now())
+				h.owner.Commands()
 			}
 		})
 	}
--- a/internal/partition/lease.go
+++ b/internal/partition/lease.go
@@ -55,10 +55,9 @@
 
 // lapseLeases ends the attempts whose last lease is over on every clock.
 func (o *Owner) lapseLeases() {
-	for _, a := range sorted(o.attempts) {
-		if a.sent() && o.now.After(a.leaseEnd.Add(o.opts.DriftMargin)) {
-			o.end(a, a.lostOutcome(), "its lease has lapsed")
-		}
+	lapsed := func(a *attempt) bool { return a.sent() && o.now.After(a.leaseEnd.Add(o.opts.DriftMargin)) }
+	for _, a := range o.where(lapsed) {
+		o.end(a, a.lostOutcome(), "its lease has lapsed")
 	}
 }
 
--- a/internal/partition/place.go
+++ b/internal/partition/place.go
@@ -148,10 +148,8 @@
 
 // startReady starts the attempts that waited for the horizon.
 func (o *Owner) startReady() {
-	for _, a := range sorted(o.attempts) {
-		if a.phase == attemptReady {
-			o.startAttempt(a)
-		}
+	for _, a := range o.where(func(a *attempt) bool { return a.phase == attemptReady }) {
+		o.startAttempt(a)
 	}
 }
 
--- a/internal/partition/stop.go
+++ b/internal/partition/stop.go
@@ -85,10 +85,11 @@
 
 // retryStops repeats the stops that got no answer.
 func (o *Owner) retryStops() {
-	for _, a := range sorted(o.attempts) {
-		if a.phase == attemptStopping && o.now.Sub(a.stopSent) >= o.opts.PollInterval {
-			o.sendStop(a)
-		}
+	due := func(a *attempt) bool {
+		return a.phase == attemptStopping && o.now.Sub(a.stopSent) >= o.opts.PollInterval
+	}
+	for _, a := range o.where(due) {
+		o.sendStop(a)
 	}
 }
 
