A released partition still answers the callers whose record is on its way

Change: a tenure that has ended still takes results, which answer those callers; their channels are no longer closed. Also: tag values of metrics stay as written, and job status says why only while tasks wait.

--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -105,7 +105,7 @@
 	if !job.Deadline.IsZero() {
 		fmt.Fprintf(&text, "deadline: %s\n", job.Deadline.Format(time.RFC3339))
 	}
-	if job.Reason != "" {
+	if job.Waiting > 0 && job.Reason != "" {
 		fmt.Fprintf(&text, "waits: %s\n", job.Reason)
 	}
 	for _, f := range job.Filters {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -73,16 +73,14 @@
 	}
 }
 
-// drop forgets a partition that this VM no longer owns.
+// drop forgets a partition that this VM no longer owns. Callers whose records are
+// on their way to the log are answered when that write returns; it always does.
 func (c *control) drop(t *tenure) {
-	t.log.Close()
-	if c.tenures[t.info.ID] == t {
-		delete(c.tenures, t.info.ID)
-	}
-	for _, waiting := range t.calls {
-		close(waiting)
+	if c.tenures[t.info.ID] != t {
+		return
 	}
-	t.calls = nil
+	delete(c.tenures, t.info.ID)
+	t.log.Close()
 	t.ended()
 }
 
@@ -155,16 +153,14 @@
 	}
 }
 
-// ownerInput brings a result to a partition's owner, unless its tenure has ended.
+// ownerInput brings a result to a partition's owner. An owner whose tenure has
+// ended only answers the callers that still wait.
 type ownerInput struct {
 	tenure *tenure
 	input  func(o *partition.Owner, now time.Time)
 }
 
 func (m ownerInput) apply(c *control, now time.Time) {
-	if c.tenures[m.tenure.info.ID] != m.tenure {
-		return
-	}
 	m.input(m.tenure.owner, now)
 	c.drain(m.tenure)
 }
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -335,10 +335,7 @@
 		return partition.Reply{}, errNotOwner
 	}
 	select {
-	case reply, ok := <-answer:
-		if !ok {
-			return partition.Reply{}, partitionError(errors.Mark(errors.New("the partition was lost meanwhile"), partition.ErrInDoubt))
-		}
+	case reply := <-answer:
 		return reply, partitionError(reply.Err)
 	case <-ctx.Done():
 		return partition.Reply{}, partitionError(errors.Mark(ctx.Err(), partition.ErrInDoubt))
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -25,6 +25,17 @@
 	handler http.Handler
 }
 
+// sanitize keeps the names that Prometheus takes, and values as they are.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters: prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     []tally.SanitizeRange{{'\u0020', '\U0010FFFF'}},
+		Characters: nil,
+	},
+	ReplacementCharacter: prometheus.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
 func newMetrics(settings config.Settings) (*metrics, error) {
 	registry := prom.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -35,7 +46,7 @@
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitize,
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
 	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}, nil
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -235,3 +235,17 @@
 		t.Error(err)
 	}
 }
+
+// TestMetricsAreScraped: names that the reporter refuses make a process panic, and
+// tags must come out as operators wrote them.
+func TestMetricsAreScraped(t *testing.T) {
+	vm := startVM(t)
+	vm.ready(t)
+	eventually(t, "the gauges", func() bool {
+		text, err := vm.client.Text(context.Background(), "/metrics")
+		return err == nil && strings.Contains(string(text), `filbertcross_partitions_owned{failure_domain="bg-south-1",vm="vm"} 1`)
+	})
+	if err := vm.stop(); err != nil {
+		t.Error(err)
+	}
+}
