Log: the epoch is read without a race

Cause: the race detector in the server's tests: Release writes the record while the host asks for the epoch. Change: the epoch is a field set once by TakeOver. The new test was seen failing under -race with the old reading ('DATA RACE').

--- a/internal/partition/horizon.go
+++ b/internal/partition/horizon.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	if current.Epoch != l.record.Epoch {
+	if current.Epoch != l.epoch {
 		l.close(ErrDeposed)
 		return ErrDeposed
 	}
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -42,6 +42,7 @@
 	slots     map[int64]platform.Revision // of the entry that stands in each slot
 	lastWrite time.Time
 
+	epoch          int64      // set by TakeOver, not changed after it
 	recordMu       sync.Mutex // serialises reads and writes of the record
 	record         Record
 	recordRevision platform.Revision
@@ -59,7 +60,7 @@
 }
 
 // Epoch returns the epoch under which the log was taken over.
-func (l *Log) Epoch() int64 { return l.record.Epoch }
+func (l *Log) Epoch() int64 { return l.epoch }
 
 // Lead returns the lead of this epoch's leases.
 func (l *Log) Lead() time.Duration { return l.opts.Lead }
@@ -205,7 +206,7 @@
 // it returns what stands there.
 func (l *Log) writeEntry(ctx context.Context, e entry) (platform.Entry, error) {
 	e.Seq = l.Position() + 1
-	e.Epoch = l.record.Epoch
+	e.Epoch = l.epoch
 	e.Stamp = uuid.NewString()
 	slot := e.Seq % l.opts.Ring
 	own := func(value []byte) bool {
--- a/internal/partition/log_test.go
+++ b/internal/partition/log_test.go
@@ -203,3 +203,22 @@
 		t.Fatalf("release: %v", err)
 	}
 }
+
+// TestEpochIsReadDuringRelease needs the race detector: the host asks for the epoch
+// while another goroutine releases the partition.
+func TestEpochIsReadDuringRelease(t *testing.T) {
+	l, _, err := TakeOver(context.Background(), newFakeStore(), Options{Partition: "p", VM: "vm", Lead: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	released := make(chan error)
+	go func() { released <- l.Release(context.Background()) }()
+	for range 1000 {
+		if l.Epoch() != 1 {
+			t.Fatalf("epoch %d, want 1", l.Epoch())
+		}
+	}
+	if err := <-released; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/partition/snapshot.go
+++ b/internal/partition/snapshot.go
@@ -31,7 +31,7 @@
 	if err := l.closedError(); err != nil {
 		return err
 	}
-	head.Epoch, head.Stamp = l.record.Epoch, uuid.NewString()
+	head.Epoch, head.Stamp = l.epoch, uuid.NewString()
 	if len(data) <= snapshotPartBytes {
 		head.Inline = data
 	} else if err := l.writeParts(ctx, &head, data); err != nil {
--- a/internal/partition/takeover.go
+++ b/internal/partition/takeover.go
@@ -117,6 +117,7 @@
 		VM: l.opts.VM, Address: l.opts.Address, Lead: l.opts.Lead,
 		Epoch: former.Epoch + 1, PriorLead: former.longestLead(), Stamp: uuid.NewString(),
 	}
+	l.epoch = l.record.Epoch
 	noted := l.opts.Clock()
 	if err := l.writeRecord(ctx, l.record, current.Revision); err != nil {
 		return Replay{}, err
@@ -205,7 +206,7 @@
 }
 
 func (l *Log) replayEntry(e entry, replay *Replay) error {
-	if e.Epoch > l.record.Epoch {
+	if e.Epoch > l.epoch {
 		return ErrDeposed
 	}
 	l.seq = e.Seq
