--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -47,13 +47,18 @@
 // query describes the next task of the job.
 func (s *Scheduler) query(j *job) *query {
 	c := j.class
-	run := time.Duration(endless)
-	if c.key.kind != model.KindService {
-		run = c.estimate.runtime(j.Runtime, s.opts)
-	}
 	return &query{
-		job: j, class: c, size: s.grantSize(c), ends: s.cluster.now.Add(run), level: s.key(c).level,
+		job: j, class: c, size: s.grantSize(c), ends: s.classEnds(c), level: s.key(c).level,
+	}
+}
+
+// classEnds returns when a task of the class is expected to end if it starts now.
+func (s *Scheduler) classEnds(c *class) time.Time {
+	j := c.head()
+	if j == nil || c.key.kind == model.KindService {
+		return s.cluster.now.Add(endless)
 	}
+	return s.cluster.now.Add(c.estimate.runtime(j.Runtime, s.opts))
 }
 
 // grantSize returns the size to grant to the class's tasks: what was learned, unless that
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -53,6 +53,11 @@
 	s.cluster.noteFreed(h.worker)
 }
 
+// holdsFor reports whether room on the worker is held for the class.
+func (w *worker) holdsFor(c *class) bool {
+	return slices.ContainsFunc(w.holds, func(h *hold) bool { return h.class == c })
+}
+
 // dropHolds ends all holds of a class.
 func (s *Scheduler) dropHolds(c *class) {
 	for len(c.holds) > 0 {
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -106,7 +106,7 @@
 	}
 	var first *class
 	for _, c := range s.queue.blocked {
-		if c.quota || c.tried == s.round || !s.fitsGained(s.grantSize(c)) {
+		if c.quota || c.tried == s.round || !s.fitsGained(c) {
 			continue
 		}
 		if key := s.key(c); top == nil || key.before(topKey) {
@@ -227,13 +227,21 @@
 // stillFull reports whether the class was revived in this round only for workers that
 // gained room, and none of them has enough left.
 func (s *Scheduler) stillFull(c *class) bool {
-	return c.revived == s.round && !s.fitsGained(s.grantSize(c))
+	return c.revived == s.round && !s.fitsGained(c)
 }
 
-// fitsGained reports whether a worker that gained room has enough of it.
-func (s *Scheduler) fitsGained(size model.Resources) bool {
+// fitsGained reports whether a worker that gained room has enough of it for a task of the
+// class, beside what is held there for others.
+func (s *Scheduler) fitsGained(c *class) bool {
+	q := query{class: c, size: s.grantSize(c), level: c.level}
 	for _, w := range s.gained {
-		if size.Fits(w.free()) {
+		if !q.size.Fits(w.free()) {
+			continue
+		}
+		if len(w.holds) > 0 {
+			q.ends = s.classEnds(c)
+		}
+		if w.holdsFor(c) || w.roomBeside(&q) {
 			return true
 		}
 	}
