--- a/internal/partition/place.go
+++ b/internal/partition/place.go
@@ -148,10 +148,8 @@
 
 // startReady starts the attempts that waited for the horizon.
 func (o *Owner) startReady() {
-	for _, a := range sorted(o.attempts) {
-		if a.phase == attemptReady {
-			o.startAttempt(a)
-		}
+	for _, a := range o.where(func(a *attempt) bool { return a.phase == attemptReady }) {
+		o.startAttempt(a)
 	}
 }
 
@@ -217,4 +215,7 @@
 		a.phase = attemptRunning
 		o.emit(o.notice(NoticeStarted, a, ""))
 	}
+	if a.stopWanted {
+		o.sendStop(a)
+	}
 }
