--- a/internal/schedule/proof/slopes/load.go
+++ b/internal/schedule/proof/slopes/load.go
@@ -137,23 +137,30 @@
 	return len(decisions)
 }
 
-// steady ends some runs, submits as many tasks and decides, again and again.
-func (l *load) steady() {
+// steady plays rounds on each load in turn, so that what else the machine does meets all alike.
+func steady(loads []*load) {
 	for round := range warmRounds + rounds {
-		if round == warmRounds {
-			l.cost = cost{}
-			l.calls.Reset()
-			l.each.Reset()
+		for _, l := range loads {
+			if round == warmRounds {
+				l.cost = cost{}
+				l.calls.Reset()
+				l.each.Reset()
+			}
+			l.round()
 		}
-		l.now = l.now.Add(roundLength)
-		for range turnover {
-			l.endOne()
-		}
-		l.submitTasks(turnover)
-		l.decide()
 	}
 }
 
+// round ends some runs, submits as many tasks and decides.
+func (l *load) round() {
+	l.now = l.now.Add(roundLength)
+	for range turnover {
+		l.endOne()
+	}
+	l.submitTasks(turnover)
+	l.decide()
+}
+
 // take removes a running task from the list.
 func (l *load) take(i int) schedule.Placement {
 	p, last := l.running[i], l.running[len(l.running)-1]
--- a/internal/schedule/proof/slopes/main.go
+++ b/internal/schedule/proof/slopes/main.go
@@ -90,20 +90,20 @@
 	fmt.Fprintln(out)
 	fmt.Fprintln(out, "| workers\t| waiting\t| decisions\t| ns a decision, median\t| against 50 workers\t| Decide p50/p99 µs\t| ns a Submit\t| ns a Confirm\t| ns an Observe\t| ns a Finish\t|")
 	fmt.Fprintln(out, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
-	base := make(map[int]float64)
-	for _, workers := range workerCounts {
-		for _, waiting := range waitingCounts {
+	for _, waiting := range waitingCounts {
+		var loads []*load
+		for _, workers := range workerCounts {
 			l := newLoad(workers)
 			l.fill()
 			l.submitTasks(waiting)
-			l.steady()
-			c := l.cost
-			perDecision := float64(l.each.ValueAtQuantile(50))
-			if _, ok := base[waiting]; !ok {
-				base[waiting] = perDecision
-			}
+			loads = append(loads, l)
+		}
+		steady(loads)
+		base := float64(loads[0].each.ValueAtQuantile(50))
+		for i, l := range loads {
+			c, perDecision := l.cost, float64(l.each.ValueAtQuantile(50))
 			fmt.Fprintf(out, "| %d\t| %d\t| %d\t| %.0f\t| %.2f\t| %.0f / %.0f\t| %.0f\t| %.0f\t| %.0f\t| %.0f\t|\n",
-				workers, waiting, c.decisions, perDecision, perDecision/base[waiting],
+				workerCounts[i], waiting, c.decisions, perDecision, perDecision/base,
 				micros(l.calls.ValueAtQuantile(50)), micros(l.calls.ValueAtQuantile(99)),
 				perEvent(c.submit, c.submits), perEvent(c.confirm, c.decisions),
 				perEvent(c.observe, c.finishes), perEvent(c.finish, c.finishes))
