--- a/internal/backend/ownership.go
+++ b/internal/backend/ownership.go
@@ -71,7 +71,6 @@
 	if len(names) == 0 {
 		return
 	}
-	slices.Sort(names)
 	slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	room := (len(servers) + len(names) - 1) / len(names)
 	count := make(map[string]int, len(names))
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -90,8 +90,9 @@
 		t.Errorf("verdict %q while stopping", v)
 	}
 	select {
-	case <-drained:
+	case err := <-drained:
 		t.Error("drained with a request in flight")
+		drained <- err
 	default:
 	}
 	close(finish)
