--- a/internal/partition/attempt.go
+++ b/internal/partition/attempt.go
@@ -40,6 +40,7 @@
 	leaseUntil platform.WorkerClock // newest grant under this epoch
 	knownAt    time.Time            // when the start was known to have worked
 	stopAs     model.Outcome        // how it ends when stopped
+	stopWanted bool                 // a stop is due once the start is resolved
 	stopSent   time.Time
 	checkpoint string
 }
@@ -49,7 +50,7 @@
 
 // lostOutcome is the outcome of an attempt that ended without a word of its worker.
 func (a *attempt) lostOutcome() model.Outcome {
-	if a.phase == attemptStopping {
+	if a.phase == attemptStopping || a.stopWanted {
 		return a.stopAs
 	}
 	return model.OutcomeLost
@@ -58,10 +59,26 @@
 // sorted lists attempts in a fixed order.
 func sorted(attempts map[model.TaskID]*attempt) []*attempt {
 	list := slices.Collect(maps.Values(attempts))
-	slices.SortFunc(list, func(a, b *attempt) int { return strings.Compare(string(a.ref.Task), string(b.ref.Task)) })
+	slices.SortFunc(list, compareAttempts)
 	return list
 }
 
+// where lists the attempts that match, in a fixed order.
+func (o *Owner) where(match func(*attempt) bool) []*attempt {
+	var list []*attempt
+	for _, a := range o.attempts {
+		if match(a) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, compareAttempts)
+	return list
+}
+
+func compareAttempts(a, b *attempt) int {
+	return strings.Compare(string(a.ref.Task), string(b.ref.Task))
+}
+
 // end takes an attempt that is not running out and logs its outcome.
 func (o *Owner) end(a *attempt, outcome model.Outcome, reason string) {
 	if o.attempts[a.ref.Task] != a {
@@ -163,7 +180,7 @@
 // recoverJob gives a job of the log back to the decision, and makes its placed
 // tasks attempts that may be running.
 func (o *Owner) recoverJob(j *jobState) {
-	if j.HandedTo != "" || j.ended() {
+	if j.ended() {
 		return
 	}
 	o.decider.Submit(o.now, j.Job)
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"filbertcross/internal/membership"
 	"filbertcross/internal/model"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/schedule"
@@ -13,7 +14,9 @@
 const (
 	decideLimit   = 4096 // decisions taken at once; a larger gang is not committed as one
 	sweepEvery    = time.Minute
-	snapshotEvery = 256 // appends between two snapshots
+	summaryAge    = time.Second
+	stalledAfter  = time.Second // an append out so long has new work refused at once
+	snapshotEvery = 256         // appends between two snapshots
 )
 
 // OwnerOptions are the settings of an Owner.
@@ -74,6 +77,7 @@
 	pending      []*item // to be logged by the next append
 	out          []*item // being logged
 	outToken     Token
+	outSince     time.Time
 	retryAt      time.Time // no append and no placement before it
 	submissions  map[model.JobID]*submission
 	keys         map[jobKey]model.JobID // of submissions that are not durable yet
@@ -82,6 +86,9 @@
 	swept        time.Time // when ended jobs were last looked for
 	position     int64
 
+	summary  membership.Tenancy
+	summedAt time.Time
+
 	commands []Command
 	deposed  bool
 	now      time.Time // of the input being taken
--- a/internal/partition/scenario_test.go
+++ b/internal/partition/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -67,6 +68,14 @@
 	if len(w.vms[0].owner.submissions) != 0 || w.acked["p~1"] {
 		t.Fatal("the submission waits or was accepted")
 	}
+	w.store.down = false
+	w.brisk(t, 0, 1, time.Second, "")
+	w.submit(w.vms[0], 1, true)
+	w.brisk(t, 0, 2, time.Second, "Append") // the store hangs
+	w.submit(w.vms[0], 1, true)
+	if waiting := len(w.vms[0].owner.submissions); waiting != 1 {
+		t.Fatalf("%d submissions wait for a store that hangs", waiting)
+	}
 }
 
 // The leases of a worker with a slow clock end after those of its owner's: the
@@ -102,13 +111,17 @@
 	}
 }
 
+// overfilling is a decision that believes in ten times each worker's capacity.
+type overfilling struct{ schedule.Decider }
+
+func (o overfilling) UpsertWorker(now time.Time, w schedule.Worker) {
+	w.Capacity.MilliCPU *= 10
+	o.Decider.UpsertWorker(now, w)
+}
+
 func TestOwnerRefusesToOverfill(t *testing.T) {
 	w := newWorld(1)
-	w.decider = func() schedule.Decider {
-		f := newFirstFit()
-		f.overfill = true
-		return f
-	}
+	w.decider = func() schedule.Decider { return overfilling{newScheduler()} }
 	w.takeOver()
 	w.brisk(t, 0, 2, time.Second, "")
 	w.submit(w.vms[0], 5, true)
@@ -182,7 +195,6 @@
 // stands behind it in the log, and must not be started.
 func TestCancelWinsOverPlacementBehindIt(t *testing.T) {
 	w := newWorld(1)
-	w.decider = newScheduler
 	w.listed[0] = false
 	w.takeOver()
 	w.submit(w.vms[0], 1, true)
@@ -211,3 +223,23 @@
 		t.Fatalf("%d tasks run of a full log's jobs", w.workers[0].running())
 	}
 }
+
+// A stop that was executed before an open start, but whose answer comes after the
+// start's, proves nothing.
+func TestAnswerOfStopBeforeTheStartProvesNothing(t *testing.T) {
+	w := startWorld(t, 1)
+	w.submit(w.vms[0], 1, true)
+	vm := w.vms[0]
+	w.brisk(t, 0, 2, time.Second, "Start")
+	vm.owner.preempt(vm.owner.attempts["p~1/0"])
+	w.drain(vm)
+	for _, kind := range []string{"Stop", "Start", "Start", "Stop"} {
+		for _, o := range vm.ops {
+			if strings.Contains(fmt.Sprintf("%T", o.command), kind) {
+				w.run(0, vm, o)
+				break
+			}
+		}
+	}
+	w.brisk(t, 0, 5, time.Second, "")
+}
--- a/internal/schedule/turn.go
+++ b/internal/schedule/turn.go
@@ -46,15 +46,16 @@
 	return a.seq < b.seq
 }
 
-// key returns the class's place in the order. A branch above its share competes no higher
-// than levelNormal, so that a flood of urgent work or of deadlines takes nothing from
-// others; among its own classes their levels go on to count.
+// key returns the class's place in the order. A branch that holds its share in work of the
+// class's tier and above competes no higher than levelNormal with more of it, so that a
+// flood of urgent work or of deadlines takes nothing from others; among its own classes
+// their levels go on to count.
 func (s *Scheduler) key(c *class) turnKey {
 	k := turnKey{level: c.level, own: c.level, due: c.due, seq: c.seq}
 	k.share = s.weighted(c.branch, model.Resources{})
 	switch {
-	case k.share >= s.entitled():
-		k.level = max(c.level, levelNormal)
+	case c.level < levelNormal && s.aboveIn(c.branch, c.key.tier):
+		k.level = levelNormal
 	case c.level == levelLate:
 		k.share = 0
 	}
@@ -142,7 +143,7 @@
 	}
 	s.blockFull(c)
 	if s.mayGain(c) {
-		s.queue.setTimer(c, s.cluster.now.Add(preemptRetry))
+		s.queue.setRetry(c, s.cluster.now.Add(preemptRetry))
 	}
 }
 
@@ -294,14 +295,24 @@
 			s.enqueue(t.job)
 		case t.worker != nil:
 			s.cluster.noteFreed(t.worker)
+		case t.retry:
+			s.runRetry(t.class)
 		default:
 			s.runClassTimer(t)
 		}
 	}
 }
 
-// runClassTimer looks again at a class: its level may have changed, its first job may be
-// starved now, or victims may have appeared.
+// runRetry makes a blocked class active again, since victims may have appeared.
+func (s *Scheduler) runRetry(c *class) {
+	c.retry = false
+	if c.state == classBlocked && !c.quota {
+		s.revive(c)
+	}
+}
+
+// runClassTimer looks again at a class: its level may have changed, or its first job may
+// be starved now.
 func (s *Scheduler) runClassTimer(t timer) {
 	c := t.class
 	if !t.at.Equal(c.timer) {
--- a/internal/standin/cluster/processes.go
+++ b/internal/standin/cluster/processes.go
@@ -1,13 +1,17 @@
 package cluster
 
 import (
+	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -104,16 +108,40 @@
 	return count
 }
 
-// FreeAddresses returns loopback addresses that were free a moment ago.
+// loopback is an address of this process's own in 127.0.0.0/8: neither another run
+// nor an outgoing connection, which leaves from 127.0.0.1, can take its ports. Where
+// only 127.0.0.1 exists it is used.
+var loopback = sync.OnceValue(func() string {
+	pid := os.Getpid()
+	own := fmt.Sprintf("127.%d.%d.1", 1+pid>>8&0x7f, pid&0xff)
+	listener, err := net.Listen("tcp", own+":0")
+	if err != nil {
+		return "127.0.0.1"
+	}
+	listener.Close()
+	return own
+})
+
+const firstPort = 20_000
+
+var lastPort atomic.Int64
+
+// FreeAddresses returns loopback addresses that were free a moment ago. No address
+// is returned twice, since its process may not listen on it yet.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		port := firstPort + lastPort.Add(1)
+		if port > math.MaxUint16 {
+			return nil, errors.New("no port is left")
+		}
+		address := net.JoinHostPort(loopback(), strconv.FormatInt(port, 10))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue // somebody else's
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
