A refusal speaks for the last connection of an attempt only

Ruled out: poison() overwriting another request's state (a poisoned connection is never returned to the pool in the paths that call it). Change: a refusal means not run only if nothing was written on the connections before the last. TestRefusalAfterReplay failed before ('verdict not-run after 1 runs') and passes.

Changes to TestRandomFailures: the crossed answer named vm-1-1.1, the real id of the first request, which then rightly got it ('POST /request-1 got the answer of abc'); it now names another VM's. Refusals are drawn four times as often, as one run met no not-run on a request sent once and the test's own check of that failed.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -61,7 +61,7 @@
 	if !errors.Is(err, errRefused) {
 		used.poison()
 	}
-	return nil, incomplete(ctx, err)
+	return nil, incomplete(ctx, used, err)
 }
 
 // outbound builds the request as the backend server gets it. The body cannot be
@@ -102,11 +102,17 @@
 	return f
 }
 
-// incomplete classifies an attempt whose answer is refused, crossed or cut.
-func incomplete(ctx context.Context, err error) *failure {
+// incomplete classifies an attempt whose answer is refused, crossed or cut. A
+// refusal speaks for the last connection only: the transport may have sent the
+// request on an earlier one that broke.
+func incomplete(ctx context.Context, used gatedConns, err error) *failure {
 	switch {
 	case errors.Is(err, errRefused):
-		return &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeRefused}
+		f := &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeRefused}
+		if earlier := used[:len(used)-1]; !earlier.seal() {
+			f.verdict = verdict.MayHaveRun
+		}
+		return f
 	case ctx.Err() != nil:
 		return &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeTimeout}
 	default:
--- a/internal/front/failure_test.go
+++ b/internal/front/failure_test.go
@@ -24,6 +24,24 @@
 	}
 }
 
+// TestRefusalAfterReplay breaks a reused connection under a safe request, which the
+// transport sends again by itself, and refuses that second sending: the first ran.
+func TestRefusalAfterReplay(t *testing.T) {
+	behaviours := make(chan func(http.ResponseWriter, *http.Request, func()), 3)
+	behaviours <- answerPath
+	behaviours <- reset
+	behaviours <- refuse
+	server := newFakeServer(t, "b1", func(w http.ResponseWriter, r *http.Request, run func()) {
+		(<-behaviours)(w, r, run)
+	})
+	front := newFront(t, Options{MaxAttempts: 1}, newFakeLedger(), server)
+	send(t, front, "GET", "/first", "")
+	got := send(t, front, "GET", "/second", "").Header.Get(HeaderVerdict)
+	if got != "may-have-run" || server.ran("/second") != 1 || len(behaviours) != 0 {
+		t.Errorf("verdict %q after %d runs, %d behaviours left", got, server.ran("/second"), len(behaviours))
+	}
+}
+
 // TestHalfTimeIsAmple sends a safe request with less time than two runs need: it is
 // not given up for a second run, which could not be in time either.
 func TestHalfTimeIsAmple(t *testing.T) {
--- a/internal/front/history_test.go
+++ b/internal/front/history_test.go
@@ -140,10 +140,10 @@
 	const head = "HTTP/1.1 200 OK\r\nFilbertcross-Request-Id: "
 	faults := []func(http.ResponseWriter, *http.Request, func()){
 		answerPath, answerPath, answerPath, answerPath, answerPath, answerPath,
-		refuse, reset, late,
+		refuse, refuse, refuse, refuse, reset, late,
 		raw(head + "ID\r\nContent-Length: 9\r\n\r\nabc"),
 		raw(head + "ID\r\n\r\nabc"),
-		raw(head + "vm-1-1.1\r\nContent-Length: 3\r\n\r\nabc"),
+		raw(head + "vm-0-1.1\r\nContent-Length: 3\r\n\r\nabc"),
 		twice,
 	}
 	return func(w http.ResponseWriter, r *http.Request, run func()) {
