--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -184,9 +184,11 @@
 	return ids
 }
 
-// probe starts a task on each quarantined worker whose back-off is over.
+// probe starts a task on each quarantined worker whose back-off is over. A worker for
+// which no probe task is found for ProbeBackoffMax is released as a suspect: otherwise
+// one on which only gangs, services or urgent work fit would never come back.
 func (s *Scheduler) probe() {
-	for _, w := range s.quarantined {
+	for _, w := range slices.Clone(s.quarantined) {
 		if len(s.out) >= s.limit {
 			return
 		}
@@ -196,10 +198,24 @@
 		}
 		if c := s.probeClass(w); c != nil {
 			s.startProbe(c, w)
+			continue
+		}
+		if s.cluster.now.Sub(h.probeAt) >= s.opts.ProbeBackoffMax {
+			s.parole(w)
 		}
 	}
 }
 
+// parole ends a quarantine without a probe: the worker is suspect, so it gets one task
+// at a time until the first success.
+func (s *Scheduler) parole(w *worker) {
+	s.clearHealth(w)
+	w.health.suspect = true
+	s.suspects++
+	s.pause(w, suspectBackoff)
+	s.cluster.refresh(w)
+}
+
 // probeClass finds work that may be risked on the worker: batch that can be run again and
 // is not urgent, the least pressing first.
 func (s *Scheduler) probeClass(w *worker) *class {
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -373,3 +373,27 @@
 		t.Errorf("tasks by group: %v", groups)
 	}
 }
+
+// TestQuarantineEndsWithoutAProbeTask: a mended worker comes back although no work
+// is left that may be risked as a probe.
+func TestQuarantineEndsWithoutAProbeTask(t *testing.T) {
+	r := newRig(t, branchA).workers(8)
+	mended := false
+	r.fails = func(d Decision) bool { return !mended && d.Worker == "w0" }
+	for n := range 40 {
+		r.job(fmt.Sprint("j", n), "a", 20, nil)
+	}
+	r.run(20 * time.Minute)
+	if len(r.s.Quarantined()) != 1 {
+		t.Fatalf("quarantined: %v, want w0", r.s.Quarantined())
+	}
+	mended = true
+	r.job("watch", "a", 64, func(j *model.Job) { j.Kind = model.KindService })
+	r.run(2 * time.Hour)
+	if q := r.s.Quarantined(); len(q) != 0 {
+		t.Errorf("still quarantined two hours after being mended: %v", q)
+	}
+	if e, _ := r.s.Explain("watch"); e.Waiting != 0 {
+		t.Errorf("%d of the services still wait: %s", e.Waiting, e.Reason)
+	}
+}
