Owner: jobs that wait are handed over to another partition (core; not enabled by the host)

Cause: a job whose home partition is full or has lost its workers waits although other partitions have room. Two logged steps: HandedOut at the home, then HandIn at the target, idempotent by job id, repeated until a definite answer. A refusal is durable at the target too. schedule.Withdrawer is new and optional: a cancelled job stays known to the scheduler, so that it could not be submitted again. Not enabled: OwnerOptions.HandOverAfter is 0 unless the host sets it.

--- a/internal/partition/attempt.go
+++ b/internal/partition/attempt.go
@@ -164,7 +164,7 @@
 // recoverJob gives a job of the log back to the decision, and makes its placed
 // tasks attempts that may be running.
 func (o *Owner) recoverJob(j *jobState) {
-	if j.ended() {
+	if j.ended() || j.HandedTo != "" {
 		return
 	}
 	o.decider.Submit(o.now, j.Job)
--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -83,6 +83,22 @@
 	Err    error           // see Owner.Submit
 }
 
+// FindTarget asks for another partition with room for a job; answered by
+// Owner.TargetFound.
+type FindTarget struct {
+	Job   model.JobID
+	Size  model.Resources // of one task
+	Avoid []model.PartitionID
+}
+
+// HandIn asks for Owner.HandIn at the owner of To; answered by Owner.HandInReturned.
+type HandIn struct {
+	To  model.PartitionID
+	Job HandedJob
+}
+
+func (FindTarget) command()       {}
+func (HandIn) command()           {}
 func (Append) command()           {}
 func (ConfirmOwnership) command() {}
 func (SettleLeases) command()     {}
--- a/internal/partition/entries.go
+++ b/internal/partition/entries.go
@@ -14,6 +14,8 @@
 	Canceled  *jobCanceled  `cbor:"2,keyasint,omitempty"`
 	Placed    *taskPlaced   `cbor:"3,keyasint,omitempty"`
 	Ended     *taskEnded    `cbor:"4,keyasint,omitempty"`
+	HandOver  *handOver     `cbor:"5,keyasint,omitempty"`
+	HandedIn  *jobState     `cbor:"6,keyasint,omitempty"`
 }
 
 // jobSubmitted accepts a job.
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -35,6 +35,9 @@
 	RetryPause time.Duration
 	// RetainEnded is how long an ended job and its idempotency key are kept.
 	RetainEnded time.Duration
+	// HandOverAfter is how long a job without an attempt waits before another
+	// partition is looked for; 0: it stays.
+	HandOverAfter time.Duration
 }
 
 // DefaultOwnerOptions returns the settings for a lead: what they trade is told in
@@ -62,7 +65,9 @@
 type Owner struct {
 	opts    OwnerOptions
 	decider schedule.Decider
-	state   *state
+	// withdrawer is the decider; nil if it can't give jobs up, and then none is handed over.
+	withdrawer schedule.Withdrawer
+	state      *state
 
 	workers  map[model.WorkerID]*worker
 	attempts map[model.TaskID]*attempt // those that may be running
@@ -83,7 +88,11 @@
 	keys         map[jobKey]model.JobID // of submissions that are not durable yet
 	sinceShot    int                    // appends since the newest snapshot
 	snapshotting bool
-	swept        time.Time // when ended jobs were last looked for
+	waits        map[model.JobID]*wait      // of jobs without an attempt
+	waitsSeen    time.Time                  // when waits were last looked for
+	leaving      map[model.JobID]*departure // being handed out
+	arriving     map[model.JobID][]Token    // hand-ins being logged, with the callers that wait
+	swept        time.Time                  // when ended jobs were last looked for
 	position     int64
 
 	summary  membership.Tenancy
@@ -107,13 +116,20 @@
 		ending:      map[platform.TaskRef]bool{},
 		submissions: map[model.JobID]*submission{},
 		keys:        map[jobKey]model.JobID{},
+		waits:       map[model.JobID]*wait{},
+		leaving:     map[model.JobID]*departure{},
+		arriving:    map[model.JobID][]Token{},
 		priorEnd:    replay.TakenAt.Add(replay.PreviousLead),
 		sinceShot:   len(replay.Records),
 		position:    replay.Position,
 		settled:     replay.PreviousLead == 0,
 	}
+	o.withdrawer, _ = decider.(schedule.Withdrawer)
 	for _, j := range s.ordered() {
 		o.recoverJob(j)
+		if j.HandedTo != "" && !j.Acknowledged {
+			o.leaving[j.Job.ID] = &departure{to: j.HandedTo, durable: true}
+		}
 	}
 	return o, nil
 }
@@ -149,6 +165,8 @@
 	o.retryStops()
 	o.startReady()
 	o.dropEndedJobs()
+	o.offerWaiting()
+	o.repeatHandIns()
 	o.advance()
 }
 
--- a/internal/partition/place.go
+++ b/internal/partition/place.go
@@ -102,7 +102,7 @@
 	switch {
 	case o.attempts[d.Task] != nil:
 		return nil, "the task may be running already"
-	case job == nil || o.canceled(d.Job):
+	case job == nil || o.canceled(d.Job) || o.handedOver(d.Job):
 		return nil, "the job is not to be run"
 	case w == nil || !w.usable():
 		return nil, "the worker takes no task at the moment"
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -35,6 +35,11 @@
 	Canceled bool        `cbor:"3,keyasint,omitempty"`
 	Order    int64       `cbor:"5,keyasint"` // of submission
 	EndedAt  time.Time   `cbor:"6,keyasint"` // of its last task; zero: not ended
+
+	HandedTo     model.PartitionID   `cbor:"7,keyasint,omitempty"`  // it decides for the job; empty: this one
+	Acknowledged bool                `cbor:"8,keyasint,omitempty"`  // HandedTo has logged the job
+	Path         []model.PartitionID `cbor:"9,keyasint,omitempty"`  // had or refused the job
+	Refused      bool                `cbor:"10,keyasint,omitempty"` // a hand-in was refused for good; has no tasks
 }
 
 // jobKey is the idempotency key of a submission.
@@ -92,7 +97,7 @@
 func (s *state) add(j *jobState) {
 	s.jobs[j.Job.ID] = j
 	s.order = max(s.order, j.Order)
-	if j.Job.IdempotencyKey != "" {
+	if j.Job.IdempotencyKey != "" && !j.Refused {
 		s.keys[jobKey{j.Job.Branch, j.Job.IdempotencyKey}] = j.Job.ID
 	}
 }
@@ -131,6 +136,10 @@
 		s.applyPlaced(*r.Placed)
 	case r.Ended != nil:
 		s.applyEnded(*r.Ended)
+	case r.HandOver != nil:
+		s.applyHandOver(*r.HandOver)
+	case r.HandedIn != nil:
+		s.applyHandedIn(*r.HandedIn)
 	}
 }
 
--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -13,6 +13,7 @@
 	Ended       bool                 `json:"ended"`
 	Tasks       []TaskStatus         `json:"tasks"`
 	Explanation schedule.Explanation `json:"explanation"`
+	HandedTo    model.PartitionID    `json:"handed_to,omitempty"` // the partition that knows the tasks' states; empty: this one
 }
 
 // TaskStatus is a task as its partition knows it.
@@ -32,10 +33,10 @@
 // JobStatus returns the status of a durable job.
 func (o *Owner) JobStatus(id model.JobID) (JobStatus, bool) {
 	j := o.state.jobs[id]
-	if j == nil {
+	if j == nil || j.Refused {
 		return JobStatus{}, false
 	}
-	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended()}
+	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended(), HandedTo: j.HandedTo}
 	s.Explanation, _ = o.decider.Explain(id)
 	for i, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, o.taskStatus(taskID(id, i), t))
@@ -61,6 +62,9 @@
 func (o *Owner) Jobs(f JobFilter) []model.Job {
 	var jobs []model.Job
 	for _, j := range o.state.ordered() {
+		if j.Refused || j.Acknowledged {
+			continue
+		}
 		if (f.Branch == "" || f.Branch == j.Job.Branch) && !(f.Live && j.ended()) {
 			jobs = append(jobs, j.Job)
 		}
@@ -92,7 +96,7 @@
 
 // waiting counts the job's tasks that wait for a placement.
 func (j *jobState) waiting() int {
-	if j.Canceled {
+	if j.Canceled || j.HandedTo != "" {
 		return 0
 	}
 	n := 0
--- a/internal/partition/submit.go
+++ b/internal/partition/submit.go
@@ -15,6 +15,8 @@
 	ErrKeyMismatch = errors.New("partition: the idempotency key was used for another job")
 	// ErrUnknownJob says that this partition has no such job.
 	ErrUnknownJob = errors.New("partition: unknown job")
+	// ErrHandedOver says that another partition decides for the job: JobStatus.HandedTo.
+	ErrHandedOver = errors.New("partition: the job was handed over")
 )
 
 // submission is a job that waits to be durable.
@@ -55,7 +57,7 @@
 			id = earlier
 		}
 	}
-	if j := o.job(id); j != nil {
+	if j := o.job(id); j != nil && (o.state.jobs[id] == nil || !o.state.jobs[id].Refused) {
 		return *j, true
 	}
 	return model.Job{}, false
@@ -131,11 +133,18 @@
 func (o *Owner) Cancel(now time.Time, token Token, id model.JobID) {
 	o.now = now
 	j := o.state.jobs[id]
+	if j != nil && j.Refused {
+		j = nil
+	}
 	switch {
 	case o.deposed:
 		o.emit(Reply{Token: token, Job: id, Err: ErrDeposed})
 	case j == nil:
 		o.emit(Reply{Token: token, Job: id, Err: ErrUnknownJob})
+	case j.HandedTo != "":
+		o.emit(Reply{Token: token, Job: id, Err: ErrHandedOver})
+	case o.leaving[id] != nil:
+		o.emit(Reply{Token: token, Job: id, Err: refusal()})
 	case j.Canceled || j.ended():
 		o.emit(Reply{Token: token, Job: id})
 	case o.storeRefuses():
--- a/internal/partition/world_test.go
+++ b/internal/partition/world_test.go
@@ -53,6 +53,12 @@
 	vms     []*testVM
 	decider func() schedule.Decider
 
+	partition model.PartitionID
+	size      int64                   // milli-CPU of the tasks submitted
+	handOver  time.Duration           // OwnerOptions.HandOverAfter
+	other     func(vm *testVM, o *op) // carries out what goes to another partition
+	answered  func(r Reply) bool      // takes the replies to another partition
+
 	jobs     map[model.JobID]model.Job
 	acked    map[model.JobID]bool
 	canceled map[model.JobID]map[model.TaskID]int64 // acknowledged: newest attempts by then
@@ -67,7 +73,7 @@
 		now: time.Unix(1000, 0), store: newFakeStore(), cut: map[[2]int]bool{}, deaf: map[[2]int]bool{},
 		jobs: map[model.JobID]model.Job{}, acked: map[model.JobID]bool{},
 		canceled: map[model.JobID]map[model.TaskID]int64{}, asked: map[Token]model.JobID{},
-		begun: map[model.TaskID]map[int64]bool{}, decider: newScheduler,
+		begun: map[model.TaskID]map[int64]bool{}, decider: newScheduler, partition: "p", size: 1,
 	}
 	for i := range workers {
 		w.workers = append(w.workers, &fakeWorker{id: model.WorkerID(fmt.Sprintf("w%d", i)), up: true,
@@ -80,12 +86,13 @@
 }
 
 func (w *world) takeOver() {
-	l, replay, err := TakeOver(context.Background(), w.store, Options{Partition: "p", VM: "vm", Ring: 64,
+	l, replay, err := TakeOver(context.Background(), w.store, Options{Partition: w.partition, VM: "vm", Ring: 64,
 		Lead: testLead, Clock: func() time.Time { return w.now }, Sleep: noSleep})
 	if err != nil {
 		return
 	}
-	opts := DefaultOwnerOptions("p", l.Epoch(), testLead)
+	opts := DefaultOwnerOptions(w.partition, l.Epoch(), testLead)
+	opts.HandOverAfter = w.handOver
 	o, err := NewOwner(opts, replay, l.Horizon(), w.decider(), w.now)
 	if err != nil {
 		panic(err)
@@ -111,6 +118,9 @@
 }
 
 func (w *world) reply(vm *testVM, r Reply) {
+	if w.answered != nil && w.answered(r) {
+		return
+	}
 	if r.Err != nil || r.Status.Code == schedule.Invalid || r.Status.Code == schedule.NeverFits {
 		return
 	}
@@ -166,6 +176,8 @@
 	case TakeSnapshot:
 		err := vm.log.Snapshot(ctx, c.Data, c.Through)
 		o.deliver = func(now time.Time) { owner.SnapshotTaken(now, err) }
+	case FindTarget, HandIn:
+		w.other(vm, o)
 	default:
 		w.workerEffect(index, vm, o)
 	}
@@ -293,8 +305,8 @@
 
 func (w *world) submit(vm *testVM, tasks int, restartable bool) {
 	w.tokens++
-	job := model.Job{ID: model.JobID(fmt.Sprintf("p~%d", w.tokens)), Branch: "b", Kind: model.KindBatch,
-		Tasks: tasks, Size: model.Resources{MilliCPU: 1}, Restartable: restartable, IdempotencyKey: fmt.Sprint(w.tokens)}
+	job := model.Job{ID: model.JobID(fmt.Sprintf("%s~%d", w.partition, w.tokens)), Branch: "b", Kind: model.KindBatch,
+		Tasks: tasks, Size: model.Resources{MilliCPU: w.size}, Restartable: restartable, IdempotencyKey: fmt.Sprint(w.tokens)}
 	w.jobs[job.ID] = job
 	vm.owner.Submit(w.now, w.tokens, job)
 	w.drain(vm)
