--- a/internal/partition/handover_test.go
+++ b/internal/partition/handover_test.go
@@ -329,6 +329,19 @@
 	if j := home.vms[0].owner.state.jobs[id]; !slices.Contains(j.Path, "p") || j.HandedTo != "" {
 		t.Fatalf("was not refused and taken back: %+v", j)
 	}
+	for _, k := range p.sides[0].workers {
+		k.capacity.MilliCPU = 3
+	}
+	p.sides[0].brisk(t, 0, 3, time.Second, "")
+	p.sync(0)
+	for _, s := range p.sent {
+		p.handIn(s.to, s.to.vms[0], s.job)
+	}
+	p.sides[0].brisk(t, 0, 3, time.Second, "")
+	p.sync(0)
+	if len(p.sides[0].vms[0].owner.attempts) > 0 {
+		t.Fatal("a repeated hand-in was taken after its refusal")
+	}
 	p.work(t, 20)
 	p.checkEnded(t, id)
 }
