--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -97,6 +97,14 @@
 	Job HandedJob
 }
 
+// AskEnded asks whether a job that was handed over has ended; if so, answered by
+// Owner.HandedJobEnded.
+type AskEnded struct {
+	Job model.JobID
+	At  model.PartitionID
+}
+
+func (AskEnded) command()         {}
 func (FindTarget) command()       {}
 func (HandIn) command()           {}
 func (Append) command()           {}
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -23,6 +23,7 @@
 	handedOut          handOverStep = iota // To alone may place the job from now on
 	handInAcknowledged                     // To has logged the job
 	handedBack                             // To has refused the job for good
+	handedJobEnded                         // the job has ended where it is
 )
 
 // handOver is one step of a job's hand-over.
@@ -219,6 +220,8 @@
 		j.Path = append(j.Path, h.To)
 	case h.Step == handInAcknowledged && j.HandedTo == h.To:
 		j.Acknowledged = true
+	case h.Step == handedJobEnded && j.Acknowledged && j.EndedAt.IsZero():
+		j.EndedAt = h.At
 	case h.Step == handedBack && j.HandedTo == h.To:
 		j.HandedTo = ""
 	}
--- a/internal/partition/handover_test.go
+++ b/internal/partition/handover_test.go
@@ -74,6 +74,13 @@
 			found = ""
 		}
 		o.deliver = func(now time.Time) { owner.TargetFound(now, c.Job, found) }
+	case AskEnded:
+		s, known := to.vms[len(to.vms)-1].owner.JobStatus(c.Job)
+		o.deliver = func(now time.Time) {
+			if known && s.Ended {
+				owner.HandedJobEnded(now, c.Job)
+			}
+		}
 	case HandIn:
 		p.sent = append(p.sent, sentHandIn{to, c.Job})
 		answer := p.handIn(to, to.vms[len(to.vms)-1], c.Job)
@@ -309,6 +316,14 @@
 	if !s.Ended || s.Canceled {
 		t.Fatalf("at the target: %+v", s)
 	}
+	for range 9 { // in which the home notices the end and drops the job
+		home.pass(10 * time.Minute)
+		p.sync(0)
+		p.work(t, 4)
+	}
+	if len(home.vms[0].owner.state.jobs) != 0 {
+		t.Fatal("the home keeps a job that ended elsewhere")
+	}
 }
 
 // A target that can never run the job says so once and for all, and the home keeps it.
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -90,6 +90,7 @@
 	snapshotting bool
 	waits        map[model.JobID]*wait      // of jobs without an attempt
 	waitsSeen    time.Time                  // when waits were last looked for
+	endsSeen     time.Time                  // when ends of handed jobs were last asked for
 	leaving      map[model.JobID]*departure // being handed out
 	arriving     map[model.JobID][]Token    // hand-ins being logged, with the callers that wait
 	swept        time.Time                  // when ended jobs were last looked for
@@ -167,6 +168,7 @@
 	o.dropEndedJobs()
 	o.offerWaiting()
 	o.repeatHandIns()
+	o.askEnded()
 	o.advance()
 }
 
--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -13,7 +13,9 @@
 	Ended       bool                 `json:"ended"`
 	Tasks       []TaskStatus         `json:"tasks"`
 	Explanation schedule.Explanation `json:"explanation"`
-	HandedTo    model.PartitionID    `json:"handed_to,omitempty"` // the partition that knows the tasks' states; empty: this one
+
+	HandedTo     model.PartitionID `json:"handed_to,omitempty"`    // the partition that knows the tasks' states; empty: this one
+	Acknowledged bool              `json:"acknowledged,omitempty"` // HandedTo has logged the job
 }
 
 // TaskStatus is a task as its partition knows it.
@@ -36,7 +38,7 @@
 	if j == nil || j.Refused {
 		return JobStatus{}, false
 	}
-	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended(), HandedTo: j.HandedTo}
+	s := JobStatus{Job: j.Job, Canceled: j.Canceled, Ended: j.ended(), HandedTo: j.HandedTo, Acknowledged: j.Acknowledged}
 	s.Explanation, _ = o.decider.Explain(id)
 	for i, t := range j.Tasks {
 		s.Tasks = append(s.Tasks, o.taskStatus(taskID(id, i), t))
--- a/internal/partition/world_test.go
+++ b/internal/partition/world_test.go
@@ -176,7 +176,7 @@
 	case TakeSnapshot:
 		err := vm.log.Snapshot(ctx, c.Data, c.Through)
 		o.deliver = func(now time.Time) { owner.SnapshotTaken(now, err) }
-	case FindTarget, HandIn:
+	case FindTarget, HandIn, AskEnded:
 		w.other(vm, o)
 	default:
 		w.workerEffect(index, vm, o)
