--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -91,6 +91,7 @@
 	options := partition.DefaultOwnerOptions(info.ID, log.Epoch(), log.Lead())
 	options.PollInterval = c.settings.WorkerInterval
 	options.DriftMargin = c.settings.DriftMargin
+	options.HandOverAfter = handOverAfter
 	seed := uint64(now.UnixNano())
 	decider := schedule.New(schedule.DefaultOptions(), rand.New(rand.NewPCG(seed, uint64(log.Epoch()))))
 	owner, err := partition.NewOwner(options, replay, log.Horizon(), decider, now)
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -21,6 +21,7 @@
 	workers  platform.Workers
 	recorder event.Recorder
 	post     func(message)
+	jobs     *jobs // set before the control loop runs
 
 	mu  sync.RWMutex
 	vms map[model.WorkerID]platform.VM // as last listed; kept when a worker leaves the list
@@ -79,6 +80,8 @@
 		return nil
 	case partition.TakeSnapshot:
 		return e.snapshot(t, c)
+	case partition.FindTarget, partition.HandIn, partition.AskEnded:
+		return e.handOverCommand(command)
 	default:
 		return e.callWorker(t, command)
 	}
--- /dev/null
+++ b/internal/server/handover.go
@@ -0,0 +1,174 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/api"
+	"filbertcross/internal/membership"
+	"filbertcross/internal/model"
+	"filbertcross/internal/partition"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/schedule"
+	"filbertcross/internal/verdict"
+)
+
+const methodHandIn peer.Method = "job.handin"
+
+const (
+	// handOverAfter is how long a job waits as a whole before another partition is
+	// looked for.
+	handOverAfter = 5 * time.Second
+	// maxHops bounds how many partitions a status or cancel is passed on to.
+	maxHops = 4
+	// maxHomes bounds the partitions that a job without a key is submitted to in
+	// turn while each says that it never fits.
+	maxHomes = 3
+)
+
+// handIn passes a job that was handed out to its new partition's owner.
+type handIn struct {
+	To  model.PartitionID   `json:"to"`
+	Job partition.HandedJob `json:"job"`
+}
+
+// jobAnswer is a job as one partition knows it.
+type jobAnswer struct {
+	Job          api.Job           `json:"job"`
+	HandedTo     model.PartitionID `json:"handed_to,omitempty"`    // knows more; empty: nobody does
+	Acknowledged bool              `json:"acknowledged,omitempty"` // HandedTo has logged the job
+	NeverFits    string            `json:"never_fits,omitempty"`   // why a submission was refused; empty: it was not
+}
+
+// cancelAnswer says where a cancel has to go on to; empty: it is done.
+type cancelAnswer struct {
+	HandedTo     model.PartitionID `json:"handed_to,omitempty"`
+	Acknowledged bool              `json:"acknowledged,omitempty"`
+}
+
+// owned lists the worker partitions of live VMs, but for the excepted ones.
+func (j *jobs) owned(except []model.PartitionID) map[model.PartitionID]membership.Tenancy {
+	owned := map[model.PartitionID]membership.Tenancy{}
+	for _, m := range j.directory.view.Members() {
+		if m.State != membership.Alive {
+			continue
+		}
+		for id, tenancy := range m.Digest.Partitions {
+			known, listed := owned[id]
+			if partition.IsKeyPartition(id) || slices.Contains(except, id) || listed && known.Epoch > tenancy.Epoch {
+				continue
+			}
+			owned[id] = tenancy
+		}
+	}
+	return owned
+}
+
+// target returns a partition with room for a task, one of the two emptiest; false
+// if the digests show none.
+func (j *jobs) target(c partition.FindTarget) (model.PartitionID, bool) {
+	owned := j.owned(c.Avoid)
+	var ids []model.PartitionID
+	for id, tenancy := range owned {
+		if c.Size.Fits(tenancy.Free) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	slices.SortFunc(ids, func(a, b model.PartitionID) int {
+		if emptier(owned[a], owned[b]) {
+			return -1
+		}
+		return 1
+	})
+	return ids[rand.IntN(min(len(ids), 2))], true
+}
+
+// handIn brings a job to the owner of its new partition. An error leaves open
+// whether that has the job.
+func (j *jobs) handIn(ctx context.Context, c partition.HandIn) (schedule.Status, error) {
+	return atOwner(ctx, j, c.To, methodHandIn, handIn{To: c.To, Job: c.Job}, j.handInHere)
+}
+
+func (j *jobs) handInHere(ctx context.Context, m handIn) (schedule.Status, error) {
+	reply, err := j.command(ctx, m.To, func(o *partition.Owner, now time.Time, token partition.Token) { o.HandIn(now, token, m.Job) })
+	return reply.Status, err
+}
+
+// hasEnded reports whether the partition knows that the job has ended.
+func (j *jobs) hasEnded(ctx context.Context, c partition.AskEnded) bool {
+	answer, err := j.follow(ctx, c.Job, c.At)
+	state := answer.Job.State
+	return err == nil && (state == api.JobDone || state == api.JobFailed || state == api.JobCanceled) && answer.Job.Running == 0
+}
+
+// statusAt asks the owner of one partition.
+func (j *jobs) statusAt(ctx context.Context, id model.JobID, at model.PartitionID) (jobAnswer, error) {
+	return atOwner(ctx, j, at, methodJobStatus, jobRequest{id, at}, j.statusHere)
+}
+
+// follow asks the partition, and those that the job was handed over to.
+func (j *jobs) follow(ctx context.Context, id model.JobID, at model.PartitionID) (jobAnswer, error) {
+	var last jobAnswer
+	for hop := range maxHops + 1 {
+		answer, err := j.statusAt(ctx, id, at)
+		if hop > 0 && isUnknownJob(err) && !last.Acknowledged {
+			return last, nil
+		}
+		if err != nil || answer.HandedTo == "" {
+			return answer, err
+		}
+		last, at = answer, answer.HandedTo
+	}
+	return last, nil
+}
+
+// cancelAt cancels the job at the partition or those that it was handed over to.
+func (j *jobs) cancelAt(ctx context.Context, id model.JobID, at model.PartitionID) error {
+	var last cancelAnswer
+	for hop := range maxHops + 1 {
+		answer, err := atOwner(ctx, j, at, methodCancelJob, jobRequest{id, at}, j.cancelHere)
+		if hop > 0 && isUnknownJob(err) && !last.Acknowledged {
+			break
+		}
+		if err != nil || answer.HandedTo == "" {
+			return err
+		}
+		last, at = answer, answer.HandedTo
+	}
+	return comeBack(verdict.NotRun, jobRetryAfter, "job %s is being handed over to partition %s", id, last.HandedTo)
+}
+
+func isUnknownJob(err error) bool {
+	var failure *api.StatusError
+	return errors.As(err, &failure) && failure.Problem.Field == fieldJob
+}
+
+// handOverCommand carries out a command that goes to another partition.
+func (e *executor) handOverCommand(command partition.Command) ownerCall {
+	ctx, cancel := context.WithTimeout(context.Background(), jobTimeout)
+	defer cancel()
+	switch c := command.(type) {
+	case partition.FindTarget:
+		to, found := e.jobs.target(c)
+		if !found {
+			return nil
+		}
+		return func(o *partition.Owner, now time.Time) { o.TargetFound(now, c.Job, to) }
+	case partition.HandIn:
+		status, err := e.jobs.handIn(ctx, c)
+		return func(o *partition.Owner, now time.Time) { o.HandInReturned(now, c.Job.ID, c.To, status, err) }
+	case partition.AskEnded:
+		if !e.jobs.hasEnded(ctx, c) {
+			return nil
+		}
+		return func(o *partition.Owner, now time.Time) { o.HandedJobEnded(now, c.Job) }
+	}
+	return nil
+}
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -46,6 +47,7 @@
 	jobTimeout    = 10 * time.Second
 	jobRetryAfter = time.Second
 	maxJobTasks   = 4096
+	fieldJob      = "job" // names the field of an unknown job
 )
 
 // jobs takes, shows and cancels jobs wherever their partition is owned. Its
@@ -61,7 +63,8 @@
 
 // jobRequest names a job in a call to its partition's owner.
 type jobRequest struct {
-	Job model.JobID `json:"job"`
+	Job model.JobID       `json:"job"`
+	At  model.PartitionID `json:"at"` // its home, or where it was handed over to
 }
 
 type listRequest struct {
@@ -70,10 +73,9 @@
 
 func (j *jobs) register(r peer.Registry) {
 	handle(r, methodSubmitJob, j.submitHere)
-	handle(r, methodJobStatus, func(ctx context.Context, m jobRequest) (api.Job, error) { return j.statusHere(ctx, m.Job) })
-	handle(r, methodCancelJob, func(ctx context.Context, m jobRequest) (struct{}, error) {
-		return struct{}{}, j.cancelHere(ctx, m.Job)
-	})
+	handle(r, methodJobStatus, j.statusHere)
+	handle(r, methodCancelJob, j.cancelHere)
+	handle(r, methodHandIn, j.handInHere)
 	handle(r, methodListJobs, func(ctx context.Context, m listRequest) ([]api.Job, error) { return j.listHere(ctx, m.Branch) })
 	handle(r, methodListWorkers, func(ctx context.Context, _ struct{}) ([]api.Worker, error) { return j.workersHere(ctx) })
 }
@@ -99,12 +101,40 @@
 	if !known {
 		return api.Job{}, comeBack(verdict.NotRun, jobRetryAfter, "the partitions are not known yet")
 	}
-	home, found := j.home(layout, job)
-	if !found {
-		return api.Job{}, comeBack(verdict.NotRun, jobRetryAfter, "no partition of workers has an owner yet")
+	answer, err := j.submitAtHome(ctx, layout, job)
+	switch {
+	case err != nil:
+		return api.Job{}, err
+	case answer.NeverFits != "":
+		return api.Job{}, refused(http.StatusUnprocessableEntity, "workload", "%s", answer.NeverFits)
+	case answer.HandedTo != "":
+		return j.status(ctx, answer.Job.ID)
 	}
-	job.ID = partition.NewJobID(home)
-	return atOwner(ctx, j, home, methodSubmitJob, job, j.submitHere)
+	return answer.Job, nil
+}
+
+// submitAtHome tries further homes for a job without a key while it never fits;
+// a key has one home.
+func (j *jobs) submitAtHome(ctx context.Context, layout partition.Layout, job model.Job) (jobAnswer, error) {
+	var tried []model.PartitionID
+	var answer jobAnswer
+	for len(tried) < maxHomes {
+		home, found := j.home(layout, job, tried)
+		if !found && len(tried) == 0 {
+			return jobAnswer{}, comeBack(verdict.NotRun, jobRetryAfter, "no partition of workers has an owner yet")
+		}
+		if !found {
+			break
+		}
+		job.ID = partition.NewJobID(home)
+		var err error
+		answer, err = atOwner(ctx, j, home, methodSubmitJob, job, j.submitHere)
+		if err != nil || answer.NeverFits == "" || job.IdempotencyKey != "" {
+			return answer, err
+		}
+		tried = append(tried, home)
+	}
+	return answer, nil
 }
 
 // build makes the job from the workload in force.
@@ -150,27 +180,16 @@
 }
 
 // home returns the partition that keeps the job: the key's, or for a job without
-// a key the better of two owned partitions drawn at random.
-func (j *jobs) home(layout partition.Layout, job model.Job) (model.PartitionID, bool) {
+// a key the better of two owned partitions drawn at random, but for the excepted.
+func (j *jobs) home(layout partition.Layout, job model.Job, except []model.PartitionID) (model.PartitionID, bool) {
 	if job.IdempotencyKey != "" {
 		return layout.HomePartition(job.Branch, job.IdempotencyKey)
 	}
-	owned := map[model.PartitionID]membership.Tenancy{}
-	var ids []model.PartitionID
-	for _, m := range j.directory.view.Members() {
-		if m.State != membership.Alive {
-			continue
-		}
-		for id, tenancy := range m.Digest.Partitions {
-			if _, listed := owned[id]; !partition.IsKeyPartition(id) && !listed {
-				ids = append(ids, id)
-				owned[id] = tenancy
-			}
-		}
-	}
-	if len(ids) == 0 {
+	owned := j.owned(except)
+	if len(owned) == 0 {
 		return "", false
 	}
+	ids := slices.Collect(maps.Keys(owned))
 	a, b := ids[rand.IntN(len(ids))], ids[rand.IntN(len(ids))]
 	if emptier(owned[b], owned[a]) {
 		return b, true
@@ -192,9 +211,8 @@
 	if !ok {
 		return api.Job{}, unknownJob(id)
 	}
-	return atOwner(ctx, j, home, methodJobStatus, jobRequest{id}, func(ctx context.Context, m jobRequest) (api.Job, error) {
-		return j.statusHere(ctx, m.Job)
-	})
+	answer, err := j.follow(ctx, id, home)
+	return answer.Job, err
 }
 
 // cancel cancels a job and returns once that is durable.
@@ -203,10 +221,7 @@
 	if !ok {
 		return unknownJob(id)
 	}
-	_, err := atOwner(ctx, j, home, methodCancelJob, jobRequest{id}, func(ctx context.Context, m jobRequest) (struct{}, error) {
-		return struct{}{}, j.cancelHere(ctx, m.Job)
-	})
-	return err
+	return j.cancelAt(ctx, id, home)
 }
 
 func (j *jobs) list(ctx context.Context, branch model.BranchID) ([]api.Job, error) {
@@ -278,7 +293,7 @@
 	case codeKeyMismatch:
 		return refused(http.StatusUnprocessableEntity, api.HeaderIdempotencyKey, "%s", failure.Message)
 	case codeUnknownJob:
-		return refused(http.StatusNotFound, "job", "%s", failure.Message)
+		return refused(http.StatusNotFound, fieldJob, "%s", failure.Message)
 	case codeJobRefused:
 		return refused(http.StatusUnprocessableEntity, "workload", "%s", failure.Message)
 	case peer.CodeInvalid:
@@ -345,51 +360,56 @@
 	}
 }
 
-func (j *jobs) submitHere(ctx context.Context, job model.Job) (api.Job, error) {
+func (j *jobs) submitHere(ctx context.Context, job model.Job) (jobAnswer, error) {
 	home, ok := partition.JobPartition(job.ID)
 	if !ok {
-		return api.Job{}, &peer.Error{Code: peer.CodeInvalid, Message: "the job's id names no partition", Verdict: verdict.NotRun}
+		return jobAnswer{}, &peer.Error{Code: peer.CodeInvalid, Message: "the job's id names no partition", Verdict: verdict.NotRun}
 	}
 	reply, err := j.command(ctx, home, func(o *partition.Owner, now time.Time, token partition.Token) { o.Submit(now, token, job) })
 	if err != nil {
-		return api.Job{}, err
+		return jobAnswer{}, err
 	}
-	if code := reply.Status.Code; code == schedule.NeverFits || code == schedule.Invalid {
-		return api.Job{}, &peer.Error{Code: codeJobRefused, Message: reply.Status.Reason, Verdict: verdict.NotRun}
+	switch reply.Status.Code {
+	case schedule.NeverFits:
+		return jobAnswer{NeverFits: cmp.Or(reply.Status.Reason, "it never fits")}, nil
+	case schedule.Invalid:
+		return jobAnswer{}, &peer.Error{Code: codeJobRefused, Message: reply.Status.Reason, Verdict: verdict.NotRun}
 	}
-	return j.statusHere(ctx, reply.Job)
+	return j.statusHere(ctx, jobRequest{reply.Job, home})
 }
 
-func (j *jobs) cancelHere(ctx context.Context, id model.JobID) error {
-	home, _ := partition.JobPartition(id)
-	_, err := j.command(ctx, home, func(o *partition.Owner, now time.Time, token partition.Token) { o.Cancel(now, token, id) })
-	return err
+func (j *jobs) cancelHere(ctx context.Context, m jobRequest) (cancelAnswer, error) {
+	reply, err := j.command(ctx, m.At, func(o *partition.Owner, now time.Time, token partition.Token) { o.Cancel(now, token, m.Job) })
+	if !errors.Is(reply.Err, partition.ErrHandedOver) {
+		return cancelAnswer{}, err
+	}
+	answer, err := j.statusHere(ctx, m)
+	return cancelAnswer{HandedTo: answer.HandedTo, Acknowledged: answer.Acknowledged}, err
 }
 
-func (j *jobs) statusHere(ctx context.Context, id model.JobID) (api.Job, error) {
-	home, _ := partition.JobPartition(id)
+func (j *jobs) statusHere(ctx context.Context, m jobRequest) (jobAnswer, error) {
 	type result struct {
 		owned, found bool
 		status       partition.JobStatus
 	}
 	r, err := ask(ctx, j.loop, func(c *control, _ time.Time) (r result) {
-		t, ok := c.tenures[home]
+		t, ok := c.tenures[m.At]
 		if !ok {
 			return r
 		}
 		r.owned = true
-		r.status, r.found = t.owner.JobStatus(id)
+		r.status, r.found = t.owner.JobStatus(m.Job)
 		return r
 	})
 	switch {
 	case err != nil:
-		return api.Job{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.NotRun}
+		return jobAnswer{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.NotRun}
 	case !r.owned:
-		return api.Job{}, errNotOwner
+		return jobAnswer{}, errNotOwner
 	case !r.found:
-		return api.Job{}, partitionError(errors.Wrapf(partition.ErrUnknownJob, "%s", id))
+		return jobAnswer{}, partitionError(errors.Wrapf(partition.ErrUnknownJob, "%s", m.Job))
 	}
-	return jobView(r.status), nil
+	return jobAnswer{Job: jobView(r.status), HandedTo: r.status.HandedTo, Acknowledged: r.status.Acknowledged}, nil
 }
 
 func (j *jobs) listHere(ctx context.Context, branch model.BranchID) ([]api.Job, error) {
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -169,9 +169,10 @@
 	}, router, keys, source, view, recorder, scope)
 }
 
-func provideJobs(l *loop, caller peer.Caller, server *peer.Server, view membership.View, source model.ConfigurationSource, a *assigner) *jobs {
+func provideJobs(l *loop, caller peer.Caller, server *peer.Server, view membership.View, source model.ConfigurationSource, a *assigner, e *executor) *jobs {
 	j := &jobs{loop: l, caller: caller, directory: directory{view}, source: source, layout: a.Layout}
 	j.register(server)
+	e.jobs = j
 	return j
 }
 
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -51,7 +51,7 @@
 	vmList := provideVMList(settings)
 	serverStatus := provideStatus(source, serverAssigner, membership)
 	serverPoller := providePoller(settings, vmList, log, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
-	serverJobs := provideJobs(serverLoop, client, server, membership, source, serverAssigner)
+	serverJobs := provideJobs(serverLoop, client, server, membership, source, serverAssigner, serverExecutor)
 	serverSheets := &sheets{
 		rollout: rollout,
 	}
