Hand-over: a target says what never fits once it knows its workers

Refusing at once was tried and stranded jobs too: a new owner refused what it could run. Now a new owner answers 'unavailable' for 10 s, which the home repeats; after that an unreported worker counts as too small.

--- a/internal/partition/handin.go
+++ b/internal/partition/handin.go
@@ -25,7 +25,7 @@
 		o.arriving[handed.ID] = append(o.arriving[handed.ID], token)
 	case err != nil:
 		o.emit(Reply{Token: token, Job: handed.ID, Err: err})
-	case o.storeRefuses():
+	case o.storeRefuses() || o.awaitsReports():
 		o.emit(Reply{Token: token, Job: handed.ID, Err: refusal()})
 	default:
 		o.takeIn(token, j)
@@ -33,14 +33,21 @@
 	o.advance()
 }
 
-// cannotRun asks the decision whether the job can ever run here.
+// awaitsReports reports whether a new owner may still hear of workers, so that it
+// can't say yet what fits. Later on workers without a report count as too small: a
+// job refused in vain finds another partition, one taken in vain would be left here.
+func (o *Owner) awaitsReports() bool {
+	return !o.knowsWorkers() && o.now.Sub(o.begun) < reportGrace
+}
+
+// cannotRun asks the decision whether the job can run here.
 func (o *Owner) cannotRun(job model.Job) bool {
 	if o.withdrawer == nil {
 		return false
 	}
 	status := o.decider.Submit(o.now, job)
 	o.withdrawer.Withdraw(o.now, job.ID)
-	return status.Code == schedule.Invalid || status.Code == schedule.NeverFits && o.knowsWorkers()
+	return refusedForGood(status)
 }
 
 // handInStatus is the answer to a repeated hand-in.
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -10,10 +10,11 @@
 
 // Bounds of the hand-over of jobs.
 const (
-	maxPath       = 4               // partitions that had or refused a job; then it stays
-	maxOffers     = 16              // jobs for which a target is looked for at once
-	offerEvery    = time.Second     // between two looks for waiting jobs
-	handInTimeout = 5 * time.Second // after it, a hand-in without an answer is repeated
+	maxPath       = 4                // partitions that had or refused a job; then it stays
+	maxOffers     = 16               // jobs for which a target is looked for at once
+	offerEvery    = time.Second      // between two looks for waiting jobs
+	reportGrace   = 10 * time.Second // in which a new owner's workers should report
+	handInTimeout = 5 * time.Second  // after it, a hand-in without an answer is repeated
 )
 
 // handOverStep is how far the hand-over of a job has come, as the log says.
--- a/internal/partition/handover_test.go
+++ b/internal/partition/handover_test.go
@@ -38,7 +38,7 @@
 	p := &pair{tokens: firstHandIn, answers: map[Token]*handInAnswer{}}
 	for i, id := range []model.PartitionID{"p", "q"} {
 		w := newWorld(2)
-		w.partition, w.handOver = id, 5*time.Second
+		w.partition, w.handOver = id, 2*time.Second
 		w.other, w.answered = p.carry, p.answer
 		p.sides[i] = w
 	}
@@ -221,6 +221,9 @@
 func (p pairActions) Land(t *rapid.T)     { p.fault(t, faultActions.Land) }
 func (p pairActions) Finish(t *rapid.T)   { p.fault(t, faultActions.Finish) }
 func (p pairActions) Kill(t *rapid.T)     { p.fault(t, faultActions.Kill) }
+func (p pairActions) Cut(t *rapid.T)      { p.fault(t, faultActions.Cut) }
+func (p pairActions) CutStore(t *rapid.T) { p.fault(t, faultActions.CutStore) }
+func (p pairActions) Preempt(t *rapid.T)  { p.fault(t, faultActions.Preempt) }
 func (p pairActions) Check(t *rapid.T)    { p.check(t) }
 
 func (p pairActions) Restart(t *rapid.T) { p.fault(t, faultActions.Restart) }
@@ -284,11 +287,12 @@
 
 func TestHandOverUnderFaults(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
-		for range 3 {
+		for range 8 {
 			p := newPair()
 			actions := rapid.StateMachineActions(pairActions{p})
 			check := actions[""]
 			actions["work2"], actions["work3"] = actions["Work"], actions["Work"]
+			actions["work4"], actions["submit2"] = actions["Work"], actions["Submit"]
 			actions["brisk2"], actions["ops2"] = actions["Brisk"], actions["Ops"]
 			for name, action := range actions {
 				actions[name] = func(t *rapid.T) { proptest.Step(); action(t) }
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -76,6 +76,7 @@
 	horizon    time.Time // no lease granted outlasts it
 	confirming bool
 	priorEnd   time.Time // no lease of an earlier epoch outlasts it
+	begun      time.Time // when the epoch began on this VM
 	settled    bool      // the record was told so
 	recovering int       // attempts of earlier epochs not yet adopted or ended
 
@@ -111,7 +112,7 @@
 		return nil, err
 	}
 	o := &Owner{
-		opts: opts, decider: decider, state: s, horizon: horizon, now: now,
+		opts: opts, decider: decider, state: s, horizon: horizon, now: now, begun: now,
 		workers:     map[model.WorkerID]*worker{},
 		attempts:    map[model.TaskID]*attempt{},
 		ending:      map[platform.TaskRef]bool{},
