Hand-over: a refusal counts for one try; later tries of the same target wait longer

Refusals are now bound to a try number, which rises with each hand-over, so that a late repeat of an earlier try still changes nothing; the wait doubles up to 32 times.

--- a/internal/partition/handin.go
+++ b/internal/partition/handin.go
@@ -9,9 +9,9 @@
 
 // HandIn takes a job that another partition has handed out. It is answered by a
 // Reply: without an error and with an Accepted status the job is durable here and
-// placed as this partition's own; with NeverFits or Invalid it is refused for good,
+// placed as this partition's own; with NeverFits or Invalid this try is refused,
 // which is durable too, so that a late repeat gets the same answer. Errors as of
-// Submit. It is idempotent by the job's id.
+// Submit. It is idempotent by the job's id and try.
 func (o *Owner) HandIn(now time.Time, token Token, handed HandedJob) {
 	o.now = now
 	known := o.state.jobs[handed.ID]
@@ -19,7 +19,7 @@
 	switch {
 	case o.deposed:
 		o.emit(Reply{Token: token, Job: handed.ID, Err: ErrDeposed})
-	case known != nil:
+	case known != nil && !known.outdatedBy(handed.Try):
 		o.emit(Reply{Token: token, Job: handed.ID, Status: known.handInStatus()})
 	case o.arriving[handed.ID] != nil:
 		o.arriving[handed.ID] = append(o.arriving[handed.ID], token)
@@ -50,6 +50,9 @@
 	return refusedForGood(status)
 }
 
+// outdatedBy reports whether the job was refused at an earlier try.
+func (j *jobState) outdatedBy(try int) bool { return j.Refused && j.Tries < try }
+
 // handInStatus is the answer to a repeated hand-in.
 func (j *jobState) handInStatus() schedule.Status {
 	if j.Refused {
@@ -63,7 +66,7 @@
 	id := j.Job.ID
 	o.arriving[id] = []Token{token}
 	if o.cannotRun(j.Job) {
-		j = &jobState{Job: j.Job, Refused: true, EndedAt: o.now.UTC()}
+		j = &jobState{Job: j.Job, Refused: true, Tries: j.Tries, EndedAt: o.now.UTC()}
 	}
 	o.log(&item{
 		records: []logged{{HandedIn: j}},
@@ -85,7 +88,7 @@
 }
 
 func (s *state) applyHandedIn(j jobState) {
-	if s.jobs[j.Job.ID] != nil {
+	if known := s.jobs[j.Job.ID]; known != nil && !known.outdatedBy(j.Tries) {
 		return
 	}
 	j.Order = s.order + 1
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -10,7 +10,8 @@
 
 // Bounds of the hand-over of jobs.
 const (
-	maxPath       = 4                // partitions that had or refused a job; then it stays
+	maxPath       = 4                // partitions that had a job; then it stays
+	maxDoublings  = 5                // of the wait between two tries of one job
 	maxOffers     = 16               // jobs for which a target is looked for at once
 	offerEvery    = time.Second      // between two looks for waiting jobs
 	reportGrace   = 10 * time.Second // in which a new owner's workers should report
@@ -38,6 +39,7 @@
 // HandedJob is a job on its way to another partition: its durable state as CBOR.
 type HandedJob struct {
 	ID    model.JobID `json:"id"`
+	Try   int         `json:"try"` // rises with every hand-over of the job
 	State []byte      `json:"state"`
 }
 
@@ -50,6 +52,7 @@
 // departure is a hand-out whose answer by the target is not durable yet.
 type departure struct {
 	to       model.PartitionID
+	try      int
 	durable  bool // only then may the target be told
 	answered bool
 	sent     time.Time
@@ -109,7 +112,8 @@
 		w = &wait{since: o.now}
 		o.waits[j.Job.ID] = w
 	}
-	if o.now.Sub(w.since) < o.opts.HandOverAfter || o.now.Sub(w.asked) < o.opts.HandOverAfter {
+	pause := o.opts.HandOverAfter << min(j.Tries, maxDoublings)
+	if o.now.Sub(w.since) < pause || o.now.Sub(w.asked) < pause {
 		return false
 	}
 	w.asked = o.now
@@ -117,7 +121,7 @@
 	return true
 }
 
-// path lists the partitions that had or refused the job, this one included.
+// path lists the partitions that had the job, this one included.
 func (o *Owner) path(j *jobState) []model.PartitionID {
 	if slices.Contains(j.Path, o.opts.Partition) {
 		return slices.Clone(j.Path)
@@ -141,7 +145,7 @@
 
 func (o *Owner) handOut(j *jobState, to model.PartitionID) {
 	id := j.Job.ID
-	d := &departure{to: to}
+	d := &departure{to: to, try: j.Tries + 1}
 	o.leaving[id] = d
 	delete(o.waits, id)
 	o.withdrawer.Withdraw(o.now, id)
@@ -168,7 +172,7 @@
 	d.sent = o.now
 	handed := *j
 	handed.HandedTo, handed.Path = "", o.path(j)
-	o.emit(HandIn{To: d.to, Job: HandedJob{ID: j.Job.ID, State: encode(&handed)}})
+	o.emit(HandIn{To: d.to, Job: HandedJob{ID: j.Job.ID, Try: d.try, State: encode(&handed)}})
 }
 
 // repeatHandIns repeats those that got no answer. Only a definite answer ends it:
@@ -181,14 +185,15 @@
 	}
 }
 
-// HandInReturned answers a HandIn with the target's Reply. An error leaves open
+// HandInReturned answers a HandIn, which it is given again, with the target's Reply. An error leaves open
 // whether the target has the job.
-func (o *Owner) HandInReturned(now time.Time, id model.JobID, to model.PartitionID, status schedule.Status, err error) {
+func (o *Owner) HandInReturned(now time.Time, asked HandIn, status schedule.Status, err error) {
 	if !o.begin(now) {
 		return
 	}
+	id, to := asked.Job.ID, asked.To
 	d := o.leaving[id]
-	if d == nil || d.to != to || !d.durable || d.answered || err != nil {
+	if d == nil || d.try != asked.Job.Try || !d.durable || d.answered || err != nil {
 		return
 	}
 	d.answered = true
@@ -218,6 +223,7 @@
 	switch {
 	case h.Step == handedOut && !j.Canceled && j.HandedTo == "":
 		j.HandedTo = h.To
+		j.Tries++
 		j.Path = append(j.Path, h.To)
 	case h.Step == handInAcknowledged && j.HandedTo == h.To:
 		j.Acknowledged = true
@@ -225,5 +231,6 @@
 		j.EndedAt = h.At
 	case h.Step == handedBack && j.HandedTo == h.To:
 		j.HandedTo = ""
+		j.Path = j.Path[:len(j.Path)-1]
 	}
 }
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -130,7 +130,7 @@
 	for _, j := range s.ordered() {
 		o.recoverJob(j)
 		if j.HandedTo != "" && !j.Acknowledged {
-			o.leaving[j.Job.ID] = &departure{to: j.HandedTo, durable: true}
+			o.leaving[j.Job.ID] = &departure{to: j.HandedTo, try: j.Tries, durable: true}
 		}
 	}
 	return o, nil
--- a/internal/partition/state.go
+++ b/internal/partition/state.go
@@ -38,7 +38,8 @@
 
 	HandedTo     model.PartitionID   `cbor:"7,keyasint,omitempty"`  // it decides for the job; empty: this one
 	Acknowledged bool                `cbor:"8,keyasint,omitempty"`  // HandedTo has logged the job
-	Path         []model.PartitionID `cbor:"9,keyasint,omitempty"`  // had or refused the job
+	Path         []model.PartitionID `cbor:"9,keyasint,omitempty"`  // had the job
+	Tries        int                 `cbor:"11,keyasint,omitempty"` // hand-overs so far, refused ones too
 	Refused      bool                `cbor:"10,keyasint,omitempty"` // a hand-in was refused for good; has no tasks
 }
 
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -163,7 +163,7 @@
 		return func(o *partition.Owner, now time.Time) { o.TargetFound(now, c.Job, to) }
 	case partition.HandIn:
 		status, err := e.jobs.handIn(ctx, c)
-		return func(o *partition.Owner, now time.Time) { o.HandInReturned(now, c.Job.ID, c.To, status, err) }
+		return func(o *partition.Owner, now time.Time) { o.HandInReturned(now, c, status, err) }
 	case partition.AskEnded:
 		if !e.jobs.hasEnded(ctx, c) {
 			return nil
