--- a/internal/partition/handover_test.go
+++ b/internal/partition/handover_test.go
@@ -10,6 +10,7 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/proptest"
+	"filbertcross/internal/schedule"
 )
 
 const firstHandIn Token = 1 << 32 // of the tokens of hand-ins
@@ -364,3 +365,39 @@
 	p.work(t, 20)
 	p.checkEnded(t, id)
 }
+
+// An answer to an earlier try says nothing about the present one.
+func TestLateRefusalOfAnEarlierTryIsIgnored(t *testing.T) {
+	p := newPair()
+	home := p.sides[0]
+	home.submit(home.vms[0], 3, true)
+	p.vanish()
+	home.brisk(t, 0, 4, time.Second, "HandIn")
+	owner := home.vms[0].owner
+	d := owner.leaving["p~1"]
+	if d == nil || !d.durable {
+		t.Fatal("the job was not handed out")
+	}
+	late := HandIn{To: "q", Job: HandedJob{ID: "p~1", Try: d.try - 1}}
+	owner.HandInReturned(home.now, late, schedule.Status{Code: schedule.NeverFits}, nil)
+	if d.answered {
+		t.Fatal("the late answer was taken")
+	}
+}
+
+// BenchmarkOfferWaiting is an owner's look for jobs to hand over among 10,000.
+func BenchmarkOfferWaiting(b *testing.B) {
+	p := newPair()
+	home := p.sides[0]
+	p.vanish()
+	for range 10000 {
+		home.submit(home.vms[0], 1, true)
+	}
+	home.brisk(panics{}, 0, 1, time.Millisecond, "FindTarget")
+	owner := home.vms[0].owner
+	for b.Loop() {
+		owner.now = owner.now.Add(offerEvery)
+		owner.offerWaiting()
+		owner.commands = nil
+	}
+}
