--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -83,6 +83,30 @@
 	Err    error           // see Owner.Submit
 }
 
+// FindTarget asks for another partition with room for a job; answered by
+// Owner.TargetFound.
+type FindTarget struct {
+	Job   model.JobID
+	Size  model.Resources // of one task
+	Avoid []model.PartitionID
+}
+
+// HandIn asks for Owner.HandIn at the owner of To; answered by Owner.HandInReturned.
+type HandIn struct {
+	To  model.PartitionID
+	Job HandedJob
+}
+
+// AskEnded asks whether a job that was handed over has ended; if so, answered by
+// Owner.HandedJobEnded.
+type AskEnded struct {
+	Job model.JobID
+	At  model.PartitionID
+}
+
+func (AskEnded) command()         {}
+func (FindTarget) command()       {}
+func (HandIn) command()           {}
 func (Append) command()           {}
 func (ConfirmOwnership) command() {}
 func (SettleLeases) command()     {}
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -35,6 +35,9 @@
 	RetryPause time.Duration
 	// RetainEnded is how long an ended job and its idempotency key are kept.
 	RetainEnded time.Duration
+	// HandOverAfter is how long a job without an attempt waits before another
+	// partition is looked for; 0: it stays.
+	HandOverAfter time.Duration
 }
 
 // DefaultOwnerOptions returns the settings for a lead: what they trade is told in
@@ -62,7 +65,9 @@
 type Owner struct {
 	opts    OwnerOptions
 	decider schedule.Decider
-	state   *state
+	// withdrawer is the decider; nil if it can't give jobs up, and then none is handed over.
+	withdrawer schedule.Withdrawer
+	state      *state
 
 	workers  map[model.WorkerID]*worker
 	attempts map[model.TaskID]*attempt // those that may be running
@@ -71,6 +76,7 @@
 	horizon    time.Time // no lease granted outlasts it
 	confirming bool
 	priorEnd   time.Time // no lease of an earlier epoch outlasts it
+	begun      time.Time // when the epoch began on this VM
 	settled    bool      // the record was told so
 	recovering int       // attempts of earlier epochs not yet adopted or ended
 
@@ -83,7 +89,12 @@
 	keys         map[jobKey]model.JobID // of submissions that are not durable yet
 	sinceShot    int                    // appends since the newest snapshot
 	snapshotting bool
-	swept        time.Time // when ended jobs were last looked for
+	waits        map[model.JobID]*wait      // of jobs without an attempt
+	waitsSeen    time.Time                  // when waits were last looked for
+	endsSeen     time.Time                  // when ends of handed jobs were last asked for
+	leaving      map[model.JobID]*departure // being handed out
+	arriving     map[model.JobID][]Token    // hand-ins being logged, with the callers that wait
+	swept        time.Time                  // when ended jobs were last looked for
 	position     int64
 
 	summary  membership.Tenancy
@@ -101,19 +112,26 @@
 		return nil, err
 	}
 	o := &Owner{
-		opts: opts, decider: decider, state: s, horizon: horizon, now: now,
+		opts: opts, decider: decider, state: s, horizon: horizon, now: now, begun: now,
 		workers:     map[model.WorkerID]*worker{},
 		attempts:    map[model.TaskID]*attempt{},
 		ending:      map[platform.TaskRef]bool{},
 		submissions: map[model.JobID]*submission{},
 		keys:        map[jobKey]model.JobID{},
+		waits:       map[model.JobID]*wait{},
+		leaving:     map[model.JobID]*departure{},
+		arriving:    map[model.JobID][]Token{},
 		priorEnd:    replay.TakenAt.Add(replay.PreviousLead),
 		sinceShot:   len(replay.Records),
 		position:    replay.Position,
 		settled:     replay.PreviousLead == 0,
 	}
+	o.withdrawer, _ = decider.(schedule.Withdrawer)
 	for _, j := range s.ordered() {
 		o.recoverJob(j)
+		if j.HandedTo != "" && !j.Acknowledged {
+			o.leaving[j.Job.ID] = &departure{to: j.HandedTo, try: j.Tries, durable: true}
+		}
 	}
 	return o, nil
 }
@@ -149,6 +167,9 @@
 	o.retryStops()
 	o.startReady()
 	o.dropEndedJobs()
+	o.offerWaiting()
+	o.repeatHandIns()
+	o.askEnded()
 	o.advance()
 }
 
