--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -136,6 +136,16 @@
 	return c.Procs.Start("backends-"+domain, c.binary("standin"), backendArgs...)
 }
 
+// WorkersOf returns the addresses of a failure domain's workers.
+func (c *Cluster) WorkersOf(domain string) []string {
+	for i := range c.opts.VMs {
+		if domainName(i) == domain {
+			return c.Workers[i*c.opts.WorkersPerDomain : (i+1)*c.opts.WorkersPerDomain]
+		}
+	}
+	return nil
+}
+
 // ListBackend puts a backend server in the platform's list, as leaving or not.
 func (c *Cluster) ListBackend(index int, leaving bool) error {
 	domain := domainName(index / backendsPerDomain)
--- /dev/null
+++ b/internal/standin/measure/bytes.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"filbertcross/internal/model"
+	"filbertcross/internal/platform"
+)
+
+// httpOverhead is about what the headers of a small call and its answer take.
+const httpOverhead = 300
+
+// pollBytes prints how large one poll of a worker is, by the tasks that it runs.
+func pollBytes() {
+	call, _ := json.Marshal(platform.WorkerCall{Partition: "w-bg-south-1-0", Epoch: 12})
+	for _, tasks := range []int{0, 4, 16} {
+		report := platform.Report{
+			Worker: "worker-bg-south-1-0", Boot: "847bf270-9850-4020-93d8-b2e2be3b602c", Clock: platform.WorkerClock(time.Hour),
+			Epoch: 12, Capacity: model.Resources{MilliCPU: 32_000, MemoryMiB: 128 << 10},
+		}
+		for n := range tasks {
+			report.Tasks = append(report.Tasks, platform.TaskReport{
+				TaskRef:   platform.TaskRef{Task: model.TaskID(fmt.Sprintf("w-bg-south-1-0~847bf270-9850-4020-93d8-b2e2be3b602c/%d", n)), Attempt: 1},
+				Partition: "w-bg-south-1-0", Epoch: 12, State: platform.TaskRunning, LeaseUntil: platform.WorkerClock(time.Hour),
+				Used: model.Resources{MilliCPU: 1500, MemoryMiB: 2048}, Ran: time.Minute,
+			})
+		}
+		answer, _ := json.Marshal(platform.WorkerAnswer{Report: &report})
+		fmt.Printf("poll of a worker with %d tasks: %d bytes with about %d of headers\n", tasks, len(call)+len(answer)+httpOverhead, httpOverhead)
+	}
+}
--- a/internal/standin/measure/main.go
+++ b/internal/standin/measure/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	what := flag.String("what", "slopes", "slopes, recovery or rolling")
+	what := flag.String("what", "slopes", "slopes, bytes, recovery or rolling")
 	vms := flag.Int("vms", 3, "entry VMs, one failure domain each")
 	kills := flag.Int("kills", 5, "VMs killed by the recovery measurement, one after the other")
 	binaries := flag.String("bin", "bin", "directory of the filbertcross and standin binaries")
@@ -36,13 +36,15 @@
 			fmt.Fprintln(os.Stderr, "measure:", err)
 			os.Exit(1)
 		}
+	case "bytes":
+		pollBytes()
 	case "rolling":
 		if err := rolling(ctx, *binaries, *vms, *sheetFile); err != nil {
 			fmt.Fprintln(os.Stderr, "measure:", err)
 			os.Exit(1)
 		}
 	default:
-		fmt.Fprintln(os.Stderr, "measure: -what is slopes, recovery or rolling")
+		fmt.Fprintln(os.Stderr, "measure: -what is slopes, bytes, recovery or rolling")
 		os.Exit(2)
 	}
 }
@@ -50,6 +52,9 @@
 func numbers(list string) []int {
 	var found []int
 	for text := range strings.SplitSeq(list, ",") {
+		if text == "" {
+			continue
+		}
 		n, err := strconv.Atoi(text)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "slopes:", err)
--- a/internal/standin/prove/faults.go
+++ b/internal/standin/prove/faults.go
@@ -65,6 +65,7 @@
 	{"list-down", theList, (*faults).listDown},
 	{"worker-reboot", aWorker, (*faults).reboot},
 	{"worker-cut", aWorker, workerFault(standin.FaultSettings{Down: true})},
+	{"domain-lost", aDomain, (*faults).loseDomain},
 	{"worker-loses-answers", aWorker, workerFault(standin.FaultSettings{LoseAnswer: 0.4})},
 	{"worker-slow", aWorker, workerFault(standin.FaultSettings{Delay: 400 * time.Millisecond})},
 	{"backend-loses-answers", aBackend, backendFault(standin.FaultSettings{LoseAnswer: 0.5})},
@@ -75,6 +76,7 @@
 func aVM(f *faults) string      { return f.cluster.VMs[f.rng.IntN(len(f.cluster.VMs))].Name }
 func theStore(*faults) string   { return "store" }
 func theList(*faults) string    { return "list" }
+func aDomain(f *faults) string  { return f.cluster.VMs[f.rng.IntN(len(f.cluster.VMs))].Domain }
 func aWorker(f *faults) string  { return f.cluster.Workers[f.rng.IntN(len(f.cluster.Workers))] }
 func aBackend(f *faults) string { return f.cluster.Backends[f.rng.IntN(len(f.cluster.Backends))] }
 
@@ -211,6 +213,25 @@
 	return func(f *faults, ctx context.Context, on string) { f.with(ctx, "http://"+on, settings) }
 }
 
+// loseDomain cuts all workers of a failure domain off, for longer than a job waits
+// before it is handed over to another partition.
+func (f *faults) loseDomain(ctx context.Context, domain string) {
+	for _, settings := range []standin.FaultSettings{{Down: true}, {}} {
+		for _, address := range f.cluster.WorkersOf(domain) {
+			if err := cluster.Put("http://"+address+"/faults", settings); err != nil {
+				f.checks.Fail("a stand-in takes its faults", err.Error())
+			}
+		}
+		if !settings.Down {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(longestFault):
+		}
+	}
+}
+
 func backendFault(settings standin.FaultSettings) func(*faults, context.Context, string) {
 	return workerFault(settings)
 }
