--- a/internal/event/catalogue_server.go
+++ b/internal/event/catalogue_server.go
@@ -32,4 +32,8 @@
 	LayoutFailed = Define(Def{ID: 1105, Name: "layout-failed", Level: Warn,
 		Text: "The layout of the partitions could not be read or extended; it is tried again.", Does: "Look at the platform's store if it lasts.",
 		Keys: []string{"error"}})
+	JobHandedOver = Define(Def{ID: 1110, Name: "job-handed-over", Level: Info,
+		Text: "A job that found no place at home was offered to another partition, which took it or refused it.",
+		Does: "Nothing; if many jobs move, see why their home is full.",
+		Keys: []string{"job", "try", "partition", "answer", "error"}})
 )
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -201,14 +201,14 @@
 			continue
 		}
 		if s.cluster.now.Sub(h.probeAt) >= s.opts.ProbeBackoffMax {
-			s.parole(w)
+			s.releaseUnprobed(w)
 		}
 	}
 }
 
-// parole ends a quarantine without a probe: the worker is suspect, so it gets one task
+// releaseUnprobed ends a quarantine without a probe: the worker is suspect, so it gets one task
 // at a time until the first success.
-func (s *Scheduler) parole(w *worker) {
+func (s *Scheduler) releaseUnprobed(w *worker) {
 	s.clearHealth(w)
 	w.health.suspect = true
 	s.suspects++
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/api"
+	"filbertcross/internal/event"
 	"filbertcross/internal/membership"
 	"filbertcross/internal/model"
 	"filbertcross/internal/partition"
@@ -163,6 +164,7 @@
 		return func(o *partition.Owner, now time.Time) { o.TargetFound(now, c.Job, to) }
 	case partition.HandIn:
 		status, err := e.jobs.handIn(ctx, c)
+		e.recorder.Record(event.JobHandedOver, c.Job.ID, c.Job.Try, c.To, status.Reason, err)
 		return func(o *partition.Owner, now time.Time) { o.HandInReturned(now, c, status, err) }
 	case partition.AskEnded:
 		if !e.jobs.hasEnded(ctx, c) {
--- a/internal/standin/cluster/checks.go
+++ b/internal/standin/cluster/checks.go
@@ -7,6 +7,7 @@
 
 	"filbertcross/internal/model"
 	"filbertcross/internal/standin"
+	"filbertcross/internal/verdict"
 )
 
 // Checks collects what held and what did not. Safe for concurrent use.
@@ -103,3 +104,36 @@
 	}
 	return sum
 }
+
+// BookingFaults are what callers were told of bookings compared with what ran.
+type BookingFaults struct {
+	Total int // bookings
+	Twice int // ran more than once
+	Lied  int // all callers heard "not run", and it ran
+	Lost  int // a caller heard "done", and it did not run
+}
+
+// CompareBookings compares the verdicts with the backend servers' account.
+func CompareBookings(verdicts map[string]verdict.Verdict, ran map[string]int) BookingFaults {
+	f := BookingFaults{Total: len(verdicts)}
+	for booking, v := range verdicts {
+		if ran[booking] > 1 {
+			f.Twice++
+		}
+		if v == verdict.NotRun && ran[booking] > 0 {
+			f.Lied++
+		}
+		if v == verdict.Done && ran[booking] == 0 {
+			f.Lost++
+		}
+	}
+	return f
+}
+
+// Expect notes the three checks.
+func (f BookingFaults) Expect(c *Checks) {
+	total := fmt.Sprintf("of %d bookings", f.Total)
+	c.Expect("no booking ran twice", f.Twice == 0, fmt.Sprintf("%d %s", f.Twice, total))
+	c.Expect("no booking of which callers heard only 'not run' ran", f.Lied == 0, fmt.Sprintf("%d %s", f.Lied, total))
+	c.Expect("every booking told 'done' ran", f.Lost == 0, fmt.Sprintf("%d %s", f.Lost, total))
+}
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -238,23 +238,7 @@
 		return err
 	}
 	d.checks.Expect("no backend server has more requests than slots", peak <= cluster.Slots, fmt.Sprintf("%d at most", peak))
-	twice, lied, lost := 0, 0, 0
-	verdicts := d.load.Verdicts()
-	for booking, v := range verdicts {
-		if ran[booking] > 1 {
-			twice++
-		}
-		if v == verdict.NotRun && ran[booking] > 0 {
-			lied++
-		}
-		if v == verdict.Done && ran[booking] == 0 {
-			lost++
-		}
-	}
-	total := fmt.Sprintf("of %d bookings", len(verdicts))
-	d.checks.Expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
-	d.checks.Expect("no booking told 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
-	d.checks.Expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
+	cluster.CompareBookings(d.load.Verdicts(), ran).Expect(&d.checks)
 	return nil
 }
 
--- a/internal/standin/measure/rolling.go
+++ b/internal/standin/measure/rolling.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/standin/cluster"
-	"filbertcross/internal/verdict"
 )
 
 const (
@@ -59,12 +58,13 @@
 	}
 	counts := load.Counts()
 	fmt.Printf("%d VMs replaced one after the other under %d requests a second in %v: %v\n", vms, rollingRate, time.Since(begun).Round(time.Second), counts)
-	twice, lied, err := judgeBookings(c, load)
+	ran, _, err := c.Bookings()
 	if err != nil {
 		return err
 	}
-	fmt.Printf("bookings that ran twice: %d; told not run and ran: %d\n", twice, lied)
-	if counts.NoAnswer+counts.MayHaveRun+counts.Wrong+twice+lied > 0 {
+	faults := cluster.CompareBookings(load.Verdicts(), ran)
+	fmt.Printf("of %d bookings ran twice: %d; told not run and ran: %d; told done and did not: %d\n", faults.Total, faults.Twice, faults.Lied, faults.Lost)
+	if counts.NoAnswer+counts.MayHaveRun+counts.Wrong+faults.Twice+faults.Lied+faults.Lost > 0 {
 		return errors.New("a planned replacement cut something off")
 	}
 	return nil
@@ -86,16 +86,3 @@
 	}
 	return nil
 }
-
-func judgeBookings(c *cluster.Cluster, load *cluster.Load) (twice, lied int, err error) {
-	ran, _, err := c.Bookings()
-	for booking, v := range load.Verdicts() {
-		if ran[booking] > 1 {
-			twice++
-		}
-		if v == verdict.NotRun && ran[booking] > 0 {
-			lied++
-		}
-	}
-	return twice, lied, err
-}
--- a/internal/standin/prove/judge.go
+++ b/internal/standin/prove/judge.go
@@ -10,7 +10,6 @@
 	"filbertcross/internal/model"
 	"filbertcross/internal/standin"
 	"filbertcross/internal/standin/cluster"
-	"filbertcross/internal/verdict"
 )
 
 // settle waits, without faults, until the work that was acknowledged is done.
@@ -120,23 +119,7 @@
 		r.checks.Fail("the backend servers tell what they ran", err.Error())
 		return
 	}
-	twice, lied, lost := 0, 0, 0
-	verdicts := r.load.Verdicts()
-	for booking, v := range verdicts {
-		if ran[booking] > 1 {
-			twice++
-		}
-		if v == verdict.NotRun && ran[booking] > 0 {
-			lied++
-		}
-		if v == verdict.Done && ran[booking] == 0 {
-			lost++
-		}
-	}
-	total := fmt.Sprintf("of %d bookings", len(verdicts))
-	r.checks.Expect("no booking ran twice", twice == 0, fmt.Sprintf("%d %s", twice, total))
-	r.checks.Expect("no booking of which callers heard only 'not run' ran", lied == 0, fmt.Sprintf("%d %s", lied, total))
-	r.checks.Expect("every booking told 'done' ran", lost == 0, fmt.Sprintf("%d %s", lost, total))
+	cluster.CompareBookings(r.load.Verdicts(), ran).Expect(r.checks)
 }
 
 // judgeEvents looks for invariants that the program itself saw broken and for
