Demo: a failure domain loses its workers, and a job with its home there is done elsewhere

Cause: no run had moved a job between real VMs. Change: the demo cuts all workers of bg-south-2 off, submits a job whose home is there and waits for its end.

--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -48,6 +48,7 @@
 		{"submit a rebuild, a gang and a watch", d.submitJobs},
 		{"kill one VM and freeze another under load", d.killAndFreeze},
 		{"wait for the work", d.awaitJobs},
+		{"lose the workers of a failure domain", d.loseDomain},
 		{"check the ground truth", d.checkTruth},
 		{"merge the time line", d.showTimeline},
 	}
@@ -215,6 +216,51 @@
 	return nil
 }
 
+// lostDomain is a failure domain whose VM is alive at that point of the demo.
+const lostDomain = "bg-south-2"
+
+// loseDomain cuts all workers of a failure domain off and submits jobs until one has
+// its home there: it is handed over to another partition and ends there.
+func (d *demo) loseDomain(ctx context.Context) error {
+	if err := d.cutWorkers(true); err != nil {
+		return err
+	}
+	job, err := d.submitAt(ctx, "w-"+lostDomain+"-")
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	err = cluster.Await(ctx, "the job of the lost failure domain", func() bool {
+		view, err := d.client(0).Job(ctx, job)
+		return err == nil && view.State == api.JobDone
+	})
+	d.checks.Expect("a job of a lost failure domain is done elsewhere", err == nil, fmt.Sprintf("after %v", time.Since(begun).Round(100*time.Millisecond)))
+	return d.cutWorkers(false)
+}
+
+func (d *demo) cutWorkers(down bool) error {
+	for _, address := range d.cluster.WorkersOf(lostDomain) {
+		if err := cluster.Put("http://"+address+"/faults", standin.FaultSettings{Down: down}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// submitAt submits jobs under new keys until one has its home at a partition with the prefix.
+func (d *demo) submitAt(ctx context.Context, prefix string) (model.JobID, error) {
+	for n := range 100 {
+		job, err := d.client(0).SubmitJob(ctx, demoJobs[0], fmt.Sprintf("lost-%d", n))
+		if err != nil {
+			return "", err
+		}
+		if strings.HasPrefix(string(job.ID), prefix) {
+			return job.ID, nil
+		}
+	}
+	return "", errors.Newf("no job of 100 has its home at %s", prefix)
+}
+
 func (d *demo) checkTruth(context.Context) error {
 	runs, err := d.cluster.Runs()
 	if err != nil {
