A worker is gone only after three readings of the list in a row

Cause: found by reading: proof 2 of the leases (the list showed the worker and shows it no more) took one reading for proof. The list lags; two parts of it that lag differently, or one empty answer, would have had live tasks placed again. Ruled out: waiting for the lease in every case (a dead worker's tasks would wait for the lead). Change: steadyList keeps a worker for two readings that lack it; only for the partitions' owners, other parts follow the list at once. Seen failing without it: 'gone after 1 readings, want 3'. Cost: two list intervals (2 s by default) before a dead worker's tasks are placed again.

--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -93,14 +93,16 @@
 }
 
 func providePoller(s config.Settings, list platform.VMList, recorder event.Recorder, m *membership.Membership, b *backend.Manager, e *executor, a *assigner, l *loop, st *status) *poller {
+	steady := newSteadyList()
 	return &poller{settings: s, list: list, recorder: recorder, listeners: []listener{
 		m.Update,
 		func(vms []platform.VM) { b.Update(time.Now(), vms) },
 		e.SetList,
 		a.SetList,
 		func(vms []platform.VM) {
+			kept := steady.Take(vms)
 			if layout, known := a.Layout(); known {
-				l.Post(listChanged{vms: vms, layout: layout})
+				l.Post(listChanged{vms: kept, layout: layout})
 			}
 			st.listed.Store(true)
 		},
