--- a/internal/partition/status.go
+++ b/internal/partition/status.go
@@ -24,6 +24,8 @@
 	State   string         `json:"state"` // waiting, placed, running or the outcome's name
 	Attempt int64          `json:"attempt"`
 	Worker  model.WorkerID `json:"worker,omitempty"`
+	// Size is what the worker was asked to grant; zero while the task is on none.
+	Size model.Resources `json:"size,omitzero"`
 }
 
 // JobFilter selects jobs; empty fields select all.
@@ -50,7 +52,7 @@
 	s := TaskStatus{Task: id, Attempt: t.Attempt, State: "waiting"}
 	switch t.Phase {
 	case taskOnWorker:
-		s.State, s.Worker = "placed", t.Worker
+		s.State, s.Worker, s.Size = "placed", t.Worker, t.Size
 		if a := o.attempts[id]; a != nil && a.phase >= attemptRunning && a.phase != attemptRecovered {
 			s.State = "running"
 		}
--- a/internal/server/job_view.go
+++ b/internal/server/job_view.go
@@ -19,7 +19,7 @@
 		Filters:   s.Explanation.Filters,
 	}
 	for _, task := range s.Tasks {
-		view.Tasks = append(view.Tasks, api.Task{ID: task.Task, Attempt: task.Attempt, Worker: task.Worker, State: task.State})
+		view.Tasks = append(view.Tasks, api.Task{ID: task.Task, Attempt: task.Attempt, Worker: task.Worker, State: task.State, Size: task.Size})
 		switch task.State {
 		case "waiting":
 			view.Waiting++
