schedule: tasks of a service share a worker only when all of the rack have one

Cause: seen in the demo: a service of three had two tasks on one of four workers, two of them empty; the spread counted failure domains and racks, and the tightest fit then chose the worker that had the task already. Change: the worker is the third key. The test was seen failing before ('w2 runs 2000 thousandths of the service, want one task').

--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -49,6 +49,7 @@
 
 	domains map[*domain]int // a service's runs by failure domain
 	racks   map[rackKey]int // a service's runs by rack
+	hosts   map[*worker]int // a service's runs by worker
 }
 
 // newJob returns a job with all tasks waiting.
@@ -163,9 +164,13 @@
 	if j.domains == nil {
 		j.domains = map[*domain]int{}
 		j.racks = map[rackKey]int{}
+		j.hosts = map[*worker]int{}
 	}
 	j.domains[w.domain] += delta
 	j.racks[w.rackKey()] += delta
+	if j.hosts[w] += delta; j.hosts[w] == 0 {
+		delete(j.hosts, w)
+	}
 }
 
 // stopCause says why a run is being stopped.
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -397,3 +397,22 @@
 		t.Errorf("%d of the services still wait: %s", e.Waiting, e.Reason)
 	}
 }
+
+// TestServiceAvoidsItsOwnWorkers: with more tasks than racks, tasks of a service share a
+// worker only when every worker of the rack has one.
+func TestServiceAvoidsItsOwnWorkers(t *testing.T) {
+	r := newRig(t, branchA)
+	for n := range 4 {
+		w := rigWorker(n)
+		w.FailureDomain = "d0"
+		r.s.UpsertWorker(r.now, w)
+	}
+	long(r)
+	r.job("watch", "a", 4, func(j *model.Job) { j.Kind = model.KindService })
+	r.run(2 * time.Second)
+	for id, w := range r.s.cluster.workers {
+		if granted := w.Capacity.Sub(w.free()).MilliCPU; granted != 1000 {
+			t.Errorf("%s runs %d thousandths of the service, want one task", id, granted)
+		}
+	}
+}
--- a/internal/schedule/service.go
+++ b/internal/schedule/service.go
@@ -5,11 +5,15 @@
 	"slices"
 )
 
-// rackWeight makes a rack with fewer of the job's tasks win over a tighter fit.
-const rackWeight = 10
+// Weights of a service's tasks that are there already. A worker with fewer of them wins
+// over a tighter fit, and a rack with fewer of them over both.
+const (
+	workerWeight = 5
+	rackWeight   = 100
+)
 
 // servicePolicy spreads the tasks of a service: the failure domain with the fewest of
-// them first, in it the rack with the fewest.
+// them first, in it the rack with the fewest, in that the worker with the fewest.
 type servicePolicy struct {
 	ranker
 	rng *rand.Rand
@@ -30,7 +34,8 @@
 		return w
 	}
 	score := func(w *worker) float64 {
-		return tightness(w, q.size) - rackWeight*float64(q.job.racks[w.rackKey()])
+		there := rackWeight*q.job.racks[w.rackKey()] + workerWeight*q.job.hosts[w]
+		return tightness(w, q.size) - float64(there)
 	}
 	for _, d := range p.order(view.Domains(), q.job) {
 		start := 0
