--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -32,9 +32,9 @@
 
 // Options describe a cluster of processes on loopback.
 type Options struct {
-	Bin              string   // directory of the filbertcross and standin binaries
-	VMs              int      // one failure domain each
-	WorkersPerDomain int      //
+	Bin              string // directory of the filbertcross and standin binaries
+	VMs              int    // one failure domain each
+	WorkersPerDomain int
 	Relayed          bool     // put a Relay before every VM's peer link and its store
 	VMFlags          []string // added to every VM's command line
 	WorkerFlags      []string // added to every worker process's command line
