--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -25,6 +25,7 @@
 			"4 not available now (try again), 5 not found or refused input.",
 		Commands: []*cli.Command{
 			serveCommand(),
+			nodeCommand(),
 			sheetCommand(),
 			branchCommand(),
 			jobCommand(),
--- /dev/null
+++ b/internal/dispatch/advice.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// advice is what the queue's policy said of a step. Which workers it allows does not
+// change; the tickets expire.
+type advice struct {
+	asking  bool
+	retryAt time.Duration
+	asked   map[model.WorkerID]bool // true: allowed
+	tickets map[model.WorkerID]ticket
+}
+
+type ticket struct {
+	text  string
+	until time.Duration
+}
+
+func (a *advice) valid(now time.Duration, id model.WorkerID) bool {
+	t, ok := a.tickets[id]
+	return ok && now+ticketMargin < t.until
+}
+
+func (a *advice) ticket(id model.WorkerID) string { return a.tickets[id].text }
+
+func (a *advice) drop(id model.WorkerID) { delete(a.tickets, id) }
+
+// askAdvice sends the calls for advice that the most urgent steps need, and those for
+// steps whose turn comes while a call takes its time.
+func (d *Dispatcher) askAdvice(now time.Duration, ready []*step) {
+	if d.adviceOut >= d.adviceSlots {
+		return
+	}
+	for _, s := range ready {
+		d.ask(now, s)
+	}
+	for _, j := range d.live {
+		if j.queue.Advice == nil || !d.eligible(j) {
+			continue
+		}
+		for _, steps := range j.steps {
+			for _, s := range steps {
+				if s.waiting == len(s.tasks) && !s.ready() && d.comesSoon(now, s) {
+					d.ask(now, s)
+				}
+			}
+		}
+	}
+}
+
+// ask sends one call for the step if a worker with room has no ticket and none has one.
+func (d *Dispatcher) ask(now time.Duration, s *step) {
+	a := &s.advice
+	policy := s.job.queue.Advice
+	if policy == nil || a.asking || now < a.retryAt || d.adviceOut >= d.adviceSlots {
+		return
+	}
+	var candidates []*worker
+	usable := 0
+	for _, w := range d.order {
+		if !w.placeable(now) || !d.suits(s, w) || !reserve(s.def).Fits(w.entry.Capacity) {
+			continue
+		}
+		allowed, known := a.asked[w.entry.ID]
+		fits := reserve(s.def).Fits(w.free())
+		switch {
+		case known && !allowed:
+		case a.valid(now, w.entry.ID):
+			if fits {
+				usable++
+			}
+		case !known || fits:
+			candidates = append(candidates, w)
+		}
+	}
+	if usable > 0 || len(candidates) == 0 {
+		return
+	}
+	slices.SortStableFunc(candidates, func(x, y *worker) int { return cmp.Compare(y.free().MilliCPU, x.free().MilliCPU) })
+	candidates = candidates[:min(len(candidates), maxAdviceWorkers)]
+	names := make([]model.WorkerID, len(candidates))
+	for i, w := range candidates {
+		names[i] = w.entry.ID
+	}
+	a.asking = true
+	d.adviceOut++
+	d.emit(AdviseCommand{Step: s.id, Workers: names})
+}
+
+// Advised takes the answer of the advice service; validity counts from the answer.
+func (d *Dispatcher) Advised(now time.Duration, id fleet.StepID, named []model.WorkerID, allowed map[model.WorkerID]string, validity time.Duration, err error) {
+	d.adviceOut--
+	t := d.task(fleet.TaskID{StepID: id})
+	if t == nil {
+		return
+	}
+	a := &t.step.advice
+	a.asking = false
+	if err != nil {
+		a.retryAt = now + adviceRetry
+		d.events.Record(event.AdviceFailed, id, len(named), err)
+		return
+	}
+	if a.asked == nil {
+		a.asked, a.tickets = map[model.WorkerID]bool{}, map[model.WorkerID]ticket{}
+	}
+	for _, w := range named {
+		text, ok := allowed[w]
+		a.asked[w] = ok
+		if ok {
+			a.tickets[w] = ticket{text: text, until: now + validity}
+		}
+	}
+	d.events.Record(event.AdviceTaken, id, len(named), len(allowed), validity)
+}
+
+// comesSoon reports whether the steps before will end within the time that a call takes.
+func (d *Dispatcher) comesSoon(now time.Duration, s *step) bool {
+	policy := s.job.queue.Advice
+	takes := policy.Decision + time.Duration(min(len(d.order), maxAdviceWorkers))*policy.PerItem + adviceLead
+	for _, a := range s.def.After {
+		for _, t := range s.job.steps[s.id.Occurrence][a].tasks {
+			switch {
+			case t.state == taskDone:
+			case t.state == taskWaiting || len(t.runs) == 0 || t.runs[0].answered == 0:
+				return false
+			default:
+				left := time.Duration(float64(t.step.def.Estimate) * float64(fullPace-t.runs[0].percent) / fullPace)
+				left -= now - t.runs[0].progressAt
+				if left > takes {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// adviceLead is asked ahead beside the call's own time: two hops between VMs and queueing.
+const adviceLead = 100 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/answer.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Started takes the answer to a start.
+func (d *Dispatcher) Started(now time.Duration, id fleet.RunID, worker model.WorkerID, err error) {
+	r := d.runs[id]
+	if r == nil || r.worker.entry.ID != worker || r.answered != 0 {
+		return // its end or its row came first
+	}
+	if err == nil {
+		r.answered = now
+		if r.phase == runStarting {
+			r.phase = runRunning
+		}
+		return
+	}
+	d.events.Record(event.StartFailed, worker, id.Task, id.Run, err)
+	if !fleet.NotRun(err) {
+		if r.phase == runStarting {
+			r.phase = runUncertain
+		}
+		d.stop(now, r, "the answer to its start was lost")
+		return
+	}
+	d.end(r)
+	d.refused(now, r, fleet.RefusalOf(err))
+	if r.task.step.def.Gang {
+		d.breakGang(now, r, "a member was refused")
+	}
+}
+
+// refused draws the conclusions from a start that did nothing.
+func (d *Dispatcher) refused(now time.Duration, r *run, why fleet.Refusal) {
+	w := r.worker
+	switch why {
+	case fleet.RefusedFence:
+		d.deposed = true
+	case fleet.RefusedTicket:
+		r.task.step.advice.drop(w.entry.ID)
+	case fleet.RefusedUnhealthy:
+		w.avoidUntil = max(w.avoidUntil, now+unhealthyBackoff)
+	case fleet.RefusedInvalid:
+		r.task.notBefore = now + invalidBackoff
+	default:
+		w.avoidUntil = max(w.avoidUntil, now+roomBackoff)
+	}
+}
+
+// breakGang stops the other members of a run.
+func (d *Dispatcher) breakGang(now time.Duration, member *run, reason string) {
+	for _, t := range member.task.step.tasks {
+		for _, r := range t.runs {
+			if r.id.Run == member.id.Run {
+				d.stop(now, r, reason)
+			}
+		}
+	}
+}
+
+// Stopped takes the answer to a stop.
+func (d *Dispatcher) Stopped(now time.Duration, id fleet.RunID, worker model.WorkerID, err error) {
+	r := d.runs[id]
+	if r == nil || r.worker.entry.ID != worker {
+		return
+	}
+	r.stopOut = false
+	if err != nil {
+		r.stopDue = now + stopRetry
+		if fleet.RefusalOf(err) == fleet.RefusedFence {
+			d.deposed = true
+		}
+		return
+	}
+	if r.stopAnswer == 0 {
+		r.stopAnswer = now
+	}
+}
+
+// Paced takes the answer to a pace.
+func (d *Dispatcher) Paced(_ time.Duration, id fleet.RunID, percent int, err error) {
+	r := d.runs[id]
+	if r == nil {
+		return
+	}
+	r.paceOut = false
+	if err != nil {
+		r.pace = paceUnknown
+		return
+	}
+	r.pace = percent
+}
+
+func compareRuns(a, b fleet.RunID) int {
+	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Run, b.Run))
+}
--- /dev/null
+++ b/internal/dispatch/command.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Command is what the host has to do; each gets its answer through the method named.
+type Command interface{ command() }
+
+// HoldCommand is answered by Report or HoldFailed.
+type HoldCommand struct {
+	To   fleet.Target
+	Hold fleet.Hold
+}
+
+// StartCommand is answered by Started.
+type StartCommand struct {
+	To    fleet.Target
+	Start fleet.Start
+}
+
+// StopCommand is answered by Stopped.
+type StopCommand struct {
+	To    fleet.Target
+	Run   fleet.RunID
+	Fence int64
+}
+
+// PaceCommand is answered by Paced.
+type PaceCommand struct {
+	To   fleet.Target
+	Pace fleet.Pace
+}
+
+// AdviseCommand is answered by Advised.
+type AdviseCommand struct {
+	Step    fleet.StepID
+	Workers []model.WorkerID
+}
+
+func (HoldCommand) command()   {}
+func (StartCommand) command()  {}
+func (StopCommand) command()   {}
+func (PaceCommand) command()   {}
+func (AdviseCommand) command() {}
--- /dev/null
+++ b/internal/dispatch/decide.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// Decide returns what is to be done now. Without authority (the owner's lease is not
+// surely held) nothing is ordered, but time goes on.
+func (d *Dispatcher) Decide(now time.Duration, wall time.Time, authorized bool) []Command {
+	if !authorized {
+		d.out = nil
+		return nil
+	}
+	d.openOccurrences(wall)
+	d.expireWorkers(now)
+	d.recover(now)
+	d.drain(now)
+	d.watchRuns(now)
+	d.share(now)
+	d.stops(now)
+	d.holds(now)
+	steps := d.ready(now)
+	d.askAdvice(now, steps)
+	for _, s := range steps {
+		d.placeStep(now, s)
+	}
+	out := d.out
+	d.out = nil
+	return out
+}
+
+func (d *Dispatcher) emit(c Command) { d.out = append(d.out, c) }
+
+// openOccurrences creates the steps of timed submissions that are due.
+func (d *Dispatcher) openOccurrences(wall time.Time) {
+	for _, j := range d.live {
+		if !j.sub.Timed() {
+			continue
+		}
+		for k := range j.steps {
+			due := j.sub.FirstRun.Add(time.Duration(k) * j.sub.Interval)
+			if wall.Before(due) {
+				break
+			}
+			if j.steps[k] == nil {
+				j.build(k)
+				d.events.Record(event.OccurrenceDue, j.sub.ID, k, wall.Sub(due))
+			}
+		}
+	}
+}
+
+// expireWorkers ends the runs of workers whose lease has run out, and forgets workers that
+// are gone.
+func (d *Dispatcher) expireWorkers(now time.Duration) {
+	for _, w := range d.order {
+		if now < w.lapse(d) || w.heard && w.failing == 0 {
+			continue
+		}
+		if w.wasSeen || len(w.runs) > 0 {
+			d.events.Record(event.WorkerLapsed, w.entry.ID, len(w.runs), now-w.lastHeard)
+		}
+		for _, r := range d.sorted(w.runs) {
+			d.end(r)
+		}
+		w.wasSeen = false
+	}
+	d.order = slices.DeleteFunc(d.order, func(w *worker) bool {
+		gone := !w.listed && len(w.runs) == 0 && !w.wasSeen && !w.holding && len(w.ackQueue) == 0
+		if gone {
+			delete(d.workers, w.entry.ID)
+			d.recordDirty = true
+		}
+		return gone
+	})
+}
+
+// recover notes when nothing that an earlier owner started can run unseen.
+func (d *Dispatcher) recover(now time.Duration) {
+	if d.recovered {
+		return
+	}
+	for _, w := range d.order {
+		if w.wasSeen && !w.heard {
+			return
+		}
+	}
+	d.recovered = true
+	d.events.Record(event.OwnerRecovered, d.opts.Fence, now-d.began, len(d.order), len(d.runs), len(d.live))
+}
+
+// eligible reports whether no run of an earlier owner can be running unseen. That owner's
+// authority had ended when this one's fencing token was made, so a later submission is safe.
+func (d *Dispatcher) eligible(j *job) bool { return d.recovered || j.revision > d.opts.Fence }
+
+// stops sends the stops that are due and lets tasks go whose stop has surely taken effect.
+func (d *Dispatcher) stops(now time.Duration) {
+	for _, r := range d.sorted(d.runs) {
+		if r.phase != runStopping {
+			continue
+		}
+		if r.stopAnswer == 0 && !r.stopOut && now >= r.stopDue {
+			r.stopOut = true
+			d.emit(StopCommand{To: r.worker.target(), Run: r.id, Fence: d.opts.Fence})
+			d.events.Record(event.RunStopped, r.worker.entry.ID, r.id.Task, r.id.Run, r.reason)
+		}
+		if r.stopAnswer != 0 && now >= r.stopAnswer+d.opts.StopTimeout+stopMargin {
+			d.release(r)
+		}
+	}
+}
+
+// holds sends the holds that are due. One whose answer may be lost must not extend the
+// lease again and again, so after a failure, and before the worker's clock is known, a hold
+// only asks.
+func (d *Dispatcher) holds(now time.Duration) {
+	for _, w := range d.order {
+		if w.holding || now < w.holdDue || w.entry.Address == "" {
+			continue
+		}
+		h := fleet.Hold{Fence: d.opts.Fence, Acknowledged: w.acked}
+		if w.heard && w.failing == 0 {
+			h.Deadline = w.clockNow(now) + d.opts.Lease.Milliseconds()
+			w.granted = max(w.granted, h.Deadline)
+			if len(w.ackQueue) == 0 {
+				h.Wait = HoldWait
+			}
+		}
+		w.holding = true
+		d.emit(HoldCommand{To: w.target(), Hold: h})
+	}
+}
+
+// ready lists the steps that want workers, the most urgent first.
+func (d *Dispatcher) ready(now time.Duration) []*step {
+	var list []*step
+	for _, j := range d.live {
+		if !d.eligible(j) {
+			continue
+		}
+		for _, steps := range j.steps {
+			for _, s := range steps {
+				if s.waiting > 0 && now >= s.notBefore && s.ready() {
+					list = append(list, s)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *step) int { return d.compare(now, a, b) })
+	return list
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Dispatcher is the state of one owner. Times are readings of one steady clock that also
+// counts suspended time.
+type Dispatcher struct {
+	opts   Options
+	events event.Recorder
+	began  time.Duration
+	conf   *fleet.Configuration
+
+	workers map[model.WorkerID]*worker
+	order   []*worker // in the order of their appearance, so that decisions repeat
+	jobs    map[fleet.JobID]*job
+	live    []*job // not final, by arrival
+	ended   []*job // final, by the time of their end
+	runs    map[fleet.RunID]*run
+	cancels map[fleet.JobID]bool // of submissions that are not known yet
+
+	dirty       []*job
+	removals    []fleet.JobID
+	recordDirty bool
+	recovered   bool
+	deposed     bool
+
+	adviceSlots int // calls for advice that may be out at once
+	adviceOut   int
+
+	out []Command
+}
+
+// New returns a dispatcher that knows nothing yet.
+func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
+	return &Dispatcher{
+		opts: opts, events: events, began: now,
+		workers: map[model.WorkerID]*worker{}, jobs: map[fleet.JobID]*job{},
+		runs: map[fleet.RunID]*run{}, cancels: map[fleet.JobID]bool{}, adviceSlots: 1,
+	}
+}
+
+// SetConfiguration takes a newer configuration.
+func (d *Dispatcher) SetConfiguration(c *fleet.Configuration) {
+	if d.conf != nil && c.Version <= d.conf.Version {
+		return
+	}
+	d.conf = c
+	for _, j := range d.live {
+		d.setQueue(j)
+	}
+}
+
+// SetAdviceSlots says how many VMs can ask for advice, each one call at a time.
+func (d *Dispatcher) SetAdviceSlots(n int) { d.adviceSlots = max(n, 1) }
+
+// Deposed reports whether a worker has seen a higher fencing token.
+func (d *Dispatcher) Deposed() bool { return d.deposed }
+
+// Recover names the workers on which an earlier owner may have started runs. Until each
+// has reported or its lease has run out, tasks accepted before this owner are not started.
+func (d *Dispatcher) Recover(recorded []RecordedWorker) {
+	for _, r := range recorded {
+		w := d.worker(model.WorkerID(r.ID))
+		w.wasSeen, w.recorded = true, true
+		if w.entry.Address == "" {
+			w.entry.Address = r.Address
+		}
+	}
+}
+
+// worker finds or adds a worker.
+func (d *Dispatcher) worker(id model.WorkerID) *worker {
+	w := d.workers[id]
+	if w == nil {
+		w = &worker{entry: fleet.WorkerEntry{ID: id}, runs: map[fleet.RunID]*run{}}
+		d.workers[id] = w
+		d.order = append(d.order, w)
+	}
+	return w
+}
+
+// SetWorkers takes the platform's whole list.
+func (d *Dispatcher) SetWorkers(now time.Duration, entries []fleet.WorkerEntry) {
+	listed := make(map[model.WorkerID]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		w := d.worker(e.ID)
+		if w.entry.Address != e.Address {
+			w.holdDue = now
+		}
+		if e.Draining {
+			w.drainEnd = now + e.Remaining
+		}
+		if e.Draining && !w.entry.Draining {
+			d.events.Record(event.WorkerDraining, e.ID, e.Remaining)
+		}
+		if !w.listed {
+			d.events.Record(event.WorkerListed, e.ID, e.Service, e.Address, e.Domain)
+		}
+		w.entry, w.listed = e, true
+		if !w.recorded {
+			d.recordDirty = true
+		}
+	}
+	for _, w := range d.order {
+		if w.listed && !listed[w.entry.ID] {
+			w.listed = false
+			d.events.Record(event.WorkerUnlisted, w.entry.ID, len(w.runs))
+		}
+	}
+}
+
+// AddJob takes an accepted submission; progress is nil for one that was just accepted.
+func (d *Dispatcher) AddJob(now time.Duration, sub *fleet.Submission, revision int64, age time.Duration, p *Progress) {
+	if d.jobs[sub.ID] != nil {
+		return
+	}
+	j := &job{sub: sub, revision: revision, state: fleet.Pending, shown: fleet.Pending, arrived: now - age}
+	j.steps = make([][]*step, max(sub.Occurrences, 1))
+	d.jobs[sub.ID] = j
+	d.setQueue(j)
+	if !sub.Timed() {
+		j.build(0)
+	}
+	if p != nil {
+		d.restore(j, p)
+	}
+	if j.state.Final() {
+		j.finished = now
+		d.ended = append(d.ended, j)
+		return
+	}
+	d.live = append(d.live, j)
+	if d.cancels[sub.ID] {
+		d.Cancel(now, sub.ID)
+	}
+	d.settle(now, j)
+}
+
+// Cancel ends a submission; one that is not known yet is cancelled when it comes.
+func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID) {
+	j := d.jobs[id]
+	if j == nil {
+		d.cancels[id] = true
+		return
+	}
+	delete(d.cancels, id)
+	if j.closed() {
+		return
+	}
+	j.canceled = true
+	d.finish(now, j, fleet.Canceled, "the caller cancelled it")
+}
+
+// finish gives a job its final state and stops what runs of it.
+func (d *Dispatcher) finish(now time.Duration, j *job, state fleet.State, reason string) {
+	j.state = state
+	j.finished = now
+	d.changed(j)
+	d.events.Record(event.SubmissionEnded, j.sub.ID, state, reason, now-j.arrived, j.objective)
+	d.live = slices.DeleteFunc(d.live, func(other *job) bool { return other == j })
+	d.ended = append(d.ended, j)
+	for _, steps := range j.steps {
+		for _, s := range steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					d.stop(now, r, reason)
+				}
+			}
+		}
+	}
+}
+
+// settle ends a job whose tasks have all ended.
+func (d *Dispatcher) settle(now time.Duration, j *job) {
+	if !j.closed() && j.complete() {
+		d.finish(now, j, fleet.Completed, "all tasks are done")
+	}
+}
+
+// State is what callers are told. A final state is told once it is durable.
+func (d *Dispatcher) State(id fleet.JobID) fleet.State {
+	j := d.jobs[id]
+	switch {
+	case j == nil:
+		return fleet.Unknown
+	case j.shown.Final():
+		return j.shown
+	case j.began || j.state.Final():
+		return fleet.Running
+	}
+	return fleet.Pending
+}
+
+// Waiting counts by queue the accepted submissions of which no task has started.
+func (d *Dispatcher) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, j := range d.live {
+		if !j.began {
+			counts[j.sub.Queue]++
+		}
+	}
+	return counts
+}
+
+// stop decides that a run has to end. Its room is held until its end is listed.
+func (d *Dispatcher) stop(now time.Duration, r *run, reason string) {
+	if r.phase == runStopping {
+		return
+	}
+	r.phase, r.reason = runStopping, reason
+	r.stopDue = now
+}
+
+// RunsAt lists the runs booked on a worker, for tests and for operators.
+func (d *Dispatcher) RunsAt(id model.WorkerID) []fleet.RunID {
+	w := d.workers[id]
+	if w == nil {
+		return nil
+	}
+	out := make([]fleet.RunID, 0, len(w.runs))
+	for id := range w.runs {
+		out = append(out, id)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatch/gang.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"filbertcross/internal/model"
+)
+
+// placeGang starts all tasks of a gang at once, or none. They share one run number, and a
+// checkpoint of any member holds for all.
+func (d *Dispatcher) placeGang(now time.Duration, s *step) {
+	if s.waiting < len(s.tasks) {
+		return // members of an earlier run have not all ended
+	}
+	var chosen []*worker
+	if s.def.SameRack {
+		for _, rack := range d.racks() {
+			if chosen = d.seat(now, s, rack); chosen != nil {
+				break
+			}
+		}
+	}
+	if chosen == nil {
+		chosen = d.seat(now, s, "")
+	}
+	if chosen == nil {
+		return
+	}
+	checkpoint := ""
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	s.job.nextRun++
+	number := d.opts.Fence*runsPerFence + s.job.nextRun
+	for i, t := range s.tasks {
+		t.checkpoint = checkpoint
+		d.start(now, t, chosen[i], number)
+	}
+}
+
+// seat finds a worker for each member, inside one rack unless it is empty.
+func (d *Dispatcher) seat(now time.Duration, s *step, rack string) []*worker {
+	extra := map[*worker]model.Resources{}
+	counts := map[*worker]int{}
+	chosen := make([]*worker, 0, len(s.tasks))
+	for range s.tasks {
+		var best *worker
+		bestScore := 0.0
+		for _, w := range d.order {
+			if rack != "" && !slices.Contains(w.entry.Labels, rack) || !d.feasible(now, s, w, extra[w]) ||
+				s.def.MaxPerWorker > 0 && counts[w] >= s.def.MaxPerWorker {
+				continue
+			}
+			if score := d.score(s, nil, w, extra[w]); best == nil || score < bestScore {
+				best, bestScore = w, score
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		extra[best] = extra[best].Add(reserve(s.def))
+		counts[best]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+// racks lists the racks by name. A worker's labels are its kind and its rack; the rack is
+// the last.
+func (d *Dispatcher) racks() []string {
+	var list []string
+	for _, w := range d.order {
+		if rack := w.rack(); rack != "" && !slices.Contains(list, rack) {
+			list = append(list, rack)
+		}
+	}
+	slices.SortFunc(list, strings.Compare)
+	return list
+}
+
+func (w *worker) rack() string {
+	if len(w.entry.Labels) == 0 {
+		return ""
+	}
+	return w.entry.Labels[len(w.entry.Labels)-1]
+}
--- /dev/null
+++ b/internal/dispatch/health.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"time"
+
+	"filbertcross/internal/event"
+)
+
+// Limits of what counts as standing still.
+const (
+	stallTime   = 2200 * time.Millisecond // two reports without progress
+	stallAvoid  = 3 * time.Second         // of a worker on which runs stand still
+	drainLead   = 700 * time.Millisecond  // before a worker leaves: the stop timeout and a report
+	fullPace    = 100                     // percent
+	paceUnknown = -1                      // the answer to a pace was lost
+)
+
+// watchRuns moves runs that stand still to other workers.
+func (d *Dispatcher) watchRuns(now time.Duration) {
+	for _, r := range d.sorted(d.runs) {
+		w, s := r.worker, r.task.step
+		if r.phase != runRunning || w.failing > 0 || s.def.Gang || s.def.Filler || r.pace != fullPace ||
+			r.percent >= fullPace || now-max(r.progressAt, r.answered) < stallTime {
+			continue
+		}
+		w.stalls++
+		w.avoidUntil = max(w.avoidUntil, now+stallAvoid)
+		d.events.Record(event.RunStalled, w.entry.ID, r.id.Task, r.id.Run, r.percent, now-r.progressAt)
+		d.stop(now, r, "it makes no progress")
+	}
+}
+
+// drain moves off a leaving worker what cannot end in time there.
+func (d *Dispatcher) drain(now time.Duration) {
+	for _, w := range d.order {
+		if !w.entry.Draining {
+			continue
+		}
+		for _, r := range d.sorted(w.runs) {
+			s := r.task.step
+			if r.phase == runStopping {
+				continue
+			}
+			last := now >= w.drainEnd-drainLead-d.opts.StopTimeout
+			switch {
+			case s.def.LongRunning:
+				if !last && s.job.queue.Advice != nil && !d.hasTicket(now, s) {
+					d.ask(now, s)
+					continue
+				}
+			case !last || s.def.Gang && !s.def.Checkpointing || !s.def.Checkpointing:
+				continue
+			}
+			if s.def.Gang {
+				d.breakGang(now, r, "a member's worker is leaving")
+				continue
+			}
+			d.stop(now, r, "its worker is leaving")
+		}
+	}
+}
+
+// hasTicket reports whether some worker with room may take a task of the step now.
+func (d *Dispatcher) hasTicket(now time.Duration, s *step) bool {
+	for _, w := range d.order {
+		if d.feasible(now, s, w, w.entry.Capacity.Sub(w.entry.Capacity)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/options.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import "time"
+
+// Options are the settings of a Dispatcher.
+type Options struct {
+	Fence       int64         // fencing token of this owner; rises with every owner
+	Lease       time.Duration // of what runs on a worker, renewed with every hold
+	MaxHold     time.Duration // longest lease any owner can have granted
+	StopTimeout time.Duration // within which a worker ends a stopped run
+	GangTimeout time.Duration
+	Retention   time.Duration // of final states
+	Checkpoint  time.Duration // interval between a worker's checkpoints
+}
+
+// Timing of calls and of judgements.
+const (
+	HoldWait           = time.Second // long poll; the bound on how late a silent worker is noticed
+	HoldTimeout        = HoldWait + 600*time.Millisecond
+	OrderTimeout       = 400 * time.Millisecond // round trips take about 10 ms; a lost packet is repeated after 200 ms
+	holdRetry          = 200 * time.Millisecond // between holds of a worker that does not answer
+	unackedPoll        = 150 * time.Millisecond // between holds while ends wait to become durable: a long poll would return at once
+	stopRetry          = 300 * time.Millisecond // until a stop is answered
+	clockDrift         = 0.98                   // rate of the slowest worker's clock, from the platform's page
+	lapseMargin        = 60 * time.Millisecond  // added to a lease's end, for timers that fire late
+	stopMargin         = 40 * time.Millisecond  // added to the stop timeout, likewise
+	roomBackoff        = 300 * time.Millisecond // of a worker that refused for want of room: its next report corrects the books
+	unhealthyBackoff   = time.Second            // of a worker that refused as unhealthy
+	retryDelay         = 250 * time.Millisecond // of a lasting task after a failure, so that a crash loop stays cheap
+	invalidBackoff     = time.Second            // of a task whose start was called malformed
+	ticketMargin       = 150 * time.Millisecond // of validity left for the start to arrive
+	adviceRetry        = 150 * time.Millisecond // after a call for advice failed
+	maxAdviceWorkers   = 100                    // in one call, from the platform's page
+	quarantineFailures = 3                      // failures in a row, of different jobs
+	quarantineTime     = 4 * time.Second        // then one task probes the worker
+	runsPerFence       = 1_000_000              // run numbers of one owner, so that they rise across owners without a stored counter
+	lateFactor         = 3                      // after so many times the objective a submission earns nothing
+	defaultAttempts    = 1
+)
--- /dev/null
+++ b/internal/dispatch/progress.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Progress is what the store keeps of a job beside the submission.
+type Progress struct {
+	State fleet.State    `cbor:"1,keyasint"`
+	Tasks []TaskProgress `cbor:"2,keyasint,omitempty"` // those of which something is known
+	Gangs []GangProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// TaskProgress is what is known of a task that outlives its runs.
+type TaskProgress struct {
+	Occurrence int     `cbor:"1,keyasint,omitempty"`
+	Step       int     `cbor:"2,keyasint,omitempty"`
+	Index      int     `cbor:"3,keyasint,omitempty"`
+	Done       bool    `cbor:"4,keyasint,omitempty"`
+	FailedRuns []int64 `cbor:"5,keyasint,omitempty"` // run numbers, so that an end listed again is counted once
+	Checkpoint string  `cbor:"6,keyasint,omitempty"`
+}
+
+// GangProgress holds the failed runs of a gang.
+type GangProgress struct {
+	Occurrence int     `cbor:"1,keyasint,omitempty"`
+	Step       int     `cbor:"2,keyasint,omitempty"`
+	FailedRuns []int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// RecordedWorker is a worker on which runs may have been started.
+type RecordedWorker struct {
+	ID      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// Record is one change that has to become durable.
+type Record struct {
+	Job      fleet.JobID
+	Progress *Progress        // nil: see the other fields
+	Remove   bool             // the job is forgotten
+	Workers  []RecordedWorker // the record of workers
+	IsWorker bool
+
+	job     *job
+	version int64
+}
+
+// progress takes a copy of what has to last.
+func (j *job) progress() *Progress {
+	p := &Progress{State: j.state}
+	if j.state.Final() {
+		return p
+	}
+	for k, steps := range j.steps {
+		for i, s := range steps {
+			if len(s.failures) > 0 {
+				p.Gangs = append(p.Gangs, GangProgress{Occurrence: k, Step: i, FailedRuns: slices.Clone(s.failures)})
+			}
+			for _, t := range s.tasks {
+				if t.state != taskDone && len(t.failedRuns) == 0 && t.checkpoint == "" {
+					continue
+				}
+				p.Tasks = append(p.Tasks, TaskProgress{
+					Occurrence: k, Step: i, Index: t.index, Done: t.state == taskDone,
+					FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return p
+}
+
+// restore applies stored progress to a job without runs.
+func (d *Dispatcher) restore(j *job, p *Progress) {
+	j.state, j.shown = p.State, p.State
+	if j.state.Final() {
+		j.canceled = j.state == fleet.Canceled
+		return
+	}
+	j.state = fleet.Pending
+	for _, g := range p.Gangs {
+		if t := d.task(fleet.TaskID{StepID: fleet.StepID{Job: j.sub.ID, Occurrence: g.Occurrence, Step: g.Step}}); t != nil {
+			t.step.failures = g.FailedRuns
+			j.began = true
+		}
+	}
+	for _, tp := range p.Tasks {
+		t := d.task(fleet.TaskID{StepID: fleet.StepID{Job: j.sub.ID, Occurrence: tp.Occurrence, Step: tp.Step}, Index: tp.Index})
+		if t == nil {
+			continue
+		}
+		j.began = true
+		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
+		if tp.Done {
+			t.state = taskDone
+			t.step.done++
+			t.step.waiting--
+		}
+	}
+}
+
+// Urgent reports whether a record that callers wait for is to be written.
+func (d *Dispatcher) Urgent() bool {
+	if d.recordDirty {
+		return true
+	}
+	for _, j := range d.dirty {
+		if j.state.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Batch takes at most limit records to be written together. One batch is out at a time.
+func (d *Dispatcher) Batch(now time.Duration, limit int) []Record {
+	d.prune(now)
+	var batch []Record
+	if d.recordDirty {
+		rec := Record{IsWorker: true}
+		for _, w := range d.order {
+			if w.listed || len(w.runs) > 0 {
+				rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address})
+			}
+		}
+		d.recordDirty = false
+		batch = append(batch, rec)
+	}
+	for len(batch) < limit && len(d.dirty) > 0 {
+		j := d.dirty[0]
+		d.dirty = d.dirty[1:]
+		j.listedIn = false
+		batch = append(batch, Record{Job: j.sub.ID, Progress: j.progress(), job: j, version: j.version})
+	}
+	for len(batch)+removedKeys <= limit && len(d.removals) > 0 {
+		batch = append(batch, Record{Job: d.removals[0], Remove: true})
+		d.removals = d.removals[1:]
+		limit -= removedKeys - 1
+	}
+	return batch
+}
+
+// removedKeys is how many keys the removal of a job takes.
+const removedKeys = 3
+
+// Committed takes the result of a batch: written, or to be written again.
+func (d *Dispatcher) Committed(now time.Duration, batch []Record, ok bool) {
+	for _, rec := range batch {
+		switch {
+		case rec.IsWorker && ok:
+			for _, r := range rec.Workers {
+				if w := d.workers[model.WorkerID(r.ID)]; w != nil {
+					w.recorded = true
+				}
+			}
+		case rec.IsWorker:
+			d.recordDirty = true
+		case rec.Remove && !ok:
+			d.removals = append(d.removals, rec.Job)
+		case rec.Remove:
+		case ok:
+			rec.job.durable = max(rec.job.durable, rec.version)
+			if rec.Progress.State.Final() {
+				rec.job.shown = rec.Progress.State
+			}
+		case !rec.job.listedIn:
+			rec.job.listedIn = true
+			d.dirty = append(d.dirty, rec.job)
+		}
+	}
+	for _, w := range d.order {
+		if len(w.ackQueue) > 0 {
+			d.acknowledge(w)
+			if len(w.ackQueue) == 0 && !w.holding {
+				w.holdDue = now
+			}
+		}
+	}
+}
+
+// prune forgets jobs whose final state was kept long enough.
+func (d *Dispatcher) prune(now time.Duration) {
+	n := 0
+	for _, j := range d.ended {
+		if now-j.finished < d.opts.Retention || !j.shown.Final() || d.busy(j) {
+			break
+		}
+		n++
+		delete(d.jobs, j.sub.ID)
+		d.removals = append(d.removals, j.sub.ID)
+	}
+	d.ended = d.ended[n:]
+}
+
+// busy reports whether runs of a job are still booked.
+func (d *Dispatcher) busy(j *job) bool {
+	for _, r := range d.runs {
+		if r.task.step.job == j {
+			return true
+		}
+	}
+	return false
+}
+
+// Describe renders a batch for logs.
+func Describe(batch []Record) string { return strconv.Itoa(len(batch)) + " records" }
--- /dev/null
+++ b/internal/dispatch/sharing.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// Control of fillers beside tasks that serve: they are slowed early and come back slowly,
+// as a report is up to a second old.
+const (
+	paceDownAt   = 0.85 // of the latency target
+	paceUpAt     = 0.6
+	paceStep     = 25 // percent, upwards
+	paceUpEvery  = time.Second
+	paceDownRate = 3 // divisor
+)
+
+// share slows the fillers of a worker whose serving tasks come near their target.
+func (d *Dispatcher) share(now time.Duration) {
+	for _, w := range d.order {
+		if w.fillers == 0 || w.serving == 0 {
+			if w.fillers > 0 {
+				d.paceFillers(now, w, fullPace)
+			}
+			continue
+		}
+		worst := 0.0
+		for _, r := range w.runs {
+			if target := r.task.step.def.LatencyTarget; target > 0 && r.phase == runRunning {
+				worst = max(worst, float64(r.load)/float64(target.Milliseconds()))
+			}
+		}
+		switch {
+		case worst > 1:
+			d.paceFillers(now, w, 0)
+		case worst > paceDownAt:
+			d.paceFillers(now, w, -1)
+		case worst < paceUpAt:
+			d.paceFillers(now, w, fullPace)
+		}
+	}
+}
+
+// paceFillers moves the fillers' pace towards the wanted share: 0 at once, -1 a part of what
+// it is, fullPace by steps.
+func (d *Dispatcher) paceFillers(now time.Duration, w *worker, wanted int) {
+	for _, r := range d.sorted(w.runs) {
+		if !r.task.step.def.Filler || r.phase != runRunning || r.paceOut || now < r.paceDue {
+			continue
+		}
+		next := r.pace
+		switch {
+		case wanted == 0:
+			next = 0
+		case wanted < 0:
+			next = max(r.pace, 0) / paceDownRate
+		default:
+			next = min(max(r.pace, 0)+paceStep, fullPace)
+		}
+		if next == r.pace {
+			continue
+		}
+		r.paceOut, r.paceDue = true, now+paceUpEvery
+		d.events.Record(event.RunPaced, w.entry.ID, r.id.Task, r.id.Run, next)
+		d.emit(PaceCommand{To: w.target(), Pace: fleet.Pace{RunID: r.id, Percent: next, Fence: d.opts.Fence}})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// worker is what is known of one worker. Invariant: used is the sum of the demands in runs.
+type worker struct {
+	entry    fleet.WorkerEntry
+	listed   bool // in the platform's list
+	recorded bool // in the durable record; no run is started on one that a successor would not know
+	wasSeen  bool // recorded by an earlier owner: what that owner started may run there
+
+	born    int64
+	heard   bool          // a report of this incarnation has told what runs there
+	clock   int64         // ms on the worker's clock, read at clockAt
+	clockAt time.Duration // when the answer with the reading arrived
+	granted int64         // latest deadline ever sent, on the worker's clock; 0: none
+
+	holding   bool // a hold is out
+	holdDue   time.Duration
+	failing   int // holds failed in a row
+	lastHeard time.Duration
+
+	runs map[fleet.RunID]*run
+	used model.Resources
+
+	seen     int64 // highest end processed
+	acked    int64 // ends up to here are durable
+	ackQueue []pendingAck
+
+	failures   int // in a row
+	lastFailed fleet.JobID
+	avoidUntil time.Duration
+	probing    bool
+	serving    int // runs with a latency target
+	fillers    int
+	drainEnd   time.Duration // until when a draining worker surely stays
+	stalls     int           // runs in a row that made no progress
+}
+
+// pendingAck is an end that may be forgotten once the job's version is durable.
+type pendingAck struct {
+	number  int64
+	job     *job
+	version int64
+}
+
+// runPhase is how sure the dispatcher is of a run.
+type runPhase uint8
+
+const (
+	runStarting  runPhase = iota // the start is out
+	runUncertain                 // its answer was lost: it may run, now or later
+	runRunning
+	runStopping // a stop was decided; room is held until the end is listed
+)
+
+// run is one run of a task, assumed, confirmed or on its way out.
+type run struct {
+	id         fleet.RunID
+	task       *task
+	worker     *worker
+	demand     model.Resources
+	phase      runPhase
+	sent       time.Duration // of the start
+	answered   time.Duration // of the start's answer, or of the first report with it; 0: none
+	checkpoint string
+	percent    int
+	progressAt time.Duration // when percent last rose
+	load       int
+	pace       int // percent; paceUnknown after a lost answer
+	paceOut    bool
+	paceDue    time.Duration
+	stopOut    bool          // a stop is on its way
+	stopDue    time.Duration // when to send the next one
+	stopAnswer time.Duration // of the first answered stop; 0: none
+	released   bool          // the task no longer waits for this run
+	reason     string        // of the stop
+}
+
+func (w *worker) target() fleet.Target {
+	return fleet.Target{ID: w.entry.ID, Address: w.entry.Address}
+}
+
+func (w *worker) free() model.Resources { return w.entry.Capacity.Sub(w.used) }
+
+// placeable reports whether the worker takes new runs.
+func (w *worker) placeable(now time.Duration) bool {
+	return w.listed && w.recorded && w.heard && w.failing == 0 && !w.entry.Draining && now >= w.avoidUntil
+}
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now time.Duration) int64 {
+	return w.clock + (now - w.clockAt).Milliseconds()
+}
+
+// lapse is when everything that ran there has surely been killed for want of a hold. The
+// worker's clock may run slow, which makes the lease longer on ours.
+func (w *worker) lapse(d *Dispatcher) time.Duration {
+	if !w.heard {
+		return d.began + time.Duration(float64(d.opts.MaxHold)/clockDrift) + lapseMargin
+	}
+	left := time.Duration(max(w.granted-w.clock, 0)) * time.Millisecond
+	end := w.clockAt + time.Duration(float64(left)/clockDrift) + lapseMargin
+	if w.granted == 0 { // only an earlier owner's lease
+		end = max(end, d.began+time.Duration(float64(d.opts.MaxHold)/clockDrift)+lapseMargin)
+	}
+	return end
+}
+
+// attach books a run on its worker.
+func (d *Dispatcher) attach(r *run) {
+	w, s := r.worker, r.task.step
+	w.runs[r.id] = r
+	w.used = w.used.Add(r.demand)
+	if s.perWorker != nil {
+		s.perWorker[w.entry.ID]++
+	}
+	if s.def.LatencyTarget > 0 {
+		w.serving++
+	}
+	if s.def.Filler {
+		w.fillers++
+	}
+	d.runs[r.id] = r
+}
+
+// detach frees the room of a run.
+func (d *Dispatcher) detach(r *run) {
+	w, s := r.worker, r.task.step
+	if w.runs[r.id] != r {
+		return
+	}
+	delete(w.runs, r.id)
+	delete(d.runs, r.id)
+	w.used = w.used.Sub(r.demand)
+	if s.perWorker != nil {
+		if s.perWorker[w.entry.ID]--; s.perWorker[w.entry.ID] <= 0 {
+			delete(s.perWorker, w.entry.ID)
+		}
+	}
+	if s.def.LatencyTarget > 0 {
+		w.serving--
+	}
+	if s.def.Filler {
+		w.fillers--
+	}
+}
+
+// release makes the task independent of the run, which is known not to run any more.
+func (d *Dispatcher) release(r *run) {
+	if r.released {
+		return
+	}
+	r.released = true
+	t := r.task
+	if r.checkpoint != "" {
+		t.checkpoint = r.checkpoint
+	}
+	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
+	if t.state == taskActive && len(t.runs) == 0 {
+		t.state = taskWaiting
+		t.step.waiting++
+	}
+}
+
+// end is release and detach: the run is gone from its worker.
+func (d *Dispatcher) end(r *run) {
+	d.release(r)
+	d.detach(r)
+}
+
+// reserve is what a step's task takes of a worker. A filler takes the processor time that
+// others leave, so its CPU is not counted.
+func reserve(s *fleet.Step) model.Resources {
+	size := s.Demand
+	if s.Filler {
+		size.MilliCPU = 0
+	}
+	return size
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/owner"
+	"filbertcross/internal/verdict"
+)
+
+// Limits of an answer.
+const (
+	defaultDeadline = 3 * time.Second // of a caller who names none
+	defaultMaxBody  = 256 << 10       // bytes, until the configuration says otherwise
+	retryAfter      = "1"             // seconds; another VM may serve at once, and an outage lasts seconds
+)
+
+// Format is how callers speak; the adapter of the platform fills it in.
+type Format struct {
+	DeadlineHeader string // milliseconds the caller waits
+	ValidID        func(id string) bool
+	Submission     func(id string, body []byte) (fleet.Submission, error)
+	State          func(fleet.State) ([]byte, error)
+	Waiting        func(int) ([]byte, error)
+}
+
+// View answers what this VM knows or learns from others.
+type View interface {
+	Configuration() *fleet.Configuration // nil: none yet
+	// State asks the owner, or the store if the owner does not answer.
+	State(ctx context.Context, id fleet.JobID) (fleet.State, error)
+	// Waiting returns the number for a queue; false: it is not known.
+	Waiting(queue string) (int, bool)
+	// Stopping reports whether connections are to be closed after the answer.
+	Stopping() bool
+}
+
+// Handler answers callers. Safe for concurrent use.
+type Handler struct {
+	format Format
+	view   View
+	store  Committer
+	relay  Committer
+	events event.Recorder
+	scope  tally.Scope
+	took   tally.Histogram
+}
+
+// NewHandler returns the callers' handler.
+func NewHandler(format Format, view View, store, relay Committer, events event.Recorder, scope tally.Scope) *Handler {
+	return &Handler{
+		format: format, view: view, store: store, relay: relay, events: events, scope: scope,
+		took: scope.Histogram("caller_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
+	}
+}
+
+// ServeHTTP routes by host, prefix and method.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	if h.view.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	status := h.serve(w, r)
+	h.took.RecordDuration(time.Since(begun))
+	h.scope.Tagged(map[string]string{"method": r.Method, "status": strconv.Itoa(status)}).Counter("caller_answers").Inc(1)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) int {
+	conf := h.view.Configuration()
+	if conf == nil {
+		return h.refuse(w, r, "", http.StatusServiceUnavailable, "no configuration yet", nil)
+	}
+	queue, ok := conf.Find(host(r), r.URL.Path)
+	if !ok {
+		h.events.Record(event.CallerUnrouted, r.Method, r.Host, r.URL.Path, conf.Version)
+		return answer(w, http.StatusNotFound, nil)
+	}
+	id := strings.TrimPrefix(r.URL.Path, queue.Prefix)
+	ctx, cancel := context.WithTimeout(r.Context(), h.deadline(r))
+	defer cancel()
+	switch {
+	case r.Method == http.MethodGet && id == "":
+		return h.waiting(w, r, queue)
+	case !h.format.ValidID(id):
+		h.events.Record(event.SubmissionInvalid, id, queue.Name, "the id is not valid")
+		return answer(w, http.StatusBadRequest, []byte(`{"error":"the id is not valid"}`))
+	case r.Method == http.MethodGet:
+		return h.state(ctx, w, r, fleet.JobID(id))
+	case r.Method == http.MethodPost:
+		return h.submit(ctx, w, r, queue, conf, id)
+	case r.Method == http.MethodDelete:
+		return h.cancel(ctx, w, r, fleet.JobID(id))
+	}
+	w.Header().Set("Allow", "GET, POST, DELETE")
+	return answer(w, http.StatusMethodNotAllowed, nil)
+}
+
+// host strips the port of the Host header.
+func host(r *http.Request) string {
+	name, _, _ := strings.Cut(r.Host, ":")
+	return name
+}
+
+// deadline is how long the caller still waits, less what the answer's way takes.
+func (h *Handler) deadline(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(h.format.DeadlineHeader), 10, 64)
+	if err != nil || ms <= 0 {
+		return defaultDeadline
+	}
+	return max(time.Duration(ms)*time.Millisecond-reserve, reserve)
+}
+
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, queue fleet.Queue, conf *fleet.Configuration, id string) int {
+	limit := conf.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
+		return answer(w, http.StatusBadRequest, []byte(`{"error":"the body cannot be read or is too long"}`))
+	}
+	sub, err := h.format.Submission(id, body)
+	if err != nil {
+		h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
+		return answer(w, http.StatusBadRequest, []byte(`{"error":`+strconv.Quote(err.Error())+`}`))
+	}
+	sub.Queue, sub.Service, sub.Received = queue.Name, queue.Service, time.Now()
+	txn, err := owner.SubmissionTxn(&sub)
+	if err != nil {
+		return h.refuse(w, r, id, http.StatusInternalServerError, "encode", err)
+	}
+	result := create(ctx, h.store, h.relay, txn)
+	if result.Stored {
+		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Tries)
+		return answer(w, http.StatusOK, []byte("{}"))
+	}
+	return h.unsettled(w, r, id, result)
+}
+
+func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.JobID) int {
+	result := create(ctx, h.store, h.relay, owner.CancelTxn(id))
+	if result.Stored {
+		h.events.Record(event.CancelAccepted, id, result.Tries)
+		return answer(w, http.StatusOK, []byte("{}"))
+	}
+	return h.unsettled(w, r, string(id), result)
+}
+
+// unsettled answers a write that is not known to be stored. The answer claims nothing about
+// the submission: an earlier try of the caller, at another VM, may have stored it.
+func (h *Handler) unsettled(w http.ResponseWriter, r *http.Request, id string, result Result) int {
+	status := http.StatusBadGateway
+	if result.Verdict == verdict.MayHaveRun {
+		status = http.StatusGatewayTimeout
+	}
+	return h.refuse(w, r, id, status, "not stored, "+result.Verdict.String(), result.Err)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, id string, status int, reason string, err error) int {
+	h.events.Record(event.CallerRefused, id, r.Method, status, reason, err)
+	w.Header().Set("Retry-After", retryAfter)
+	return answer(w, status, nil)
+}
+
+func (h *Handler) state(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.JobID) int {
+	state, err := h.view.State(ctx, id)
+	if err != nil {
+		return h.refuse(w, r, string(id), http.StatusServiceUnavailable, "the state cannot be learned", err)
+	}
+	if state == fleet.Unknown {
+		h.events.Record(event.StateUnknown, id)
+		return answer(w, http.StatusGone, nil)
+	}
+	body, err := h.format.State(state)
+	if err != nil {
+		return h.refuse(w, r, string(id), http.StatusInternalServerError, "encode", err)
+	}
+	return answer(w, http.StatusOK, body)
+}
+
+func (h *Handler) waiting(w http.ResponseWriter, r *http.Request, queue fleet.Queue) int {
+	n, ok := h.view.Waiting(queue.Name)
+	if !ok {
+		return h.refuse(w, r, "", http.StatusServiceUnavailable, "the owner's counts are too old", nil)
+	}
+	body, err := h.format.Waiting(n)
+	if err != nil {
+		return h.refuse(w, r, "", http.StatusInternalServerError, "encode", err)
+	}
+	return answer(w, http.StatusOK, body)
+}
+
+// answer writes a whole answer. A caller who is gone needs none.
+func answer(w http.ResponseWriter, status int, body []byte) int {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+	return status
+}
--- /dev/null
+++ b/internal/fleet/configuration.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"strings"
+	"time"
+)
+
+// Configuration is the operators' configuration in force. It is immutable.
+type Configuration struct {
+	Version  int64
+	Queues   []Queue
+	Services map[string]Service
+	MaxBody  int64 // bytes of a submission
+}
+
+// Queue takes submissions under a host and a path prefix.
+type Queue struct {
+	Name          string
+	Host          string
+	Prefix        string
+	Service       string // pool that runs its tasks
+	Priority      int    // 0 goes first
+	Attempts      int    // failed runs of a task before the submission fails
+	Stretch       float64
+	TargetLatency time.Duration
+	Advice        *AdvicePolicy // nil: any worker of the pool
+}
+
+// AdvicePolicy says what a call for advice costs and how long a ticket holds.
+type AdvicePolicy struct {
+	Decision time.Duration // of one call
+	PerItem  time.Duration // for each worker named
+	Validity time.Duration // of a ticket
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name           string
+	HealthPath     string
+	AdmissionCheck bool // its workers refuse what does not fit
+	Standby        bool // its machines are off
+}
+
+// Find returns the queue with the longest prefix of path under host.
+func (c *Configuration) Find(host, path string) (Queue, bool) {
+	best := -1
+	for i, q := range c.Queues {
+		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.Prefix) &&
+			(best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Queue{}, false
+	}
+	return c.Queues[best], true
+}
+
+// Queue finds a queue by name.
+func (c *Configuration) Queue(name string) (Queue, bool) {
+	for _, q := range c.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"net"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"filbertcross/internal/dispatch"
+	"filbertcross/internal/entry"
+	"filbertcross/internal/event"
+	"filbertcross/internal/model"
+	"filbertcross/internal/owner"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/telemetry"
+	"filbertcross/platform"
+)
+
+// Settings that a process derives from the platform's.
+const (
+	memoryShare = 0.7 // of the machine's memory, from where on the collector works harder
+	mebibyte    = 1 << 20
+	peerStall   = 800 * time.Millisecond // a silent connection to a VM is given up after this
+	peerDial    = 500 * time.Millisecond
+	runLease    = 5 * time.Second        // survives a change of owner (about 2.5 s) after a hold that is up to 1.6 s old
+	largeVM     = 0.4                    // cores from which a VM is a first choice as the owner
+	standBack   = 250 * time.Millisecond // of a VM without any processor; in proportion for small ones
+)
+
+// Settings are the process's own settings.
+type Settings struct {
+	File        string // the platform's settings file
+	MetricsPort int
+	Version     string
+}
+
+// Build makes a node from the platform's settings.
+func Build(own Settings, s platform.Settings, logger logr.Logger) (*Node, *event.Log, *telemetry.Metrics) {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * mebibyte))
+	}
+	clock := event.NewClock(time.Now)
+	metrics := telemetry.New(s.NodeName, s.FailureDomain)
+	log := event.NewLog(event.LogOptions{
+		VM: model.VMID(s.NodeName), FailureDomain: model.FailureDomain(s.FailureDomain), Clock: clock, Logger: logger,
+		RingEntries: 1, Level: event.Info,
+	})
+	events := &telemetry.Recorder{Log: log, Scope: metrics.Scope}
+	peers := peer.Options{Clock: clock, StallTimeout: peerStall, DialTimeout: peerDial, MaxBackoff: peerDial}
+	store := platform.NewStore(s.Store.Address)
+	maxHold := platform.Milliseconds(s.Bounds.MaxHoldMS)
+	return New(Options{
+		Name:         s.NodeName,
+		PeerAddress:  net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
+		Callers:      s.Listen.Callers,
+		Ready:        s.Listen.Ready,
+		ReadyPath:    platform.ReadyPath,
+		Metrics:      net.JoinHostPort(s.IP, strconv.Itoa(own.MetricsPort)),
+		Grace:        seconds(s.Bounds.GraceS),
+		Rank:         rank(s.Limits.CPUShare * max(s.Limits.CPUCores, 1)),
+		Incarnation:  uuid.NewString(),
+		Store:        store,
+		Advisor:      platform.NewAdvice(s.AdviceAddress),
+		ConfigPrefix: platform.OperatorPrefix,
+		Events:       events,
+		Scope:        metrics.Scope,
+		MetricsPage:  metrics.Handler,
+		Peers:        peer.NewServer(peers, events),
+		Caller:       peer.NewClient(peers, events),
+		Format: entry.Format{
+			DeadlineHeader: platform.DeadlineHeader, ValidID: platform.ValidJobID, Submission: platform.ParseSubmission,
+			State: platform.FormatState, Waiting: platform.FormatWaiting,
+		},
+		Owner: owner.Options{
+			Store: store, Workers: platform.NewExecutors(), Events: events, Scope: metrics.Scope, Clock: bootClock,
+			Codec: owner.Codec{
+				WorkerPrefix: platform.WorkerPrefix, Worker: platform.ParseWorkerEntry,
+				ConfigKey: platform.ConfigurationKey, Configuration: platform.ParseConfiguration,
+			},
+			Dispatch: dispatch.Options{
+				Lease:       min(runLease, maxHold),
+				MaxHold:     min(runLease, maxHold) + owner.LeaseTTL,
+				StopTimeout: platform.Milliseconds(s.Bounds.StopTimeoutMS),
+				GangTimeout: platform.Milliseconds(s.Bounds.GangTimeoutMS),
+				Retention:   seconds(s.Bounds.StatusS),
+				Checkpoint:  seconds(s.Bounds.CheckpointS),
+			},
+		},
+	}), log, metrics
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// rank is how long a VM stands back in an election: small ones leave it to large ones.
+func rank(cores float64) time.Duration {
+	return time.Duration(max(0, 1-cores/largeVM) * float64(standBack))
+}
--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"sync"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// configurations keeps the newest configuration this process has seen; it never goes back
+// to an older one. Safe for concurrent use.
+type configurations struct {
+	parse  func([]byte) (*fleet.Configuration, error)
+	events event.Recorder
+
+	mu      sync.Mutex
+	raw     []byte
+	current *fleet.Configuration
+	changed chan struct{} // closed with the next change
+}
+
+func newConfigurations(parse func([]byte) (*fleet.Configuration, error), events event.Recorder) *configurations {
+	return &configurations{parse: parse, events: events, changed: make(chan struct{})}
+}
+
+// offer takes the operators' bytes and reports whether they are newer.
+func (c *configurations) offer(raw []byte, source string) bool {
+	conf, err := c.parse(raw)
+	if err != nil {
+		c.events.Record(event.OperatorConfigurationInvalid, source, err)
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil && conf.Version <= c.current.Version {
+		return false
+	}
+	c.raw, c.current = raw, conf
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.events.Record(event.OperatorConfigurationInForce, conf.Version, source, len(conf.Queues))
+	return true
+}
+
+// get returns the configuration in force, its bytes, and a channel that closes with the
+// next change.
+func (c *configurations) get() (*fleet.Configuration, []byte, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current, c.raw, c.changed
+}
+
+func (c *configurations) version() int64 {
+	conf, _, _ := c.get()
+	if conf == nil {
+		return 0
+	}
+	return conf.Version
+}
--- /dev/null
+++ b/internal/node/lead.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/owner"
+	"filbertcross/internal/peer"
+)
+
+// Timing of following and of elections.
+const (
+	attachWait     = time.Second // the owner answers a long poll after this, or with news
+	attachTimeout  = attachWait + 500*time.Millisecond
+	ownerWatch     = 700 * time.Millisecond // a follower without an answer looks at the owner's key so long
+	storeTimeout   = 700 * time.Millisecond
+	leadRetry      = 100 * time.Millisecond
+	campaignSpread = 30 * time.Millisecond // random, so that not all campaign at once
+)
+
+// lead makes this VM the owner or a follower, until ctx is done.
+func (n *Node) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		item, found, err := n.ownerItem(ctx)
+		switch {
+		case err != nil:
+			n.followKnown(ctx)
+			pause(ctx, leadRetry)
+		case !found:
+			n.campaign(ctx, 0, "no VM has the authority")
+		default:
+			n.followItem(ctx, item)
+		}
+	}
+}
+
+// followItem follows the owner whose entry was read. A process that listens where an
+// earlier one did has replaced it; where nobody listens, the owner is dead.
+func (n *Node) followItem(ctx context.Context, item fleet.Item) {
+	rec, err := owner.ParseRecord(item.Value)
+	if err != nil {
+		n.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
+		n.watchOwner(ctx, item.Revision)
+		return
+	}
+	if rec.Address == n.opts.PeerAddress {
+		n.campaign(ctx, item.Revision, "an earlier process of this VM had the authority")
+		return
+	}
+	if n.follow(ctx, rec.Address) {
+		n.campaign(ctx, item.Revision, "nobody listens at the owner's address")
+		return
+	}
+	n.watchOwner(ctx, item.Revision)
+}
+
+// watchOwner waits until the owner's key changes, for a while.
+func (n *Node) watchOwner(ctx context.Context, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
+	defer cancel()
+	if _, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatch); err != nil {
+		pause(ctx, leadRetry)
+	}
+}
+
+func (n *Node) ownerItem(ctx context.Context) (fleet.Item, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, found, _, err := n.opts.Store.Get(ctx, owner.Key)
+	return item, found, err
+}
+
+// campaign tries to become the owner and is it until the authority ends.
+func (n *Node) campaign(ctx context.Context, replace int64, why string) {
+	if !pause(ctx, n.opts.Rank+rand.N(campaignSpread)) {
+		return
+	}
+	self := owner.Record{Node: n.opts.Name, Address: n.opts.PeerAddress, Incarnation: n.opts.Incarnation}
+	authority, err := owner.Campaign(ctx, n.opts.Store, n.opts.Owner.Clock, self, replace)
+	if err != nil {
+		n.opts.Events.Record(event.CampaignFailed, why, err)
+		if !errors.Is(err, owner.ErrTaken) {
+			pause(ctx, leadRetry)
+		}
+		return
+	}
+	o := owner.New(n.opts.Owner, authority)
+	n.setOwner("")
+	n.current.Store(o)
+	defer n.current.Store(nil)
+	if conf := n.Configuration(); conf != nil {
+		go o.SetConfiguration(ctx, conf)
+	}
+	if err := o.Run(ctx, why); err != nil && ctx.Err() == nil {
+		pause(ctx, leadRetry)
+	}
+}
+
+// follow polls the owner until it does not answer, and reports whether it is proved dead.
+func (n *Node) follow(ctx context.Context, address string) (dead bool) {
+	defer n.setOwner("")
+	for known := false; ctx.Err() == nil; {
+		reply, err := n.attach(ctx, address)
+		if err != nil {
+			var failure *peer.Error
+			noListener := errors.As(err, &failure) && failure.NoListener
+			if known {
+				n.opts.Events.Record(event.OwnerLost, address, noListener, err)
+			}
+			return noListener
+		}
+		if !known {
+			known = true
+			n.opts.Events.Record(event.OwnerFound, address, address, reply.Fence)
+		}
+	}
+	return false
+}
+
+// attach makes one long poll and takes its news.
+func (n *Node) attach(ctx context.Context, address string) (attachAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+	defer cancel()
+	var reply attachAnswer
+	request := attachRequest{Name: n.opts.Name, Address: n.opts.PeerAddress, Configuration: n.configs.version()}
+	if n.ownerAddress() != address {
+		request.Configuration = -1 // a first poll is answered at once
+	}
+	if err := n.opts.Caller.Call(ctx, address, methodAttach, request, &reply); err != nil {
+		return reply, err
+	}
+	if len(reply.Configuration) > 0 {
+		n.configs.offer(reply.Configuration, address)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.ownerAt, n.attached = address, now
+	n.waiting, n.waitingAt = reply.Waiting, now
+	if len(reply.Peers) > 0 {
+		n.peers = reply.Peers
+	}
+	return reply, nil
+}
+
+func (n *Node) setOwner(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ownerAt = address
+}
+
+// followKnown finds the owner through other VMs when the store does not answer this one.
+func (n *Node) followKnown(ctx context.Context) {
+	n.mu.Lock()
+	peers := append([]string(nil), n.peers...)
+	n.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, address := range peers[:min(len(peers), askedPeers)] {
+		if address == n.opts.PeerAddress {
+			continue
+		}
+		var reply ownerAnswer
+		ask, cancel := context.WithTimeout(ctx, stateTimeout)
+		err := n.opts.Caller.Call(ask, address, methodOwner, struct{}{}, &reply)
+		cancel()
+		if err == nil && reply.Address != "" && reply.Address != n.opts.PeerAddress {
+			n.follow(ctx, reply.Address)
+			return
+		}
+	}
+}
+
+// askedPeers is how many VMs are asked for the owner in one round.
+const askedPeers = 3
+
+// pause waits and reports whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// followConfiguration reads the configuration from the store while this VM is the owner,
+// or has no owner to learn it from.
+func (n *Node) followConfiguration(ctx context.Context) {
+	after := int64(0)
+	for ctx.Err() == nil {
+		if n.attachedLately() {
+			after = 0
+			pause(ctx, attachedCheck)
+			continue
+		}
+		next, err := n.readConfiguration(ctx, after)
+		if err != nil {
+			after = 0
+			pause(ctx, leadRetry)
+			continue
+		}
+		after = next
+	}
+}
+
+// Timing of reading the configuration.
+const (
+	attachedCheck = 250 * time.Millisecond
+	attachedAge   = 1600 * time.Millisecond // just above a long poll: the configuration has to be in force after 2 s
+)
+
+func (n *Node) attachedLately() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.current.Load() == nil && time.Since(n.attached) < attachedAge && n.configs.version() > 0
+}
+
+// readConfiguration waits for a change after a revision, or reads what is there.
+func (n *Node) readConfiguration(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
+	defer cancel()
+	key := n.opts.Owner.Codec.ConfigKey
+	if after == 0 {
+		item, found, revision, err := n.opts.Store.Get(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		if found {
+			n.takeConfiguration(ctx, item.Value)
+		} else {
+			pause(ctx, leadRetry)
+		}
+		return revision, nil
+	}
+	items, next, err := n.opts.Store.Watch(ctx, key, after, ownerWatch)
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		if item.Key == key && !item.Deleted {
+			n.takeConfiguration(ctx, item.Value)
+		}
+	}
+	return max(next, after), nil
+}
+
+func (n *Node) takeConfiguration(ctx context.Context, raw []byte) {
+	if !n.configs.offer(raw, "store") {
+		return
+	}
+	if o := n.current.Load(); o != nil {
+		o.SetConfiguration(ctx, n.Configuration())
+	}
+}
--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"time"
+
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+	"filbertcross/internal/peer"
+)
+
+// Methods between VMs.
+const (
+	methodAttach peer.Method = "node.attach" // a follower's long poll at the owner
+	methodState  peer.Method = "node.state"
+	methodCommit peer.Method = "node.commit" // a store write for a VM that the store turns away
+	methodAdvise peer.Method = "node.advise"
+	methodOwner  peer.Method = "node.owner" // which owner a VM knows
+)
+
+type attachRequest struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	Configuration int64  `json:"configuration"` // version in force there
+}
+
+type attachAnswer struct {
+	Fence         int64          `json:"fence"`
+	Configuration []byte         `json:"configuration,omitempty"` // as the operators wrote it; only if newer
+	Waiting       map[string]int `json:"waiting"`
+	Peers         []string       `json:"peers"`
+}
+
+type stateRequest struct {
+	ID fleet.JobID `json:"id"`
+}
+
+type stateAnswer struct {
+	State fleet.State `json:"state"`
+}
+
+type commitRequest struct {
+	Txn fleet.Txn `json:"txn"`
+}
+
+type commitAnswer struct {
+	Revision int64  `json:"revision"`
+	Conflict bool   `json:"conflict"`
+	NotRun   bool   `json:"not_run"`
+	Failure  string `json:"failure,omitempty"`
+}
+
+type adviseRequest struct {
+	Step    fleet.StepID     `json:"step"`
+	Workers []model.WorkerID `json:"workers"`
+}
+
+type adviseAnswer struct {
+	Allowed  map[model.WorkerID]string `json:"allowed"`
+	Validity time.Duration             `json:"validity"`
+	Failure  string                    `json:"failure,omitempty"`
+}
+
+type ownerAnswer struct {
+	Address string `json:"address"`
+	Fence   int64  `json:"fence"`
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/urfave/negroni/v3"
+	"golang.org/x/sync/errgroup"
+
+	"filbertcross/internal/entry"
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/owner"
+	"filbertcross/internal/peer"
+)
+
+// Timing of a process.
+const (
+	headerTimeout = 3 * time.Second         // of a caller's request line and headers
+	idleTimeout   = 60 * time.Second        // of a caller's connection
+	stopNotice    = 1200 * time.Millisecond // the entry balancer asks every second and needs two misses; open connections go on meanwhile
+	closeReserve  = 500 * time.Millisecond  // of the grace time, for the end of the process
+)
+
+// Options are the parts and settings of a process.
+type Options struct {
+	Name         string
+	PeerAddress  string
+	Callers      string
+	Ready        string
+	ReadyPath    string
+	Metrics      string
+	Grace        time.Duration
+	Rank         time.Duration // a small VM stands back so long when an owner is elected
+	Incarnation  string
+	Store        fleet.Store
+	Advisor      fleet.Advisor
+	Owner        owner.Options // without Advice
+	Format       entry.Format
+	ConfigPrefix string
+	Events       event.Recorder
+	Scope        tally.Scope
+	MetricsPage  http.Handler
+	Peers        *peer.Server
+	Caller       peer.Caller
+}
+
+// Node is the process of an entry VM. Its fields below mu are shared between goroutines.
+type Node struct {
+	opts     Options
+	configs  *configurations
+	advisors *advisors
+	stopping atomic.Bool
+	current  atomic.Pointer[owner.Owner]
+
+	mu        sync.Mutex
+	ownerAt   string // peer address of the owner that this VM follows; empty: none
+	attached  time.Time
+	waiting   map[string]int
+	waitingAt time.Time
+	peers     []string
+}
+
+// New wires a node's own parts.
+func New(opts Options) *Node {
+	n := &Node{opts: opts, configs: newConfigurations(opts.Owner.Codec.Configuration, opts.Events)}
+	n.advisors = newAdvisors(opts.Caller, opts.Advisor)
+	n.opts.Owner.Advice = n.advisors
+	n.register(opts.Peers)
+	return n
+}
+
+// Run serves until ctx is done, then stops gracefully within the grace time.
+func (n *Node) Run(ctx context.Context) error {
+	servers := []*http.Server{
+		n.server(n.opts.Callers, entry.NewHandler(n.opts.Format, n, n.opts.Store, relay{n}, n.opts.Events, n.opts.Scope)),
+		n.server(n.opts.Ready, http.HandlerFunc(n.ready)),
+		n.server(n.opts.Metrics, n.opts.MetricsPage),
+	}
+	work, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelWork()
+	group, groupCtx := errgroup.WithContext(work)
+	listener, err := net.Listen("tcp", n.opts.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	group.Go(func() error { return n.opts.Peers.Serve(groupCtx, listener) })
+	for _, s := range servers {
+		group.Go(func() error {
+			if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrap(err, s.Addr)
+			}
+			return nil
+		})
+	}
+	decide, cancelDecide := context.WithCancel(groupCtx)
+	defer cancelDecide()
+	group.Go(func() error { n.lead(decide); return nil })
+	group.Go(func() error { n.followConfiguration(groupCtx); return nil })
+	n.opts.Events.Record(event.NodeStarted, n.opts.Name, n.opts.Callers, n.opts.PeerAddress)
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	n.stop(servers, cancelDecide)
+	cancelWork()
+	return group.Wait()
+}
+
+func (n *Node) server(address string, handler http.Handler) *http.Server {
+	chain := negroni.New(negroni.NewRecovery())
+	chain.UseHandler(handler)
+	return &http.Server{Addr: address, Handler: chain, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// stop leaves the entry balancer's rotation, hands the authority over, and ends requests
+// that are under way.
+func (n *Node) stop(servers []*http.Server, cancelDecide context.CancelFunc) {
+	begun := time.Now()
+	n.opts.Events.Record(event.NodeStopping, n.opts.Grace)
+	n.stopping.Store(true)
+	cancelDecide()
+	time.Sleep(min(stopNotice, n.opts.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(n.opts.Grace-closeReserve))
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx) // what is open at the end of the grace time is cut
+	}
+	n.opts.Events.Record(event.NodeStopped, time.Since(begun))
+}
+
+// ready answers the entry balancer.
+func (n *Node) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != n.opts.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if n.stopping.Load() || n.Configuration() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Configuration returns the configuration in force, or nil.
+func (n *Node) Configuration() *fleet.Configuration {
+	conf, _, _ := n.configs.get()
+	return conf
+}
+
+// Stopping reports whether the process is stopping.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Timing of what callers ask about.
+const (
+	stateTimeout  = 400 * time.Millisecond // of the owner's answer, before the store is asked
+	waitingMaxAge = 4 * time.Second        // counts may lag by the visibility bound and 2 s
+)
+
+// State asks the owner. The store knows too, a little later.
+func (n *Node) State(ctx context.Context, id fleet.JobID) (fleet.State, error) {
+	if state, err := n.stateOfOwner(ctx, id); err == nil && state != fleet.Unknown {
+		return state, nil
+	}
+	return owner.StoredState(ctx, n.opts.Store, id)
+}
+
+func (n *Node) stateOfOwner(ctx context.Context, id fleet.JobID) (fleet.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	if o := n.current.Load(); o != nil {
+		return o.State(ctx, id)
+	}
+	address := n.ownerAddress()
+	if address == "" {
+		return fleet.Unknown, errNoOwner
+	}
+	var reply stateAnswer
+	err := n.opts.Caller.Call(ctx, address, methodState, stateRequest{ID: id}, &reply)
+	return reply.State, err
+}
+
+var errNoOwner = errors.New("node: no owner is known")
+
+// Waiting returns the owner's count for a queue.
+func (n *Node) Waiting(queue string) (int, bool) {
+	if o := n.current.Load(); o != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+		defer cancel()
+		counts, err := o.Waiting(ctx)
+		return counts[queue], err == nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.waitingAt.IsZero() || time.Since(n.waitingAt) > waitingMaxAge {
+		return 0, false
+	}
+	return n.waiting[queue], true
+}
+
+func (n *Node) ownerAddress() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ownerAt
+}
--- /dev/null
+++ b/internal/owner/authority.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertcross/internal/fleet"
+)
+
+// Timing of the owner's lease in the store.
+const (
+	LeaseTTL      = 2 * time.Second        // bounds how long nobody decides after an owner is lost without a trace
+	renewEvery    = 500 * time.Millisecond // three renewals may fail
+	renewTimeout  = 600 * time.Millisecond
+	safetyMargin  = 200 * time.Millisecond // of the lease that is not used: late timers, and orders on their way
+	campaignCalls = 700 * time.Millisecond // timeout of one store call
+)
+
+// Clock is a steady clock that also counts the time for which the machine was suspended.
+type Clock func() time.Duration
+
+// Authority is the right to decide: a key under a lease in the store. Its fencing token is
+// the revision that created the key. Safe for concurrent use.
+type Authority struct {
+	Fence int64
+	lease int64
+	until atomic.Int64 // clock reading up to which the lease is surely held
+	store fleet.Store
+	clock Clock
+}
+
+// ErrTaken says that another VM has the authority.
+var ErrTaken = errors.New("owner: another VM has the authority")
+
+// Campaign tries to take the authority. replace is the revision of a key whose holder is
+// proved dead; 0: the key has to be absent.
+func Campaign(ctx context.Context, store fleet.Store, clock Clock, self Record, replace int64) (*Authority, error) {
+	begun := clock()
+	lease, err := call(ctx, func(ctx context.Context) (int64, error) { return store.Grant(ctx, LeaseTTL) })
+	if err != nil {
+		return nil, err
+	}
+	value, err := cbor.Marshal(self)
+	if err != nil {
+		return nil, errors.Wrap(err, "owner record")
+	}
+	a := &Authority{lease: lease, store: store, clock: clock}
+	a.until.Store(int64(begun + LeaseTTL - safetyMargin))
+	a.Fence, err = call(ctx, func(ctx context.Context) (int64, error) {
+		return store.Commit(ctx, fleet.Txn{
+			If:  []fleet.Condition{{Key: Key, Revision: replace}},
+			Set: []fleet.Write{{Key: Key, Value: value, Lease: lease}},
+		})
+	})
+	if err == nil {
+		return a, nil
+	}
+	if !fleet.NotRun(err) { // the write may have taken effect
+		item, found, getErr := getOwner(ctx, store)
+		if getErr == nil && found && item.Lease == lease {
+			a.Fence = item.Revision
+			return a, nil
+		}
+	}
+	a.release(ctx)
+	var conflict *fleet.ConflictError
+	if errors.As(err, &conflict) {
+		return nil, ErrTaken
+	}
+	return nil, err
+}
+
+func call[T any](ctx context.Context, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, campaignCalls)
+	defer cancel()
+	return f(ctx)
+}
+
+func getOwner(ctx context.Context, store fleet.Store) (fleet.Item, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, campaignCalls)
+	defer cancel()
+	item, found, _, err := store.Get(ctx, Key)
+	return item, found, err
+}
+
+// Holds reports whether the lease is surely held at the clock reading.
+func (a *Authority) Holds(now time.Duration) bool { return int64(now) < a.until.Load() }
+
+// Keep renews the lease until ctx is done or the lease has ended. An ended lease is an
+// error; renewals that fail for other reasons are repeated.
+func (a *Authority) Keep(ctx context.Context) error {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		sent := a.clock()
+		renew, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := a.store.Renew(renew, a.lease)
+		cancel()
+		switch {
+		case err == nil:
+			a.until.Store(max(a.until.Load(), int64(sent+LeaseTTL-safetyMargin)))
+		case errors.Is(err, fleet.ErrLeaseEnded):
+			return err
+		}
+	}
+}
+
+// release gives the authority up, so that a successor need not wait for the lease.
+func (a *Authority) release(ctx context.Context) {
+	a.until.Store(0)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), campaignCalls)
+	defer cancel()
+	_ = a.store.Revoke(ctx, a.lease) // it ends by itself otherwise
+}
--- /dev/null
+++ b/internal/owner/intake.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// watchIntake follows submissions and cancellations. When the store has dropped the
+// history, everything is read again.
+func (o *Owner) watchIntake(ctx context.Context, after int64) {
+	failing := false
+	for ctx.Err() == nil {
+		items, next, err := o.changes(ctx, after)
+		if err != nil {
+			if !failing && ctx.Err() == nil {
+				o.opts.Events.Record(event.StoreCallFailed, "watch intake", err)
+			}
+			failing = true
+			pause(ctx, watchRetry)
+			continue
+		}
+		if failing {
+			failing = false
+			o.opts.Events.Record(event.StoreCallAnswered, "watch intake")
+		}
+		after = max(next, after)
+		if len(items) > 0 {
+			o.post(ctx, func(now time.Duration) { o.take(now, items, nil) })
+		}
+	}
+}
+
+func (o *Owner) changes(ctx context.Context, after int64) ([]fleet.Item, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	items, next, err := o.opts.Store.Watch(ctx, intakePrefix, after, watchWait)
+	if errors.Is(err, fleet.ErrCompacted) {
+		return o.opts.Store.List(ctx, intakePrefix)
+	}
+	return items, next, err
+}
+
+// listWorkers reads the workers' entries again and again. After an outage of the store
+// entries of live workers may be missing for a while, so nothing is unlisted then.
+func (o *Owner) listWorkers(ctx context.Context) {
+	var patientUntil time.Duration
+	failing := false
+	known := map[string]fleet.WorkerEntry{}
+	for pause(ctx, listEvery) {
+		entries, err := limit(ctx, listTimeout, o.readWorkers)
+		now := o.opts.Clock()
+		if err != nil {
+			if !failing && ctx.Err() == nil {
+				o.opts.Events.Record(event.StoreCallFailed, "list workers", err)
+			}
+			failing = true
+			continue
+		}
+		if failing {
+			failing = false
+			patientUntil = now + returnOfStore
+			o.opts.Events.Record(event.StoreCallAnswered, "list workers")
+		}
+		current := make(map[string]fleet.WorkerEntry, len(entries))
+		for _, e := range entries {
+			current[string(e.ID)] = e
+		}
+		if now < patientUntil {
+			for id, e := range known {
+				if _, ok := current[id]; !ok {
+					entries = append(entries, e)
+					current[id] = e
+				}
+			}
+		}
+		known = current
+		o.post(ctx, func(now time.Duration) { o.dispatcher.SetWorkers(now, entries) })
+	}
+}
+
+// readWorkers reads all entries and passes over those that name no worker.
+func (o *Owner) readWorkers(ctx context.Context) ([]fleet.WorkerEntry, error) {
+	items, _, err := o.opts.Store.List(ctx, o.opts.Codec.WorkerPrefix)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]fleet.WorkerEntry, 0, len(items))
+	for _, item := range items {
+		e, err := o.opts.Codec.Worker(item)
+		if err != nil {
+			o.noteInvalid(item, err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// noteInvalid records an entry once for each of its revisions.
+func (o *Owner) noteInvalid(item fleet.Item, err error) {
+	if last, ok := o.invalid.Load(item.Key); ok && last == item.Revision {
+		return
+	}
+	o.invalid.Store(item.Key, item.Revision)
+	o.opts.Events.Record(event.WorkerEntryInvalid, item.Key, err)
+}
--- /dev/null
+++ b/internal/owner/keys.go
@@ -0,0 +1,57 @@
+package owner
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertcross/internal/fleet"
+)
+
+// The project's keys in the store.
+const (
+	Key           = "fc/owner"
+	workersKey    = "fc/workers"
+	intakePrefix  = "fc/in/"   // watched by the owner: submissions and cancellations
+	jobPrefix     = "fc/in/j/" // written by the VM that took the submission
+	cancelPrefix  = "fc/in/c/"
+	progressPfx   = "fc/st/" // written by the owner
+	encodedCancel = "1"
+)
+
+// JobKey is where a submission lies.
+func JobKey(id fleet.JobID) string { return jobPrefix + string(id) }
+
+// CancelKey is where the cancellation of a submission lies.
+func CancelKey(id fleet.JobID) string { return cancelPrefix + string(id) }
+
+// ProgressKey is where a submission's progress lies.
+func ProgressKey(id fleet.JobID) string { return progressPfx + string(id) }
+
+// SubmissionTxn stores a submission unless one with its id is there.
+func SubmissionTxn(s *fleet.Submission) (fleet.Txn, error) {
+	value, err := cbor.Marshal(s)
+	if err != nil {
+		return fleet.Txn{}, err
+	}
+	return createTxn(JobKey(s.ID), value), nil
+}
+
+// CancelTxn stores a cancellation; it may come before the submission.
+func CancelTxn(id fleet.JobID) fleet.Txn { return createTxn(CancelKey(id), []byte(encodedCancel)) }
+
+func createTxn(key string, value []byte) fleet.Txn {
+	return fleet.Txn{If: []fleet.Condition{{Key: key}}, Set: []fleet.Write{{Key: key, Value: value}}}
+}
+
+// Record is the owner's entry under Key.
+type Record struct {
+	Node        string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"` // of its peer server
+	Incarnation string `cbor:"3,keyasint"` // of its process
+}
+
+// ParseRecord reads an owner's entry.
+func ParseRecord(value []byte) (Record, error) {
+	var r Record
+	err := cbor.Unmarshal(value, &r)
+	return r, err
+}
--- /dev/null
+++ b/internal/owner/load.go
@@ -0,0 +1,130 @@
+package owner
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"filbertcross/internal/dispatch"
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// stored is what a new owner finds in the store.
+type stored struct {
+	intake   []fleet.Item
+	revision int64 // to watch the intake from
+	progress map[fleet.JobID]*dispatch.Progress
+	recorded []dispatch.RecordedWorker
+	workers  []fleet.WorkerEntry
+	conf     *fleet.Configuration
+}
+
+// load reads everything that lasts; it tries until ctx is done.
+func (o *Owner) load(ctx context.Context) (stored, error) {
+	for {
+		state, err := limit(ctx, loadTimeout, o.loadOnce)
+		if err == nil {
+			return state, nil
+		}
+		o.opts.Events.Record(event.StoreCallFailed, "load", err)
+		if !pause(ctx, loadRetry) {
+			return stored{}, ctx.Err()
+		}
+	}
+}
+
+func (o *Owner) loadOnce(ctx context.Context) (stored, error) {
+	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}}
+	var err error
+	// The intake is read before the progress: a job without progress has none.
+	if state.intake, state.revision, err = o.opts.Store.List(ctx, intakePrefix); err != nil {
+		return state, err
+	}
+	items, _, err := o.opts.Store.List(ctx, progressPfx)
+	if err != nil {
+		return state, err
+	}
+	for _, item := range items {
+		p := &dispatch.Progress{}
+		if err := cbor.Unmarshal(item.Value, p); err != nil {
+			o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
+			continue
+		}
+		state.progress[fleet.JobID(strings.TrimPrefix(item.Key, progressPfx))] = p
+	}
+	record, found, _, err := o.opts.Store.Get(ctx, workersKey)
+	if err != nil {
+		return state, err
+	}
+	if found {
+		if err := cbor.Unmarshal(record.Value, &state.recorded); err != nil {
+			o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
+		}
+	}
+	if state.workers, err = o.readWorkers(ctx); err != nil {
+		return state, err
+	}
+	conf, found, _, err := o.opts.Store.Get(ctx, o.opts.Codec.ConfigKey)
+	if err != nil {
+		return state, err
+	}
+	if found {
+		if state.conf, err = o.opts.Codec.Configuration(conf.Value); err != nil {
+			o.opts.Events.Record(event.StoredEntryInvalid, o.opts.Codec.ConfigKey, err)
+		}
+	}
+	return state, nil
+}
+
+// adopt builds the dispatcher from what was loaded. Its revision of a job decides whether
+// an earlier owner can have started it.
+func (o *Owner) adopt(state stored, why string) {
+	now := o.opts.Clock()
+	d := dispatch.New(now, o.opts.Dispatch, o.opts.Events)
+	o.dispatcher = d
+	if state.conf != nil {
+		d.SetConfiguration(state.conf)
+	}
+	d.Recover(state.recorded)
+	d.SetWorkers(now, state.workers)
+	o.take(now, state.intake, state.progress)
+	o.opts.Events.Record(event.OwnerElected, o.authority.Fence, why, len(state.intake), len(state.workers))
+}
+
+// take hands items of the intake to the dispatcher.
+func (o *Owner) take(now time.Duration, items []fleet.Item, progress map[fleet.JobID]*dispatch.Progress) {
+	for _, item := range items {
+		switch {
+		case item.Deleted:
+		case strings.HasPrefix(item.Key, cancelPrefix):
+			id := fleet.JobID(strings.TrimPrefix(item.Key, cancelPrefix))
+			o.dispatcher.Cancel(now, id)
+			o.opts.Events.Record(event.CancelTaken, id, o.dispatcher.State(id))
+		case strings.HasPrefix(item.Key, jobPrefix):
+			sub := &fleet.Submission{}
+			if err := cbor.Unmarshal(item.Value, sub); err != nil {
+				o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
+				continue
+			}
+			age := max(time.Since(sub.Received), 0)
+			if progress == nil {
+				age = min(age, watchTimeout) // clocks of VMs differ; a watch is not later than this
+			}
+			o.dispatcher.AddJob(now, sub, item.Created, age, progress[sub.ID])
+			o.opts.Events.Record(event.SubmissionTaken, sub.ID, sub.Queue, len(sub.Steps), item.Created, age)
+		}
+	}
+}
+
+// pause waits and reports whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,237 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"filbertcross/internal/dispatch"
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Timing of the owner's loop.
+const (
+	tick          = 50 * time.Millisecond  // bounds how late a timer of the dispatcher fires
+	flushLinger   = 80 * time.Millisecond  // gathers ends into one write; it delays only their acknowledgement
+	flushTimeout  = 800 * time.Millisecond // of one write
+	flushRetry    = 200 * time.Millisecond
+	mailboxSize   = 4096
+	drainMail     = 512 // messages taken before the next decision
+	loadRetry     = 100 * time.Millisecond
+	loadTimeout   = 3 * time.Second
+	listEvery     = 500 * time.Millisecond // reading of the workers' entries; the draining bound is 2 s
+	listTimeout   = 1500 * time.Millisecond
+	returnOfStore = 2200 * time.Millisecond // after an outage, entries of live workers are back within about 2 s
+	watchWait     = 700 * time.Millisecond  // a watch that went silent is noticed after this and the timeout
+	watchTimeout  = watchWait + 700*time.Millisecond
+	watchRetry    = 100 * time.Millisecond
+)
+
+// AdviceCaller asks for advice from one of several VMs, each of which may have one call out.
+type AdviceCaller interface {
+	// Advise blocks until a VM has asked.
+	Advise(ctx context.Context, step fleet.StepID, workers []model.WorkerID) (map[model.WorkerID]string, time.Duration, error)
+	// Slots is the number of VMs that can be asked at once.
+	Slots() int
+}
+
+// Codec translates the platform's entries.
+type Codec struct {
+	WorkerPrefix  string
+	Worker        func(fleet.Item) (fleet.WorkerEntry, error)
+	ConfigKey     string
+	Configuration func([]byte) (*fleet.Configuration, error)
+}
+
+// Options are the owner's parts and settings.
+type Options struct {
+	Store    fleet.Store
+	Workers  fleet.Workers
+	Advice   AdviceCaller
+	Events   event.Recorder
+	Scope    tally.Scope
+	Clock    Clock
+	Codec    Codec
+	Dispatch dispatch.Options // without Fence
+}
+
+// Owner runs the dispatcher while the authority lasts. The dispatcher and conf belong to
+// the loop's goroutine; everything else posts to it.
+type Owner struct {
+	opts       Options
+	authority  *Authority
+	dispatcher *dispatch.Dispatcher
+	mail       chan func(now time.Duration)
+	group      *errgroup.Group
+	ended      chan struct{} // closed when Run ends
+
+	flushing   bool
+	flushDue   time.Duration
+	authorized bool
+	lostAt     time.Duration
+	startDelay tally.Histogram
+	holdTime   tally.Histogram
+	invalid    sync.Map // revision of each invalid entry, by key
+}
+
+// errDeposed ends Run.
+var errDeposed = errors.New("owner: deposed")
+
+// New returns an owner that has not loaded anything yet.
+func New(opts Options, authority *Authority) *Owner {
+	opts.Dispatch.Fence = authority.Fence
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+	return &Owner{
+		opts: opts, authority: authority,
+		mail:       make(chan func(time.Duration), mailboxSize),
+		ended:      make(chan struct{}),
+		startDelay: opts.Scope.Histogram("start_order_seconds", buckets),
+		holdTime:   opts.Scope.Histogram("hold_seconds", buckets),
+	}
+}
+
+// Run decides until ctx is done or the authority is lost, and says why it ended. It gives
+// the authority up at the end.
+func (o *Owner) Run(ctx context.Context, why string) error {
+	defer o.authority.release(ctx)
+	defer close(o.ended)
+	group, ctx := errgroup.WithContext(ctx)
+	o.group = group
+	group.Go(func() error { return o.authority.Keep(ctx) })
+	group.Go(func() error {
+		state, err := o.load(ctx)
+		if err != nil {
+			return err
+		}
+		o.adopt(state, why)
+		group.Go(func() error { o.watchIntake(ctx, state.revision); return nil })
+		group.Go(func() error { o.listWorkers(ctx); return nil })
+		return o.loop(ctx)
+	})
+	err := group.Wait()
+	o.opts.Events.Record(event.OwnerDeposed, o.authority.Fence, err)
+	return err
+}
+
+// post hands a message to the loop; it is dropped when the owner has ended.
+func (o *Owner) post(ctx context.Context, f func(now time.Duration)) {
+	select {
+	case o.mail <- f:
+	case <-ctx.Done():
+	}
+}
+
+// loop is the one goroutine that touches the dispatcher.
+func (o *Owner) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-o.mail:
+			now := o.opts.Clock()
+			f(now)
+			o.drainMail(now)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		now := o.opts.Clock()
+		o.noteAuthority(now)
+		if o.dispatcher.Deposed() {
+			return errors.Wrap(errDeposed, "a worker has seen a higher fencing token")
+		}
+		o.dispatcher.SetAdviceSlots(o.opts.Advice.Slots())
+		for _, c := range o.dispatcher.Decide(now, time.Now(), o.authorized) {
+			o.execute(ctx, c)
+		}
+		o.flush(ctx, now)
+	}
+}
+
+func (o *Owner) drainMail(now time.Duration) {
+	for range drainMail {
+		select {
+		case f := <-o.mail:
+			f(now)
+		default:
+			return
+		}
+	}
+}
+
+// noteAuthority records when the lease is not surely held, and when it is again.
+func (o *Owner) noteAuthority(now time.Duration) {
+	holds := o.authority.Holds(now)
+	switch {
+	case holds && !o.authorized && o.lostAt != 0:
+		o.opts.Events.Record(event.AuthorityRegained, o.authority.Fence, now-o.lostAt)
+	case !holds && o.authorized:
+		o.lostAt = now
+		o.opts.Events.Record(event.AuthorityLost, o.authority.Fence, time.Duration(int64(now)-o.authority.until.Load()))
+	}
+	o.authorized = holds
+}
+
+// execute carries out one command on a goroutine of its own.
+func (o *Owner) execute(ctx context.Context, c dispatch.Command) {
+	go func() {
+		if after := o.perform(ctx, c); after != nil {
+			o.post(ctx, after)
+		}
+	}()
+}
+
+// perform makes the call and returns what to tell the dispatcher.
+func (o *Owner) perform(ctx context.Context, c dispatch.Command) func(time.Duration) {
+	d := o.dispatcher
+	switch c := c.(type) {
+	case dispatch.HoldCommand:
+		sent := o.opts.Clock()
+		report, err := limit(ctx, dispatch.HoldTimeout, func(ctx context.Context) (fleet.Report, error) {
+			return o.opts.Workers.Hold(ctx, c.To, c.Hold)
+		})
+		return func(now time.Duration) {
+			if err != nil {
+				d.HoldFailed(now, c.To.ID, err)
+				return
+			}
+			o.holdTime.RecordDuration(now - sent)
+			d.Report(now, sent, c.To.ID, report)
+		}
+	case dispatch.StartCommand:
+		sent := o.opts.Clock()
+		_, err := limit(ctx, dispatch.OrderTimeout, func(ctx context.Context) (int64, error) {
+			return o.opts.Workers.Start(ctx, c.To, c.Start)
+		})
+		return func(now time.Duration) {
+			o.startDelay.RecordDuration(now - sent)
+			d.Started(now, c.Start.RunID, c.To.ID, err)
+		}
+	case dispatch.StopCommand:
+		_, err := limit(ctx, dispatch.OrderTimeout, func(ctx context.Context) (int64, error) {
+			return o.opts.Workers.Stop(ctx, c.To, c.Run, c.Fence)
+		})
+		return func(now time.Duration) { d.Stopped(now, c.Run, c.To.ID, err) }
+	case dispatch.PaceCommand:
+		_, err := limit(ctx, dispatch.OrderTimeout, func(ctx context.Context) (int64, error) {
+			return o.opts.Workers.Pace(ctx, c.To, c.Pace)
+		})
+		return func(now time.Duration) { d.Paced(now, c.Pace.RunID, c.Pace.Percent, err) }
+	case dispatch.AdviseCommand:
+		allowed, validity, err := o.opts.Advice.Advise(ctx, c.Step, c.Workers)
+		return func(now time.Duration) { d.Advised(now, c.Step, c.Workers, allowed, validity, err) }
+	}
+	return nil
+}
+
+func limit[T any](ctx context.Context, timeout time.Duration, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f(ctx)
+}
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -22,6 +22,7 @@
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/rollout"
+	"filbertcross/internal/telemetry"
 )
 
 func provideStore(s config.Settings) platform.Store {
@@ -60,7 +61,7 @@
 	})
 }
 
-func provideScope(m *metrics) tally.Scope { return m.scope }
+func provideScope(m *telemetry.Metrics) tally.Scope { return m.Scope }
 
 func providePeerServer(clock *event.Clock, recorder event.Recorder) *peer.Server {
 	return peer.NewServer(peer.Options{Clock: clock}, recorder)
@@ -199,7 +200,7 @@
 	return &status{source: source, layout: a.Layout, directory: directory{view}}
 }
 
-func provideOperators(j *jobs, s *sheets, source model.ConfigurationSource, log *event.Log, caller peer.Caller, server *peer.Server, view membership.View, m *metrics, st *status) *operators {
+func provideOperators(j *jobs, s *sheets, source model.ConfigurationSource, log *event.Log, caller peer.Caller, server *peer.Server, view membership.View, m *telemetry.Metrics, st *status) *operators {
 	timeline.Register(server, log)
 	return &operators{
 		jobs:      j,
@@ -208,7 +209,7 @@
 		log:       log,
 		collector: timeline.NewCollector(caller, log),
 		view:      view,
-		metrics:   m.handler,
+		metrics:   m.Handler,
 		ready:     st.Ready,
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"filbertcross/internal/membership"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/rollout"
+	"filbertcross/internal/telemetry"
 )
 
 const (
@@ -30,7 +31,7 @@
 type Server struct {
 	settings   config.Settings
 	log        *event.Log
-	metrics    *metrics
+	metrics    *telemetry.Metrics
 	peers      *peer.Server
 	calls      *peer.Client
 	membership *membership.Membership
@@ -75,7 +76,7 @@
 	err = group.Wait()
 	logged()
 	<-flushed
-	return errors.CombineErrors(err, s.metrics.closer.Close())
+	return errors.CombineErrors(err, s.metrics.Closer.Close())
 }
 
 // runLog writes events to the logger until the returned function is called; the
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -14,6 +14,7 @@
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/rollout"
+	"filbertcross/internal/telemetry"
 )
 
 // Build makes the parts of a VM from its settings; nothing runs before Run.
@@ -38,8 +39,8 @@
 	provideSelf,
 	provideClock,
 	provideLog,
-	wire.Struct(new(meteredRecorder), "*"),
-	wire.Bind(new(event.Recorder), new(*meteredRecorder)),
+	newRecorder,
+	wire.Bind(new(event.Recorder), new(*telemetry.Recorder)),
 	newMetrics,
 	provideScope,
 	providePeerServer,
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -15,6 +15,7 @@
 	"filbertcross/internal/peer"
 	"filbertcross/internal/platform"
 	"filbertcross/internal/rollout"
+	"filbertcross/internal/telemetry"
 	"github.com/go-logr/logr"
 	"github.com/google/wire"
 )
@@ -26,45 +27,39 @@
 	member := provideSelf(settings)
 	clock := provideClock()
 	log := provideLog(settings, member, clock, logger)
-	serverMetrics, err := newMetrics(settings)
-	if err != nil {
-		return nil, err
-	}
-	scope := provideScope(serverMetrics)
-	serverMeteredRecorder := &meteredRecorder{
-		log:   log,
-		scope: scope,
-	}
-	server := providePeerServer(clock, serverMeteredRecorder)
-	client := providePeerClient(clock, serverMeteredRecorder)
+	metrics := newMetrics(settings)
+	recorder := newRecorder(log, metrics)
+	server := providePeerServer(clock, recorder)
+	client := providePeerClient(clock, recorder)
 	serverDigester := newDigester()
-	membership := provideMembership(settings, member, clock, client, server, serverDigester, serverMeteredRecorder)
+	membership := provideMembership(settings, member, clock, client, server, serverDigester, recorder)
 	store := provideStore(settings)
-	rollout := provideRollout(store, membership, client, server, serverMeteredRecorder, serverDigester)
+	rollout := provideRollout(store, membership, client, server, recorder, serverDigester)
 	httpWorkers := provideWorkers(settings)
-	serverExecutor := newExecutor(settings, httpWorkers, serverMeteredRecorder)
-	serverControl := provideControl(settings, serverMeteredRecorder, serverExecutor, serverDigester, scope)
+	serverExecutor := newExecutor(settings, httpWorkers, recorder)
+	scope := provideScope(metrics)
+	serverControl := provideControl(settings, recorder, serverExecutor, serverDigester, scope)
 	serverLoop := provideLoop(serverControl, serverExecutor)
-	host := provideLedgerHost(membership, server, serverMeteredRecorder)
-	serverHosting := provideHosting(serverLoop, host, serverMeteredRecorder, serverDigester)
-	manager := provideBackends(settings, membership, client, server, serverMeteredRecorder, scope, serverDigester)
-	serverAssigner := provideAssigner(settings, store, membership, client, server, serverHosting, serverMeteredRecorder)
+	host := provideLedgerHost(membership, server, recorder)
+	serverHosting := provideHosting(serverLoop, host, recorder, serverDigester)
+	manager := provideBackends(settings, membership, client, server, recorder, scope, serverDigester)
+	serverAssigner := provideAssigner(settings, store, membership, client, server, serverHosting, recorder)
 	ledgerClient := provideLedger(host, membership, client, serverAssigner)
 	source := provideSource(rollout)
-	handler := provideFront(settings, manager, ledgerClient, source, membership, serverMeteredRecorder, scope)
+	handler := provideFront(settings, manager, ledgerClient, source, membership, recorder, scope)
 	vmList := provideVMList(settings)
 	serverStatus := provideStatus(source, serverAssigner, membership)
-	serverPoller := providePoller(settings, vmList, serverMeteredRecorder, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
+	serverPoller := providePoller(settings, vmList, recorder, membership, manager, serverExecutor, serverAssigner, serverLoop, serverStatus)
 	serverJobs := provideJobs(serverLoop, client, server, membership, source, serverAssigner, serverExecutor)
 	serverSheets := &sheets{
 		rollout: rollout,
 	}
-	serverOperators := provideOperators(serverJobs, serverSheets, source, log, client, server, membership, serverMetrics, serverStatus)
-	httpHandler := provideHandler(serverOperators, handler, serverMeteredRecorder)
+	serverOperators := provideOperators(serverJobs, serverSheets, source, log, client, server, membership, metrics, serverStatus)
+	httpHandler := provideHandler(serverOperators, handler, recorder)
 	serverServer := &Server{
 		settings:   settings,
 		log:        log,
-		metrics:    serverMetrics,
+		metrics:    metrics,
 		peers:      server,
 		calls:      client,
 		membership: membership,
@@ -99,7 +94,8 @@
 var linkSet = wire.NewSet(
 	provideSelf,
 	provideClock,
-	provideLog, wire.Struct(new(meteredRecorder), "*"), wire.Bind(new(event.Recorder), new(*meteredRecorder)), newMetrics,
+	provideLog,
+	newRecorder, wire.Bind(new(event.Recorder), new(*telemetry.Recorder)), newMetrics,
 	provideScope,
 	providePeerServer,
 	providePeerClient, wire.Bind(new(peer.Caller), new(*peer.Client)), newDigester,
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,73 @@
+// Package telemetry exposes a process's metrics through tally and counts its events.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"filbertcross/internal/event"
+)
+
+// reportInterval is how often tally hands changes to the Prometheus reporter; scrapes
+// come every few seconds.
+const reportInterval = time.Second
+
+// Metrics are the process's tally scope and the handler that exposes it for scraping.
+type Metrics struct {
+	Scope   tally.Scope
+	Closer  io.Closer
+	Handler http.Handler
+}
+
+// sanitize keeps the names that Prometheus takes, and values as they are.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters: prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     []tally.SanitizeRange{{'\u0020', '\U0010FFFF'}},
+		Characters: nil,
+	},
+	ReplacementCharacter: prometheus.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
+// New returns the metrics of a process; every metric carries the VM's name and failure domain.
+func New(vm, failureDomain string) *Metrics {
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "filbertcross",
+		Tags:           map[string]string{"vm": vm, "failure_domain": failureDomain},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+
+		SanitizeOptions:        &sanitize,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Closer: closer, Handler: reporter.HTTPHandler()}
+}
+
+// Recorder counts the events that pass to the log, by their name. Safe for concurrent use.
+type Recorder struct {
+	Log   *event.Log
+	Scope tally.Scope
+
+	counters sync.Map // of tally.Counter by *event.Def
+}
+
+// Record implements event.Recorder.
+func (r *Recorder) Record(def *event.Def, values ...any) {
+	counter, ok := r.counters.Load(def)
+	if !ok {
+		counter, _ = r.counters.LoadOrStore(def, r.Scope.Tagged(map[string]string{"event": def.Name}).Counter("events"))
+	}
+	counter.(tally.Counter).Inc(1)
+	r.Log.Record(def, values...)
+}
