An owner without authority answers nobody; a stopped run frees its task by a report only

Change: attach, state and waiting need a held lease; after a stop is answered a look (a hold without wait) tells the end; reports made before the last one give ends only.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -17,6 +17,7 @@
 	}
 	if err == nil {
 		r.answered = now
+		r.task.step.job.began = true
 		if r.phase == runStarting {
 			r.phase = runRunning
 		}
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -12,6 +12,7 @@
 type HoldCommand struct {
 	To   fleet.Target
 	Hold fleet.Hold
+	Look bool // a question beside the long poll that is out
 }
 
 // StartCommand is answered by Started.
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -97,7 +97,8 @@
 // authority had ended when this one's fencing token was made, so a later submission is safe.
 func (d *Dispatcher) eligible(j *job) bool { return d.recovered || j.revision > d.opts.Fence }
 
-// stops sends the stops that are due and lets tasks go whose stop has surely taken effect.
+// stops sends the stops that are due. An answered stop does not free the task: the run may
+// have ended as done before, which the next report tells.
 func (d *Dispatcher) stops(now time.Duration) {
 	for _, r := range d.sorted(d.runs) {
 		if r.phase != runStopping {
@@ -108,8 +109,8 @@
 			d.emit(StopCommand{To: r.worker.target(), Run: r.id, Fence: d.opts.Fence})
 			d.events.Record(event.RunStopped, r.worker.entry.ID, r.id.Task, r.id.Run, r.reason)
 		}
-		if r.stopAnswer != 0 && now >= r.stopAnswer+d.opts.StopTimeout+stopMargin {
-			d.release(r)
+		if r.stopAnswer != 0 {
+			d.look(now, r.worker)
 		}
 	}
 }
@@ -135,6 +136,15 @@
 	}
 }
 
+// look asks a worker at once what runs there, while its long poll may take a while.
+func (d *Dispatcher) look(now time.Duration, w *worker) {
+	if w.looking || w.failing > 0 || now < w.lookDue {
+		return
+	}
+	w.looking, w.lookDue = true, now+lookEvery
+	d.emit(HoldCommand{To: w.target(), Hold: fleet.Hold{Fence: d.opts.Fence, Acknowledged: w.acked}, Look: true})
+}
+
 // ready lists the steps that want workers, the most urgent first.
 func (d *Dispatcher) ready(now time.Duration) []*step {
 	var list []*step
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -23,7 +23,7 @@
 	stopRetry          = 300 * time.Millisecond // until a stop is answered
 	clockDrift         = 0.98                   // rate of the slowest worker's clock, from the platform's page
 	lapseMargin        = 60 * time.Millisecond  // added to a lease's end, for timers that fire late
-	stopMargin         = 40 * time.Millisecond  // added to the stop timeout, likewise
+	lookEvery          = 150 * time.Millisecond // between looks for the end of a stopped run
 	roomBackoff        = 300 * time.Millisecond // of a worker that refused for want of room: its next report corrects the books
 	unhealthyBackoff   = time.Second            // of a worker that refused as unhealthy
 	retryDelay         = 250 * time.Millisecond // of a lasting task after a failure, so that a crash loop stays cheap
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -117,7 +117,7 @@
 		t.state = taskActive
 		s.waiting--
 	}
-	s.started, s.job.began = true, true
+	s.started = true
 	deadline := w.clockNow(now) + d.opts.Lease.Milliseconds()
 	w.granted = max(w.granted, deadline)
 	d.events.Record(event.RunPlaced, w.entry.ID, r.id.Task, number, now-s.job.arrived, now-w.lastHeard, w.free().MilliCPU)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -25,12 +25,26 @@
 	}
 }
 
-// Report takes a worker's answer to a hold that was sent at the given time.
-func (d *Dispatcher) Report(now, sent time.Duration, id model.WorkerID, rep fleet.Report) {
+// LookFailed takes the failure of a look, which says nothing: the long poll judges the worker.
+func (d *Dispatcher) LookFailed(id model.WorkerID) {
+	if w := d.workers[id]; w != nil {
+		w.looking = false
+	}
+}
+
+// Report takes a worker's answer to a hold or look that was sent at the given time.
+func (d *Dispatcher) Report(now, sent time.Duration, id model.WorkerID, look bool, rep fleet.Report) {
 	w := d.workers[id]
 	if w == nil {
 		return
 	}
+	if look {
+		w.looking = false
+		if w.heard && rep.Born == w.born {
+			d.takeReport(now, sent, w, rep)
+		}
+		return
+	}
 	if w.failing > 0 {
 		d.events.Record(event.WorkerHeard, id, now-w.lastHeard, w.failing)
 	}
@@ -39,21 +53,30 @@
 		d.reborn(now, w, rep.Born)
 	}
 	w.born, w.heard = rep.Born, true
-	w.clock, w.clockAt = rep.Clock, now
+	d.takeReport(now, sent, w, rep)
+	w.holdDue = now
+	if len(w.ackQueue) > 0 {
+		w.holdDue = now + unackedPoll
+	}
+}
+
+// takeReport takes the lists of a report. Answers overtake each other: of one that was made
+// before the last, only the ends are news.
+func (d *Dispatcher) takeReport(now, sent time.Duration, w *worker, rep fleet.Report) {
 	for _, e := range rep.Ended {
 		d.endRow(now, w, e)
 	}
+	d.acknowledge(w)
+	if rep.Clock < w.clock {
+		return
+	}
+	w.clock, w.clockAt = rep.Clock, now
 	listed := make(map[fleet.RunID]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		listed[row.RunID] = true
 		d.runningRow(now, w, row)
 	}
 	d.missing(now, sent, w, listed)
-	d.acknowledge(w)
-	w.holdDue = now
-	if len(w.ackQueue) > 0 {
-		w.holdDue = now + unackedPoll
-	}
 }
 
 // reborn ends all runs of the worker's earlier incarnation. A start whose answer is still
@@ -68,7 +91,7 @@
 		}
 		d.end(r)
 	}
-	w.seen, w.acked, w.ackQueue, w.granted = 0, 0, nil, 0
+	w.seen, w.acked, w.ackQueue, w.granted, w.clock = 0, 0, nil, 0, 0
 	w.failures, w.probing = 0, false
 }
 
@@ -94,6 +117,7 @@
 	if r.answered == 0 {
 		r.answered = now
 	}
+	r.task.step.job.began = true
 	if r.phase == runStarting || r.phase == runUncertain {
 		r.phase = runRunning
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -23,6 +23,8 @@
 
 	holding   bool // a hold is out
 	holdDue   time.Duration
+	looking   bool // a look is out
+	lookDue   time.Duration
 	failing   int // holds failed in a row
 	lastHeard time.Duration
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 func (n *Node) stateOfOwner(ctx context.Context, id fleet.JobID) (fleet.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	if o := n.current.Load(); o != nil {
+	if o := n.current.Load(); o != nil && o.Authorized() {
 		return o.State(ctx, id)
 	}
 	address := n.ownerAddress()
@@ -190,7 +190,7 @@
 
 // Waiting returns the owner's count for a queue.
 func (n *Node) Waiting(queue string) (int, bool) {
-	if o := n.current.Load(); o != nil {
+	if o := n.current.Load(); o != nil && o.Authorized() {
 		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 		defer cancel()
 		counts, err := o.Waiting(ctx)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -35,7 +35,7 @@
 
 func (n *Node) owner() (*owner.Owner, error) {
 	o := n.current.Load()
-	if o == nil {
+	if o == nil || !o.Authorized() {
 		return nil, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM does not decide", Verdict: verdict.NotRun}
 	}
 	return o, nil
@@ -58,7 +58,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if n.current.Load() != o {
+	if n.current.Load() != o || !o.Authorized() {
 		return attachAnswer{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM decides no more", Verdict: verdict.NotRun}
 	}
 	waiting, err := o.Waiting(ctx)
@@ -104,7 +104,7 @@
 }
 
 func (n *Node) serveOwner(context.Context, struct{}) (ownerAnswer, error) {
-	if o := n.current.Load(); o != nil {
+	if o := n.current.Load(); o != nil && o.Authorized() {
 		return ownerAnswer{Address: n.opts.PeerAddress, Fence: o.Fence()}, nil
 	}
 	return ownerAnswer{Address: n.ownerAddress()}, nil
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -197,12 +197,15 @@
 			return o.opts.Workers.Hold(ctx, c.To, c.Hold)
 		})
 		return func(now time.Duration) {
-			if err != nil {
+			switch {
+			case err == nil:
+				o.holdTime.RecordDuration(now - sent)
+				d.Report(now, sent, c.To.ID, c.Look, report)
+			case c.Look:
+				d.LookFailed(c.To.ID)
+			default:
 				d.HoldFailed(now, c.To.ID, err)
-				return
 			}
-			o.holdTime.RecordDuration(now - sent)
-			d.Report(now, sent, c.To.ID, report)
 		}
 	case dispatch.StartCommand:
 		sent := o.opts.Clock()
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -46,6 +46,9 @@
 // Fence returns the owner's fencing token.
 func (o *Owner) Fence() int64 { return o.authority.Fence }
 
+// Authorized reports whether the owner's lease is surely held; what it knows may be old else.
+func (o *Owner) Authorized() bool { return o.authority.Holds(o.opts.Clock()) }
+
 // Ended is closed when the owner has stopped deciding.
 func (o *Owner) Ended() <-chan struct{} { return o.ended }
 
