An owner whose reading of the configuration is old sends its followers to the store

Change: attach is refused when the owner's last answer about the configuration is older than 0.9 s; a follower that loses its owner reads the store at once.

--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -15,7 +15,7 @@
 
 // Timing of following and of elections.
 const (
-	attachWait     = time.Second // the owner answers a long poll after this, or with news
+	attachWait     = 500 * time.Millisecond // the owner answers a long poll after this, or with news
 	attachTimeout  = attachWait + 500*time.Millisecond
 	ownerWatch     = 700 * time.Millisecond // a follower without an answer looks at the owner's key so long
 	storeTimeout   = 700 * time.Millisecond
@@ -90,7 +90,7 @@
 		return
 	}
 	o := owner.New(n.opts.Owner, authority)
-	n.setOwner("")
+	n.detach()
 	n.current.Store(o)
 	defer n.current.Store(nil)
 	if conf := n.Configuration(); conf != nil {
@@ -103,7 +103,7 @@
 
 // follow polls the owner until it does not answer, and reports whether it is proved dead.
 func (n *Node) follow(ctx context.Context, address string) (dead bool) {
-	defer n.setOwner("")
+	defer n.detach()
 	for known := false; ctx.Err() == nil; {
 		reply, err := n.attach(ctx, address)
 		if err != nil {
@@ -148,10 +148,11 @@
 	return reply, nil
 }
 
-func (n *Node) setOwner(address string) {
+// detach notes that this VM learns nothing from an owner.
+func (n *Node) detach() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ownerAt = address
+	n.ownerAt, n.attached = "", time.Time{}
 }
 
 // followKnown finds the owner through other VMs when the store does not answer this one.
@@ -211,7 +212,13 @@
 // Timing of reading the configuration.
 const (
 	attachedCheck = 250 * time.Millisecond
-	attachedAge   = 1600 * time.Millisecond // just above a long poll: the configuration has to be in force after 2 s
+	attachedAge   = attachTimeout + 100*time.Millisecond
+	// configFresh is how old the owner's own reading may be for others to rely on it. With the
+	// long poll it leaves time to read the store within the 2 s in which a change has to be in
+	// force.
+	configFresh     = 900 * time.Millisecond
+	configWatch     = 500 * time.Millisecond
+	configWatchTime = configWatch + 300*time.Millisecond
 )
 
 func (n *Node) attachedLately() bool {
@@ -222,7 +229,7 @@
 
 // readConfiguration waits for a change after a revision, or reads what is there.
 func (n *Node) readConfiguration(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, configWatchTime)
 	defer cancel()
 	key := n.opts.Owner.Codec.ConfigKey
 	if after == 0 {
@@ -230,6 +237,7 @@
 		if err != nil {
 			return 0, err
 		}
+		n.confirmed.Store(int64(n.opts.Owner.Clock()))
 		if found {
 			n.takeConfiguration(ctx, item.Value)
 		} else {
@@ -237,10 +245,11 @@
 		}
 		return revision, nil
 	}
-	items, next, err := n.opts.Store.Watch(ctx, key, after, ownerWatch)
+	items, next, err := n.opts.Store.Watch(ctx, key, after, configWatch)
 	if err != nil {
 		return 0, err
 	}
+	n.confirmed.Store(int64(n.opts.Owner.Clock()))
 	for _, item := range items {
 		if item.Key == key && !item.Deleted {
 			n.takeConfiguration(ctx, item.Value)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,8 @@
 	advisors *advisors
 	stopping atomic.Bool
 	current  atomic.Pointer[owner.Owner]
+	// confirmed is the clock reading of the last answer of the store about the configuration.
+	confirmed atomic.Int64
 
 	mu        sync.Mutex
 	ownerAt   string // peer address of the owner that this VM follows; empty: none
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -50,6 +50,9 @@
 	}
 	n.advisors.attached(r.Address)
 	_, _, changed := n.configs.get()
+	if n.opts.Owner.Clock()-time.Duration(n.confirmed.Load()) > configFresh {
+		return attachAnswer{}, &peer.Error{Code: peer.CodeNotOwner, Message: "the configuration here may be old", Verdict: verdict.NotRun}
+	}
 	if r.Configuration >= 0 && r.Configuration >= n.configs.version() {
 		select {
 		case <-changed:
