Lost answers are noticed sooner; the store's breaker; leases 3.5 s, authority 1.5 s

Writes to a silent store were held to the caller's deadline and answered 504, which callers do not repeat. Change: holds wait 0.6 s and time out 0.27 s later, and one that follows a failure goes out at once; a start without an answer is looked for first; leases are renewed 3 s beyond the authority, which the successor's wait counts in; a breaker answers 503 when nothing was sent.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -26,9 +26,8 @@
 	d.events.Record(event.StartFailed, worker, id.Task, id.Run, err)
 	if !fleet.NotRun(err) {
 		if r.phase == runStarting {
-			r.phase = runUncertain
+			r.phase, r.unsure = runUncertain, now
 		}
-		d.stop(now, r, "the answer to its start was lost")
 		return
 	}
 	d.end(r)
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -12,9 +12,12 @@
 // surely held) nothing is ordered, but time goes on.
 func (d *Dispatcher) Decide(now time.Duration, wall time.Time, authorized bool) []Command {
 	if !authorized {
+		d.holdOn(now)
+		out := d.out
 		d.out = nil
-		return nil
+		return out
 	}
+	d.authorizedAt = now
 	d.openOccurrences(wall)
 	d.expireWorkers(now)
 	d.recover(now)
@@ -101,6 +104,9 @@
 // have ended as done before, which the next report tells.
 func (d *Dispatcher) stops(now time.Duration) {
 	for _, r := range d.sorted(d.runs) {
+		if r.phase == runUncertain {
+			d.look(now, r.worker)
+		}
 		if r.phase != runStopping {
 			continue
 		}
@@ -145,6 +151,14 @@
 	d.emit(HoldCommand{To: w.target(), Hold: fleet.Hold{Fence: d.opts.Fence, Acknowledged: w.acked}, Look: true})
 }
 
+// holdOn renews leases for a while without authority: a successor counts with it, and what
+// runs survives an outage of the store.
+func (d *Dispatcher) holdOn(now time.Duration) {
+	if now < d.authorizedAt+d.opts.HoldGrace {
+		d.holds(now)
+	}
+}
+
 // ready lists the steps that want workers, the most urgent first.
 func (d *Dispatcher) ready(now time.Duration) []*step {
 	var list []*step
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,11 +25,12 @@
 	runs    map[fleet.RunID]*run
 	cancels map[fleet.JobID]bool // of submissions that are not known yet
 
-	dirty       []*job
-	removals    []fleet.JobID
-	recordDirty bool
-	recovered   bool
-	deposed     bool
+	dirty        []*job
+	removals     []fleet.JobID
+	recordDirty  bool
+	recovered    bool
+	deposed      bool
+	authorizedAt time.Duration // of the last decision with authority
 
 	adviceSlots int // calls for advice that may be out at once
 	adviceOut   int
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -6,7 +6,8 @@
 type Options struct {
 	Fence       int64         // fencing token of this owner; rises with every owner
 	Lease       time.Duration // of what runs on a worker, renewed with every hold
-	MaxHold     time.Duration // longest lease any owner can have granted
+	GrantBound  time.Duration // from the election: how long what an earlier owner granted can last
+	HoldGrace   time.Duration // for which leases are still renewed after the authority is not surely held
 	StopTimeout time.Duration // within which a worker ends a stopped run
 	GangTimeout time.Duration
 	Retention   time.Duration // of final states
@@ -15,9 +16,8 @@
 
 // Timing of calls and of judgements.
 const (
-	HoldWait           = time.Second // long poll; the bound on how late a silent worker is noticed
-	HoldTimeout        = HoldWait + 600*time.Millisecond
-	OrderTimeout       = 400 * time.Millisecond // round trips take about 10 ms; a lost packet is repeated after 200 ms
+	HoldWait           = 600 * time.Millisecond // long poll; with the order timeout the bound on how late a lost answer is noticed, when runs last about a second
+	OrderTimeout       = 270 * time.Millisecond // of an order, and of a hold beyond its wait: round trips take about 10 ms, a lost packet is repeated after 200 ms
 	holdRetry          = 200 * time.Millisecond // between holds of a worker that does not answer
 	unackedPoll        = 150 * time.Millisecond // between holds while ends wait to become durable: a long poll would return at once
 	stopRetry          = 300 * time.Millisecond // until a stop is answered
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -16,7 +16,10 @@
 		return
 	}
 	w.holding = false
-	w.holdDue = now + holdRetry
+	w.holdDue = now
+	if w.failing > 0 {
+		w.holdDue = now + holdRetry
+	}
 	if fleet.RefusalOf(err) == fleet.RefusedFence {
 		d.deposed = true
 	}
@@ -28,7 +31,7 @@
 // LookFailed takes the failure of a look, which says nothing: the long poll judges the worker.
 func (d *Dispatcher) LookFailed(id model.WorkerID) {
 	if w := d.workers[id]; w != nil {
-		w.looking = false
+		w.looking, w.lookDue = false, 0
 	}
 }
 
@@ -168,6 +171,10 @@
 		if listed[r.id] {
 			continue
 		}
+		if r.phase == runUncertain && r.unsure < sent {
+			d.stop(now, r, "the answer to its start was lost, and it is not there")
+			continue
+		}
 		started := r.answered != 0 && r.answered < sent
 		stopped := r.stopAnswer != 0 && r.stopAnswer < sent
 		if started || stopped {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -78,6 +78,7 @@
 	pace       int // percent; paceUnknown after a lost answer
 	paceOut    bool
 	paceDue    time.Duration
+	unsure     time.Duration // when its start was given up without an answer
 	stopOut    bool          // a stop is on its way
 	stopDue    time.Duration // when to send the next one
 	stopAnswer time.Duration // of the first answered stop; 0: none
@@ -105,12 +106,12 @@
 // worker's clock may run slow, which makes the lease longer on ours.
 func (w *worker) lapse(d *Dispatcher) time.Duration {
 	if !w.heard {
-		return d.began + time.Duration(float64(d.opts.MaxHold)/clockDrift) + lapseMargin
+		return d.began + time.Duration(float64(d.opts.GrantBound)/clockDrift) + lapseMargin
 	}
 	left := time.Duration(max(w.granted-w.clock, 0)) * time.Millisecond
 	end := w.clockAt + time.Duration(float64(left)/clockDrift) + lapseMargin
 	if w.granted == 0 { // only an earlier owner's lease
-		end = max(end, d.began+time.Duration(float64(d.opts.MaxHold)/clockDrift)+lapseMargin)
+		end = max(end, d.began+time.Duration(float64(d.opts.GrantBound)/clockDrift)+lapseMargin)
 	}
 	return end
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -155,10 +155,10 @@
 	return h.unsettled(w, r, string(id), result)
 }
 
-// unsettled answers a write that is not known to be stored. The answer claims nothing about
-// the submission: an earlier try of the caller, at another VM, may have stored it.
+// unsettled answers a write that is not known to be stored. 503 promises that this request
+// is not run, so it is kept for writes that surely did nothing.
 func (h *Handler) unsettled(w http.ResponseWriter, r *http.Request, id string, result Result) int {
-	status := http.StatusBadGateway
+	status := http.StatusServiceUnavailable
 	if result.Verdict == verdict.MayHaveRun {
 		status = http.StatusGatewayTimeout
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -25,9 +25,10 @@
 	mebibyte    = 1 << 20
 	peerStall   = 800 * time.Millisecond // a silent connection to a VM is given up after this
 	peerDial    = 500 * time.Millisecond
-	runLease    = 5 * time.Second        // survives a change of owner (about 2.5 s) after a hold that is up to 1.6 s old
-	largeVM     = 0.4                    // cores from which a VM is a first choice as the owner
-	standBack   = 250 * time.Millisecond // of a VM without any processor; in proportion for small ones
+	runLease    = 3500 * time.Millisecond // survives a change of owner (about 2 s) after a hold that is up to 0.9 s old
+	holdGrace   = 3 * time.Second         // carries what runs over an outage of the store of about 5 s
+	largeVM     = 0.4                     // cores from which a VM is a first choice as the owner
+	standBack   = 250 * time.Millisecond  // of a VM without any processor; in proportion for small ones
 )
 
 // Settings are the process's own settings.
@@ -82,7 +83,8 @@
 			},
 			Dispatch: dispatch.Options{
 				Lease:       min(runLease, maxHold),
-				MaxHold:     min(runLease, maxHold) + owner.LeaseTTL,
+				GrantBound:  min(runLease, maxHold) + owner.LeaseTTL + holdGrace,
+				HoldGrace:   holdGrace,
 				StopTimeout: platform.Milliseconds(s.Bounds.StopTimeoutMS),
 				GangTimeout: platform.Milliseconds(s.Bounds.GangTimeoutMS),
 				Retention:   seconds(s.Bounds.StatusS),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 // Run serves until ctx is done, then stops gracefully within the grace time.
 func (n *Node) Run(ctx context.Context) error {
 	servers := []*http.Server{
-		n.server(n.opts.Callers, entry.NewHandler(n.opts.Format, n, n.opts.Store, relay{n}, n.opts.Events, n.opts.Scope)),
+		n.server(n.opts.Callers, entry.NewHandler(n.opts.Format, n, n.breaker(), relay{n}, n.opts.Events, n.opts.Scope)),
 		n.server(n.opts.Ready, http.HandlerFunc(n.ready)),
 		n.server(n.opts.Metrics, n.opts.MetricsPage),
 	}
@@ -137,6 +137,14 @@
 	n.opts.Events.Record(event.NodeStopped, time.Since(begun))
 }
 
+// breaker guards callers' writes; its probe reads the owner's key.
+func (n *Node) breaker() *entry.Breaker {
+	return entry.NewBreaker(n.opts.Store, func(ctx context.Context) error {
+		_, _, _, err := n.opts.Store.Get(ctx, owner.Key)
+		return err
+	}, n.opts.Events)
+}
+
 // ready answers the entry balancer.
 func (n *Node) ready(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != n.opts.ReadyPath {
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -13,11 +13,11 @@
 
 // Timing of the owner's lease in the store.
 const (
-	LeaseTTL      = 2 * time.Second        // bounds how long nobody decides after an owner is lost without a trace
-	renewEvery    = 500 * time.Millisecond // three renewals may fail
-	renewTimeout  = 600 * time.Millisecond
-	safetyMargin  = 200 * time.Millisecond // of the lease that is not used: late timers, and orders on their way
-	campaignCalls = 700 * time.Millisecond // timeout of one store call
+	LeaseTTL      = 1500 * time.Millisecond // bounds how long nobody decides after an owner is lost without a trace
+	renewEvery    = 300 * time.Millisecond  // three renewals may fail
+	renewTimeout  = 500 * time.Millisecond  // a slow store takes about 250 ms
+	safetyMargin  = 200 * time.Millisecond  // of the lease that is not used: late timers, and orders on their way
+	campaignCalls = 700 * time.Millisecond  // timeout of one store call
 )
 
 // Clock is a steady clock that also counts the time for which the machine was suspended.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -193,7 +193,7 @@
 	switch c := c.(type) {
 	case dispatch.HoldCommand:
 		sent := o.opts.Clock()
-		report, err := limit(ctx, dispatch.HoldTimeout, func(ctx context.Context) (fleet.Report, error) {
+		report, err := limit(ctx, c.Hold.Wait+dispatch.OrderTimeout, func(ctx context.Context) (fleet.Report, error) {
 			return o.opts.Workers.Hold(ctx, c.To, c.Hold)
 		})
 		return func(now time.Duration) {
