--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -90,6 +90,10 @@
 	for i, w := range candidates {
 		names[i] = w.entry.ID
 	}
+	cost := policy.Decision + time.Duration(len(names))*policy.PerItem
+	if cost > quickAdvice && d.adviceSlots-d.adviceOut <= d.adviceSlots/reservedSlots {
+		return
+	}
 	a.asking = true
 	d.adviceOut++
 	d.emit(AdviseCommand{Step: s.id, Workers: names})
@@ -144,5 +148,12 @@
 	return true
 }
 
+// Some VMs are kept for calls that take little time: behind long ones the steps of people
+// who wait would lose more time than they run.
+const (
+	quickAdvice   = 150 * time.Millisecond
+	reservedSlots = 4 // one in so many
+)
+
 // adviceLead is asked ahead beside the call's own time: two hops between VMs and queueing.
 const adviceLead = 100 * time.Millisecond
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -118,10 +118,11 @@
 	}
 }
 
-// AddJob takes an accepted submission; progress is nil for one that was just accepted.
-func (d *Dispatcher) AddJob(now time.Duration, sub *fleet.Submission, revision int64, age time.Duration, p *Progress) {
+// AddJob takes an accepted submission, and reports whether it is new here; progress is nil
+// for one that was just accepted.
+func (d *Dispatcher) AddJob(now time.Duration, sub *fleet.Submission, revision int64, age time.Duration, p *Progress) bool {
 	if d.jobs[sub.ID] != nil {
-		return
+		return false
 	}
 	j := &job{sub: sub, revision: revision, state: fleet.Pending, shown: fleet.Pending, arrived: now - age}
 	j.steps = make([][]*step, max(sub.Occurrences, 1))
@@ -136,28 +137,32 @@
 	if j.state.Final() {
 		j.finished = now
 		d.ended = append(d.ended, j)
-		return
+		return true
 	}
 	d.live = append(d.live, j)
 	if d.cancels[sub.ID] {
 		d.Cancel(now, sub.ID)
 	}
 	d.settle(now, j)
+	return true
 }
 
-// Cancel ends a submission; one that is not known yet is cancelled when it comes.
-func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID) {
+// Cancel ends a submission, and reports whether that is news; one that is not known yet is
+// cancelled when it comes.
+func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID) bool {
 	j := d.jobs[id]
 	if j == nil {
+		news := !d.cancels[id]
 		d.cancels[id] = true
-		return
+		return news
 	}
 	delete(d.cancels, id)
 	if j.closed() {
-		return
+		return false
 	}
 	j.canceled = true
 	d.finish(now, j, fleet.Canceled, "the caller cancelled it")
+	return true
 }
 
 // finish gives a job its final state and stops what runs of it.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -39,6 +39,8 @@
 	State(ctx context.Context, id fleet.JobID) (fleet.State, error)
 	// Waiting returns the number for a queue; false: it is not known.
 	Waiting(queue string) (int, bool)
+	// Stored tells the owner what was written at a revision.
+	Stored(w fleet.Write, revision int64)
 	// Stopping reports whether connections are to be closed after the answer.
 	Stopping() bool
 }
@@ -140,6 +142,7 @@
 	}
 	result := create(ctx, h.store, h.relay, txn)
 	if result.Stored {
+		h.notify(txn, result)
 		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Tries)
 		return answer(w, http.StatusOK, []byte("{}"))
 	}
@@ -147,14 +150,22 @@
 }
 
 func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.JobID) int {
-	result := create(ctx, h.store, h.relay, owner.CancelTxn(id))
+	txn := owner.CancelTxn(id)
+	result := create(ctx, h.store, h.relay, txn)
 	if result.Stored {
+		h.notify(txn, result)
 		h.events.Record(event.CancelAccepted, id, result.Tries)
 		return answer(w, http.StatusOK, []byte("{}"))
 	}
 	return h.unsettled(w, r, string(id), result)
 }
 
+func (h *Handler) notify(txn fleet.Txn, result Result) {
+	if result.Revision != 0 {
+		h.view.Stored(txn.Set[0], result.Revision)
+	}
+}
+
 // unsettled answers a write that is not known to be stored. 503 promises that this request
 // is not run, so it is kept for writes that surely did nothing.
 func (h *Handler) unsettled(w http.ResponseWriter, r *http.Request, id string, result Result) int {
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -26,10 +26,11 @@
 
 // Result is what is known of a write for a caller.
 type Result struct {
-	Stored  bool
-	Verdict verdict.Verdict // when it is not stored: whether it may still be
-	Tries   int
-	Err     error
+	Stored   bool
+	Revision int64           // of a write that was answered; 0: the key was there, or the answer was lost
+	Verdict  verdict.Verdict // when it is not stored: whether it may still be
+	Tries    int
+	Err      error
 }
 
 // create stores a key that must not exist; one that exists already counts as stored, as the
@@ -44,11 +45,11 @@
 		if refused%2 == 1 && relay != nil {
 			via = relay
 		}
-		err := try(ctx, via, t, timeout)
+		revision, err := try(ctx, via, t, timeout)
 		var conflict *fleet.ConflictError
 		switch {
 		case err == nil || errors.As(err, &conflict):
-			r.Stored, r.Err = true, nil
+			r.Stored, r.Revision, r.Err = true, revision, nil
 			return r
 		case fleet.NotRun(err):
 			refused++
@@ -69,9 +70,8 @@
 	}
 }
 
-func try(ctx context.Context, via Committer, t fleet.Txn, timeout time.Duration) error {
+func try(ctx context.Context, via Committer, t fleet.Txn, timeout time.Duration) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := via.Commit(ctx, t)
-	return err
+	return via.Commit(ctx, t)
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -14,7 +14,8 @@
 	methodState  peer.Method = "node.state"
 	methodCommit peer.Method = "node.commit" // a store write for a VM that the store turns away
 	methodAdvise peer.Method = "node.advise"
-	methodOwner  peer.Method = "node.owner" // which owner a VM knows
+	methodNotify peer.Method = "node.notify" // what a VM has just stored, ahead of the owner's watch
+	methodOwner  peer.Method = "node.owner"  // which owner a VM knows
 )
 
 type attachRequest struct {
@@ -60,6 +61,13 @@
 	Failure  string                    `json:"failure,omitempty"`
 }
 
+// notifyRequest carries an item of the intake.
+type notifyRequest struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+}
+
 type ownerAnswer struct {
 	Address string `json:"address"`
 	Fence   int64  `json:"fence"`
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -19,6 +19,7 @@
 	r.Handle(methodState, handle(n.serveState))
 	r.Handle(methodCommit, handle(n.serveCommit))
 	r.Handle(methodAdvise, handle(n.serveAdvise))
+	r.Handle(methodNotify, handle(n.serveNotify))
 	r.Handle(methodOwner, handle(n.serveOwner))
 }
 
@@ -113,6 +114,35 @@
 	return ownerAnswer{Address: n.ownerAddress()}, nil
 }
 
+func (n *Node) serveNotify(ctx context.Context, r notifyRequest) (struct{}, error) {
+	o, err := n.owner()
+	if err != nil {
+		return struct{}{}, err
+	}
+	o.Notify(ctx, fleet.Item{Key: r.Key, Value: r.Value, Revision: r.Revision, Created: r.Revision})
+	return struct{}{}, nil
+}
+
+// Stored tells the owner what this VM has just stored. The owner's watch finds it too, but a
+// store that drops its history keeps the watch waiting.
+func (n *Node) Stored(w fleet.Write, revision int64) {
+	request := notifyRequest{Key: w.Key, Value: w.Value, Revision: revision}
+	if o := n.current.Load(); o != nil {
+		go o.Notify(context.Background(), fleet.Item{Key: w.Key, Value: w.Value, Revision: revision, Created: revision})
+		return
+	}
+	address := n.ownerAddress()
+	if address == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+		defer cancel()
+		// A lost notice costs only time: the watch finds the item.
+		_ = n.opts.Caller.Call(ctx, address, methodNotify, request, nil)
+	}()
+}
+
 // relay writes to the store through the owner, for a VM that the store turns away.
 type relay struct{ node *Node }
 
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"filbertcross/internal/fleet"
 )
@@ -44,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := cbor.Marshal(self)
+	value, err := encoding.Marshal(self)
 	if err != nil {
 		return nil, errors.Wrap(err, "owner record")
 	}
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/event"
@@ -54,7 +53,7 @@
 func (o *Owner) txn(batch []dispatch.Record) (fleet.Txn, error) {
 	txn := fleet.Txn{If: []fleet.Condition{{Key: Key, Revision: o.authority.Fence}}}
 	set := func(key string, value any) error {
-		data, err := cbor.Marshal(value)
+		data, err := encoding.Marshal(value)
 		txn.Set = append(txn.Set, fleet.Write{Key: key, Value: data})
 		return err
 	}
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -17,6 +17,15 @@
 	encodedCancel = "1"
 )
 
+// encoding keeps the fractions of a second, which the library's default drops.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // JobKey is where a submission lies.
 func JobKey(id fleet.JobID) string { return jobPrefix + string(id) }
 
@@ -28,7 +37,7 @@
 
 // SubmissionTxn stores a submission unless one with its id is there.
 func SubmissionTxn(s *fleet.Submission) (fleet.Txn, error) {
-	value, err := cbor.Marshal(s)
+	value, err := encoding.Marshal(s)
 	if err != nil {
 		return fleet.Txn{}, err
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -101,7 +101,9 @@
 		case item.Deleted:
 		case strings.HasPrefix(item.Key, cancelPrefix):
 			id := fleet.JobID(strings.TrimPrefix(item.Key, cancelPrefix))
-			o.dispatcher.Cancel(now, id)
+			if !o.dispatcher.Cancel(now, id) {
+				continue
+			}
 			o.opts.Events.Record(event.CancelTaken, id, o.dispatcher.State(id))
 		case strings.HasPrefix(item.Key, jobPrefix):
 			sub := &fleet.Submission{}
@@ -113,7 +115,9 @@
 			if progress == nil {
 				age = min(age, watchTimeout) // clocks of VMs differ; a watch is not later than this
 			}
-			o.dispatcher.AddJob(now, sub, item.Created, age, progress[sub.ID])
+			if !o.dispatcher.AddJob(now, sub, item.Created, age, progress[sub.ID]) {
+				continue
+			}
 			o.opts.Events.Record(event.SubmissionTaken, sub.ID, sub.Queue, len(sub.Steps), item.Created, age)
 		}
 	}
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -43,6 +43,15 @@
 	o.post(ctx, func(time.Duration) { o.dispatcher.SetConfiguration(c) })
 }
 
+// Notify hands over an item of the intake that its writer has just stored.
+func (o *Owner) Notify(ctx context.Context, item fleet.Item) {
+	select {
+	case o.mail <- func(now time.Duration) { o.take(now, []fleet.Item{item}, nil) }:
+	case <-o.ended:
+	case <-ctx.Done():
+	}
+}
+
 // Fence returns the owner's fencing token.
 func (o *Owner) Fence() int64 { return o.authority.Fence }
 
