dispatch: preemption, copies, overdue looks; tests and a stand-in of the platform

Runs were sorted at every decision. Tests name the load patterns; a stand-in of store, executors and advice with a judge drives nodes in one process.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -26,6 +26,7 @@
 	d.events.Record(event.StartFailed, worker, id.Task, id.Run, err)
 	if !fleet.NotRun(err) {
 		if r.phase == runStarting {
+			d.unsettled(r)
 			r.phase, r.unsure = runUncertain, now
 		}
 		return
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -18,12 +18,11 @@
 		return out
 	}
 	d.authorizedAt = now
-	d.openOccurrences(wall)
-	d.expireWorkers(now)
+	if now >= d.scanDue {
+		d.scanDue = now + scanEvery
+		d.scan(now, wall)
+	}
 	d.recover(now)
-	d.drain(now)
-	d.watchRuns(now)
-	d.share(now)
 	d.stops(now)
 	d.holds(now)
 	steps := d.ready(now)
@@ -31,11 +30,23 @@
 	for _, s := range steps {
 		d.placeStep(now, s)
 	}
+	d.preempt(now, steps)
 	out := d.out
 	d.out = nil
 	return out
 }
 
+// scan looks at all workers and runs, which is not needed after every message.
+func (d *Dispatcher) scan(now time.Duration, wall time.Time) {
+	d.runList = slices.DeleteFunc(d.runList, func(r *run) bool { return r.gone })
+	d.openOccurrences(wall)
+	d.expireWorkers(now)
+	d.drain(now)
+	d.watchRuns(now)
+	d.speculate(now)
+	d.share(now)
+}
+
 func (d *Dispatcher) emit(c Command) { d.out = append(d.out, c) }
 
 // openOccurrences creates the steps of timed submissions that are due.
@@ -103,11 +114,12 @@
 // stops sends the stops that are due. An answered stop does not free the task: the run may
 // have ended as done before, which the next report tells.
 func (d *Dispatcher) stops(now time.Duration) {
-	for _, r := range d.sorted(d.runs) {
+	d.closing = slices.DeleteFunc(d.closing, func(r *run) bool {
+		return r.gone || r.phase != runUncertain && r.phase != runStopping
+	})
+	for _, r := range d.closing {
 		if r.phase == runUncertain {
 			d.look(now, r.worker)
-		}
-		if r.phase != runStopping {
 			continue
 		}
 		if r.stopAnswer == 0 && !r.stopOut && now >= r.stopDue {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,9 @@
 	live    []*job // not final, by arrival
 	ended   []*job // final, by the time of their end
 	runs    map[fleet.RunID]*run
+	runList []*run // in the order of their start; those that are gone are dropped by compact
+	closing []*run // whose start or stop is not settled
+	scanDue time.Duration
 	cancels map[fleet.JobID]bool // of submissions that are not known yet
 
 	dirty        []*job
@@ -221,8 +224,17 @@
 	if r.phase == runStopping {
 		return
 	}
+	d.unsettled(r)
 	r.phase, r.reason = runStopping, reason
 	r.stopDue = now
+	r.worker.leaving = r.worker.leaving.Add(r.demand)
+}
+
+// unsettled adds a run to those that stops looks at.
+func (d *Dispatcher) unsettled(r *run) {
+	if r.phase != runUncertain && r.phase != runStopping {
+		d.closing = append(d.closing, r)
+	}
 }
 
 // RunsAt lists the runs booked on a worker, for tests and for operators.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -8,19 +8,30 @@
 
 // Limits of what counts as standing still.
 const (
-	stallTime   = 2200 * time.Millisecond // two reports without progress
-	stallAvoid  = 3 * time.Second         // of a worker on which runs stand still
-	drainLead   = 700 * time.Millisecond  // before a worker leaves: the stop timeout and a report
-	fullPace    = 100                     // percent
-	paceUnknown = -1                      // the answer to a pace was lost
+	stallTime     = 1300 * time.Millisecond // two reports without progress
+	stallShare    = 0.05                    // of the estimate: a report tells whole percents
+	overdue       = 1.3                     // times what is left by the estimate, after which an end may have been missed
+	overdueMargin = 100 * time.Millisecond
+	stallAvoid    = 3 * time.Second        // of a worker on which runs stand still
+	drainLead     = 700 * time.Millisecond // before a worker leaves: the stop timeout and a report
+	fullPace      = 100                    // percent
+	paceUnknown   = -1                     // the answer to a pace was lost
 )
 
 // watchRuns moves runs that stand still to other workers.
 func (d *Dispatcher) watchRuns(now time.Duration) {
-	for _, r := range d.sorted(d.runs) {
+	for _, r := range d.runList {
 		w, s := r.worker, r.task.step
-		if r.phase != runRunning || w.failing > 0 || s.def.Gang || s.def.Filler || r.pace != fullPace ||
-			r.percent >= fullPace || now-max(r.progressAt, r.answered) < stallTime {
+		if r.gone || r.phase != runRunning || w.failing > 0 || s.def.Gang || s.def.Filler || r.pace != fullPace || r.percent >= fullPace {
+			continue
+		}
+		since := max(r.progressAt, r.answered)
+		limit := max(stallTime, time.Duration(stallShare*float64(s.def.Estimate)))
+		if w.lastHeard-since < limit {
+			left := time.Duration(overdue * float64(s.def.Estimate) * float64(fullPace-r.percent) / fullPace)
+			if !s.def.LongRunning && now > since+left+overdueMargin && w.lastHeard < since+left {
+				d.look(now, w)
+			}
 			continue
 		}
 		w.stalls++
--- /dev/null
+++ b/internal/dispatch/load_test.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Pattern: rebuilds that checkpoint fill the cluster, then a burst of quick submissions
+// comes (hoogvlucht trouble-1, burst traject-prognose).
+func TestUrgentBurstTakesRoomFromWorkThatCheckpoints(t *testing.T) {
+	r := newRig(t, 2)
+	long := tasks(8, 8)
+	long.Checkpointing, long.Estimate = true, 10*time.Second
+	r.submit("rebuild", "long", long)
+	r.decide()
+	r.accept(r.starts)
+	if len(r.starts) != 8 {
+		t.Fatalf("%d starts of 8", len(r.starts))
+	}
+	r.report(wid(0))
+	r.report(wid(1))
+	r.submit("quick", "urgent", tasks(3, 8))
+	r.decide()
+	if len(r.stops) == 0 {
+		r.after(time.Millisecond)
+		r.decide()
+	}
+	if len(r.stops) != 3 {
+		t.Fatalf("%d runs are stopped for three urgent tasks", len(r.stops))
+	}
+	for range 5 {
+		r.after(time.Millisecond)
+		r.decide()
+		if len(r.stops) != 0 {
+			t.Fatal("more runs are stopped although room is being freed")
+		}
+	}
+}
+
+func TestWorkThatDoesNotCheckpointIsNotDisplaced(t *testing.T) {
+	r := newRig(t, 1)
+	long := tasks(4, 8)
+	long.Estimate = 10 * time.Second
+	r.submit("rebuild", "long", long)
+	r.decide()
+	r.accept(r.starts)
+	r.report(wid(0))
+	r.submit("quick", "urgent", tasks(1, 8))
+	for range 3 {
+		r.decide()
+		r.after(time.Millisecond)
+		if len(r.stops) != 0 {
+			t.Fatal("work that would be lost was stopped")
+		}
+	}
+}
+
+// Pattern: long calls for advice occupy all VMs while quick steps wait (hoogvlucht scale-1).
+func TestQuickAdviceKeepsSlots(t *testing.T) {
+	r := newRig(t, 40)
+	conf := testQueues()
+	conf.Version = 2
+	conf.Queues = append(conf.Queues, fleet.Queue{Name: "slow", Service: "pool", Priority: 2, Attempts: 2, Stretch: 2,
+		Advice: &fleet.AdvicePolicy{Decision: 400 * time.Millisecond, PerItem: 6 * time.Millisecond, Validity: 2500 * time.Millisecond}})
+	r.d.SetConfiguration(conf)
+	r.d.SetAdviceSlots(8)
+	for i := range 12 {
+		r.submit("slow", fleet.JobID(fmt.Sprintf("slow%d", i)), tasks(1, 1))
+	}
+	r.decide()
+	if len(r.asks) != 6 {
+		t.Fatalf("%d long calls are out, want 6 of 8 slots", len(r.asks))
+	}
+	r.submit("advised", "quick", tasks(1, 1))
+	r.decide()
+	if len(r.asks) != 1 || r.asks[0].Step.Job != "quick" {
+		t.Fatalf("asks %v, want the quick one", r.asks)
+	}
+}
+
+func TestStartsCarryTicketsAndOnlyAllowedWorkersAreUsed(t *testing.T) {
+	r := newRig(t, 3)
+	r.submit("advised", "a", tasks(2, 4))
+	r.decide()
+	if len(r.starts) != 0 || len(r.asks) != 1 {
+		t.Fatalf("starts %v asks %v before advice", r.starts, r.asks)
+	}
+	ask := r.asks[0]
+	r.after(30 * time.Millisecond)
+	r.d.Advised(r.now, ask.Step, ask.Workers, map[model.WorkerID]string{wid(2): "ticket"}, 2500*time.Millisecond, nil)
+	r.decide()
+	for _, s := range r.starts {
+		if s.To.ID != wid(2) || s.Start.Ticket != "ticket" {
+			t.Fatalf("start %+v", s)
+		}
+	}
+	if len(r.starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(r.starts))
+	}
+}
+
+// Pattern: a gang whose members do not all fit waits as a whole; a refused member stops the
+// others, and the next run has another number.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	r := newRig(t, 2)
+	gang := tasks(4, 16)
+	gang.Gang = true
+	blocker := tasks(1, 16)
+	r.submit("quick", "b", blocker)
+	r.decide()
+	b := r.starts[0]
+	r.accept(r.starts)
+	r.submit("rebuild", "g", gang)
+	r.decide()
+	if len(r.starts) != 0 {
+		t.Fatalf("%d members start without room for all", len(r.starts))
+	}
+	r.report(b.To.ID, r.end(b, fleet.OutcomeDone))
+	r.decide()
+	if len(r.starts) != 4 {
+		t.Fatalf("%d members of 4", len(r.starts))
+	}
+	for _, s := range r.starts[1:] {
+		if s.Start.Run != r.starts[0].Start.Run {
+			t.Fatal("members have different run numbers")
+		}
+	}
+	members := r.starts
+	r.accept(members[1:])
+	r.d.Started(r.now, members[0].Start.RunID, members[0].To.ID, &fleet.CallError{Refusal: fleet.RefusedRoom, Verdict: 1})
+	r.decide()
+	if len(r.stops) != 3 {
+		t.Fatalf("%d members are stopped after a refusal, want 3", len(r.stops))
+	}
+}
+
+func TestStepsRunInOrderAndRespectLimits(t *testing.T) {
+	r := newRig(t, 2)
+	second := tasks(4, 1)
+	second.After, second.MaxPerWorker, second.RequiredLabel = []int{0}, 1, "a"
+	r.submit("quick", "a", tasks(1, 4), second)
+	r.decide()
+	if len(r.starts) != 1 {
+		t.Fatalf("%d starts, want the first step only", len(r.starts))
+	}
+	first := r.starts[0]
+	r.accept(r.starts)
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.decide()
+	if len(r.starts) != 2 {
+		t.Fatalf("%d starts, want one on each of two workers", len(r.starts))
+	}
+}
+
+func TestDrainingWorkerGetsNothingAndLosesItsLastingTasks(t *testing.T) {
+	r := newRig(t, 2)
+	watch := tasks(2, 4)
+	watch.LongRunning = true
+	r.submit("quick", "w", watch)
+	r.decide()
+	r.accept(r.starts)
+	r.list(2, func(i int, e *fleet.WorkerEntry) {
+		e.Draining, e.Remaining = i == 0, 2*time.Second
+	})
+	r.submit("quick", "q", tasks(4, 1))
+	r.after(scanEvery)
+	r.decide()
+	for _, s := range r.starts {
+		if s.To.ID == wid(0) {
+			t.Fatal("a draining worker got a start")
+		}
+	}
+	if len(r.stops) != 1 || r.stops[0].To.ID != wid(0) {
+		t.Fatalf("stops %v, want the lasting task of the draining worker", r.stops)
+	}
+}
+
+func TestTimedSubmissionStartsAtItsTimes(t *testing.T) {
+	r := newRig(t, 2)
+	r.d.AddJob(r.now, &fleet.Submission{ID: "t", Queue: "quick", Service: "pool", Steps: []fleet.Step{tasks(1, 1)},
+		Occurrences: 2, FirstRun: r.wall.Add(time.Second), Interval: 2 * time.Second}, testFence+1, 0, nil)
+	count := 0
+	for range 40 {
+		r.after(100 * time.Millisecond)
+		r.report(wid(0))
+		r.report(wid(1))
+		r.decide()
+		for _, s := range r.starts {
+			due := time.Unix(1_800_000_000, 0).Add(time.Second + time.Duration(s.Start.Task.Occurrence)*2*time.Second)
+			if r.wall.Before(due) {
+				t.Fatalf("occurrence %d starts %v early", s.Start.Task.Occurrence, due.Sub(r.wall))
+			}
+			count++
+		}
+		r.accept(r.starts)
+	}
+	if count != 2 {
+		t.Fatalf("%d starts, want one for each time", count)
+	}
+}
+
+// Pattern: executors hang while their heartbeat goes on (srv_grey hang).
+func TestStalledRunMoves(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	stopped := false
+	for range 10 {
+		r.after(200 * time.Millisecond)
+		r.report(wid(0))
+		r.report(wid(1))
+		r.decide()
+		stopped = stopped || len(r.stops) == 1 && r.stops[0].Run == first.Start.RunID
+	}
+	if !stopped {
+		t.Fatal("a run without progress for two seconds was left where it is")
+	}
+}
+
+// Pattern: an executor is dark and a step allows copies.
+func TestCopyStartsWhenTheFirstRunIsDoubtful(t *testing.T) {
+	r := newRig(t, 2)
+	s := tasks(1, 4)
+	s.Speculative = true
+	r.submit("quick", "a", s)
+	r.decide()
+	first := r.starts[0]
+	r.d.Started(r.now, first.Start.RunID, first.To.ID, errLost)
+	r.after(scanEvery)
+	r.decide()
+	if len(r.starts) != 1 || r.starts[0].To.ID == first.To.ID {
+		t.Fatalf("starts %v, want a copy on the other worker", r.starts)
+	}
+}
+
+// Pattern: a filler beside a task that serves people, whose tail rises (sharing, HARM).
+func TestFillerIsSlowedBesideASufferingTask(t *testing.T) {
+	r := newRig(t, 1)
+	serve := tasks(1, 4)
+	serve.LongRunning, serve.LatencyTarget = true, 100*time.Millisecond
+	fill := tasks(1, 4)
+	fill.Filler = true
+	r.submit("quick", "s", serve)
+	r.submit("rebuild", "f", fill)
+	r.decide()
+	r.accept(r.starts)
+	rows := r.rows(wid(0))
+	for i := range rows {
+		rows[i].Percent = 100
+		if rows[i].Task.Job == "s" {
+			rows[i].Load = 150
+		}
+	}
+	r.reportRows(wid(0), rows)
+	r.after(scanEvery)
+	r.decide()
+	if len(r.paces) != 1 || r.paces[0].Pace.Task.Job != "f" || r.paces[0].Pace.Percent != 0 {
+		t.Fatalf("paces %v, want the filler stopped", r.paces)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/lost_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/verdict"
+)
+
+var errLost = &fleet.CallError{Op: "start", Verdict: verdict.MayHaveRun}
+
+// Pattern: an executor runs a task at once, its answer is lost, the run ends done before a
+// stop reaches it, and the end is listed late (hoogvlucht scale-1, TWICE).
+func TestStoppedRunFreesItsTaskOnlyByAReport(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.after(OrderTimeout)
+	r.d.Started(r.now, first.Start.RunID, first.To.ID, errLost)
+	r.after(time.Millisecond)
+	r.decide() // a look goes out
+	r.reportRows(first.To.ID, nil)
+	r.decide()
+	if len(r.stops) != 1 {
+		t.Fatalf("%d stops, want one of the run that is not there", len(r.stops))
+	}
+	r.d.Stopped(r.now, first.Start.RunID, first.To.ID, nil)
+	r.after(2 * time.Second)
+	r.decide()
+	if len(r.starts) != 0 {
+		t.Fatal("the task was started again before its worker told how the run ended")
+	}
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.decide()
+	if len(r.starts) != 0 {
+		t.Fatal("the task was started again after it was done")
+	}
+	r.record()
+	if got := r.d.State("a"); got != fleet.Completed {
+		t.Fatalf("state %v, want completed", got)
+	}
+}
+
+func TestStartWithoutAnswerIsRepeatedAfterTheStopWasProved(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.d.Started(r.now, first.Start.RunID, first.To.ID, errLost)
+	r.after(time.Millisecond)
+	r.reportRows(first.To.ID, nil)
+	r.decide()
+	r.d.Stopped(r.now, first.Start.RunID, first.To.ID, nil)
+	r.after(time.Millisecond)
+	r.reportRows(first.To.ID, nil)
+	r.decide()
+	if len(r.starts) != 1 {
+		t.Fatalf("%d starts after the proof, want 1", len(r.starts))
+	}
+	if r.starts[0].Start.Run <= first.Start.Run {
+		t.Fatalf("run %d does not rise above %d", r.starts[0].Start.Run, first.Start.Run)
+	}
+}
+
+func TestSilentWorkersTasksWaitForTheLease(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("rebuild", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	r.report(first.To.ID)
+	r.decide() // renews the lease
+	granted := r.now
+	other := wid(0)
+	if first.To.ID == other {
+		other = wid(1)
+	}
+	lease := float64(testLease)
+	var again []StartCommand
+	for r.now < granted+time.Duration(lease/clockDrift) {
+		r.after(100 * time.Millisecond)
+		r.d.HoldFailed(r.now, first.To.ID, errLost)
+		r.report(other)
+		r.decide()
+		for _, h := range r.holds {
+			if h.To.ID == first.To.ID && h.Hold.Deadline != 0 {
+				t.Fatal("a hold after a failure extends the lease")
+			}
+		}
+		if len(r.starts) != 0 && r.now < granted+time.Duration(lease/clockDrift) {
+			t.Fatalf("started again %v after the last hold, before the lease has run out", r.now-granted)
+		}
+		again = append(again, r.starts...)
+	}
+	r.after(time.Second)
+	r.report(other)
+	r.decide()
+	again = append(again, r.starts...)
+	if len(again) != 1 || again[0].To.ID != other {
+		t.Fatalf("starts %v, want one on %s", again, other)
+	}
+}
+
+func TestAnswerMadeBeforeTheLastDoesNotReviveARun(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("quick", "a", tasks(1, 4), tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	old := fleet.Report{Born: 1, Clock: r.now.Milliseconds() - 5, Running: r.rows(first.To.ID)}
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.d.Report(r.now, r.now, first.To.ID, true, old)
+	for _, run := range r.d.RunsAt(first.To.ID) {
+		if run == first.Start.RunID {
+			t.Fatal("an ended run is booked again by an older answer")
+		}
+	}
+}
+
+func TestRebornWorkerLosesConfirmedRunsAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	r.accept(r.starts)
+	r.d.Report(r.now, r.now, wid(0), false, fleet.Report{Born: 2, Clock: 5})
+	r.decide()
+	if len(r.starts) != 1 {
+		t.Fatalf("%d starts after the worker was reborn, want 1", len(r.starts))
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -73,7 +73,7 @@
 	if rep.Clock < w.clock {
 		return
 	}
-	w.clock, w.clockAt = rep.Clock, now
+	w.clock, w.clockAt, w.lastHeard = rep.Clock, now, now
 	listed := make(map[fleet.RunID]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		listed[row.RunID] = true
@@ -221,7 +221,7 @@
 	s.started, s.job.began = true, true
 	switch e.Outcome {
 	case fleet.OutcomeDone:
-		w.failures, w.probing = 0, false
+		w.failures, w.probing, w.stalls = 0, false, 0
 		if s.def.LongRunning {
 			t.notBefore = now + retryDelay
 			return
--- /dev/null
+++ b/internal/dispatch/rig_test.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// rig drives a dispatcher by hand against workers that do what the test says.
+type rig struct {
+	t    *testing.T
+	d    *Dispatcher
+	now  time.Duration
+	wall time.Time
+	// commands of the last decide, by kind
+	holds  []HoldCommand
+	starts []StartCommand
+	stops  []StopCommand
+	paces  []PaceCommand
+	asks   []AdviseCommand
+	ends   map[model.WorkerID]int64
+}
+
+const (
+	testFence = 1000
+	testLease = 3500 * time.Millisecond
+)
+
+func testOptions() Options {
+	return Options{
+		Fence: testFence, Lease: testLease, GrantBound: 8 * time.Second, HoldGrace: 3 * time.Second,
+		StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Retention: 2 * time.Minute, Checkpoint: 2 * time.Second,
+	}
+}
+
+func testQueues() *fleet.Configuration {
+	return &fleet.Configuration{Version: 1, Queues: []fleet.Queue{
+		{Name: "quick", Service: "pool", Priority: 0, Attempts: 3, Stretch: 1.5, TargetLatency: 300 * time.Millisecond},
+		{Name: "rebuild", Service: "pool", Priority: 2, Attempts: 2, Stretch: 2.2, TargetLatency: 1200 * time.Millisecond},
+		{Name: "advised", Service: "pool", Priority: 0, Attempts: 3, Stretch: 1.5, TargetLatency: 300 * time.Millisecond,
+			Advice: &fleet.AdvicePolicy{Decision: 28 * time.Millisecond, PerItem: time.Millisecond, Validity: 2500 * time.Millisecond}},
+	}}
+}
+
+// newRig returns a rig with workers of 32 cores that have been heard.
+func newRig(t *testing.T, workers int) *rig {
+	t.Helper()
+	r := &rig{t: t, now: time.Hour, wall: time.Unix(1_800_000_000, 0), ends: map[model.WorkerID]int64{}}
+	r.d = New(r.now, testOptions(), event.Discard{})
+	r.d.SetConfiguration(testQueues())
+	r.list(workers)
+	r.record()
+	r.decide()
+	for _, h := range r.holds {
+		r.report(h.To.ID)
+	}
+	return r
+}
+
+func wid(i int) model.WorkerID { return model.WorkerID(fmt.Sprintf("w%d", i)) }
+
+func entry(i int) fleet.WorkerEntry {
+	return fleet.WorkerEntry{
+		ID: wid(i), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:80", i), Domain: "a",
+		Capacity: model.Resources{MilliCPU: 32000, MemoryMiB: 131072}, Labels: []string{"a", fmt.Sprintf("r%d", i/4)}, Born: 1,
+	}
+}
+
+func (r *rig) list(n int, change ...func(i int, e *fleet.WorkerEntry)) {
+	var entries []fleet.WorkerEntry
+	for i := range n {
+		e := entry(i)
+		for _, c := range change {
+			c(i, &e)
+		}
+		entries = append(entries, e)
+	}
+	r.d.SetWorkers(r.now, entries)
+}
+
+// record makes everything that is to last durable.
+func (r *rig) record() {
+	for batch := r.d.Batch(r.now, 30); len(batch) > 0; batch = r.d.Batch(r.now, 30) {
+		r.d.Committed(r.now, batch, true)
+	}
+}
+
+func (r *rig) decide() {
+	r.holds, r.starts, r.stops, r.paces, r.asks = nil, nil, nil, nil, nil
+	for _, c := range r.d.Decide(r.now, r.wall, true) {
+		switch c := c.(type) {
+		case HoldCommand:
+			r.holds = append(r.holds, c)
+		case StartCommand:
+			r.starts = append(r.starts, c)
+		case StopCommand:
+			r.stops = append(r.stops, c)
+		case PaceCommand:
+			r.paces = append(r.paces, c)
+		case AdviseCommand:
+			r.asks = append(r.asks, c)
+		}
+	}
+	for _, w := range r.d.order {
+		if w.used.Sub(w.entry.Capacity).MilliCPU > 0 {
+			r.t.Fatalf("worker %s holds %v of %v", w.entry.ID, w.used, w.entry.Capacity)
+		}
+	}
+}
+
+func (r *rig) after(d time.Duration) {
+	r.now += d
+	r.wall = r.wall.Add(d)
+}
+
+// report answers a hold that was sent just now; the worker runs what is booked there.
+func (r *rig) report(id model.WorkerID, ends ...fleet.EndRow) {
+	r.reportRows(id, r.rows(id, ends...), ends...)
+}
+
+func (r *rig) rows(id model.WorkerID, ends ...fleet.EndRow) []fleet.RunningRow {
+	ended := map[fleet.RunID]bool{}
+	for _, e := range ends {
+		ended[e.RunID] = true
+	}
+	var rows []fleet.RunningRow
+	for _, run := range r.d.RunsAt(id) {
+		if !ended[run] {
+			rows = append(rows, fleet.RunningRow{RunID: run, Percent: 10})
+		}
+	}
+	return rows
+}
+
+func (r *rig) reportRows(id model.WorkerID, rows []fleet.RunningRow, ends ...fleet.EndRow) {
+	sent := r.now
+	r.after(time.Millisecond)
+	r.d.Report(r.now, sent, id, false, fleet.Report{Born: 1, Clock: r.now.Milliseconds(), Running: rows, Ended: ends})
+}
+
+func (r *rig) end(s StartCommand, how fleet.Outcome) fleet.EndRow {
+	r.ends[s.To.ID]++
+	return fleet.EndRow{Number: r.ends[s.To.ID], RunID: s.Start.RunID, Outcome: how}
+}
+
+func (r *rig) submit(queue string, id fleet.JobID, steps ...fleet.Step) {
+	r.d.AddJob(r.now, &fleet.Submission{ID: id, Queue: queue, Service: "pool", Spec: "x", Steps: steps}, testFence+1, 0, nil)
+}
+
+func (r *rig) accept(starts []StartCommand) {
+	for _, s := range starts {
+		r.d.Started(r.now, s.Start.RunID, s.To.ID, nil)
+	}
+	r.after(time.Millisecond)
+}
+
+func cores(n int64) model.Resources { return model.Resources{MilliCPU: n * 1000, MemoryMiB: 1024} }
+
+func tasks(n int, size int64) fleet.Step {
+	return fleet.Step{Tasks: n, Demand: cores(size), Estimate: time.Second}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -28,8 +28,9 @@
 	failing   int // holds failed in a row
 	lastHeard time.Duration
 
-	runs map[fleet.RunID]*run
-	used model.Resources
+	runs    map[fleet.RunID]*run
+	used    model.Resources
+	leaving model.Resources // part of used whose runs are being stopped
 
 	seen     int64 // highest end processed
 	acked    int64 // ends up to here are durable
@@ -84,6 +85,9 @@
 	stopAnswer time.Duration // of the first answered stop; 0: none
 	released   bool          // the task no longer waits for this run
 	reason     string        // of the stop
+	gone       bool          // not booked any more
+	preempted  bool          // stopped to make room
+	copied     bool          // a copy was started because this one may be lost
 }
 
 func (w *worker) target() fleet.Target {
@@ -131,6 +135,7 @@
 		w.fillers++
 	}
 	d.runs[r.id] = r
+	d.runList = append(d.runList, r)
 }
 
 // detach frees the room of a run.
@@ -142,6 +147,10 @@
 	delete(w.runs, r.id)
 	delete(d.runs, r.id)
 	w.used = w.used.Sub(r.demand)
+	if r.phase == runStopping {
+		w.leaving = w.leaving.Sub(r.demand)
+	}
+	r.gone = true
 	if s.perWorker != nil {
 		if s.perWorker[w.entry.ID]--; s.perWorker[w.entry.ID] <= 0 {
 			delete(s.perWorker, w.entry.ID)
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -74,6 +74,14 @@
 		Text: "A filler's share of processor time was changed.",
 		Does: "Nothing.",
 		Keys: []string{"worker", "task", "run", "percent"}})
+	RunCopied = Define(Def{ID: 2121, Name: "run-copied", Level: Info,
+		Text: "A second run of a task is started, as the first may be lost or stuck.",
+		Does: "Nothing.",
+		Keys: []string{"worker", "task", "run", "age", "percent"}})
+	RunPreempted = Define(Def{ID: 2122, Name: "run-preempted", Level: Info,
+		Text: "A run that checkpoints is stopped to make room for a more urgent step.",
+		Does: "If it happens all the time, the cluster is too small for its urgent queues.",
+		Keys: []string{"worker", "task", "run", "step"}})
 	AdviceTaken = Define(Def{ID: 2119, Name: "advice-taken", Level: Info,
 		Text: "The advice service said which workers may run a step.",
 		Does: "Nothing.",
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"filbertcross/platform"
+	"filbertcross/platform/standin"
+)
+
+// vm is a node that runs inside the test.
+type vm struct {
+	node    *Node
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func startVM(t *testing.T, site *standin.Site, name string) *vm {
+	t.Helper()
+	v := &vm{
+		callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)),
+		ready:   fmt.Sprintf("127.0.0.1:%d", freePort(t)),
+		done:    make(chan error, 1),
+	}
+	settings, err := platform.ParseSettings(site.Settings(name, v.callers, v.ready, freePort(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, _, metrics := Build(Settings{MetricsPort: freePort(t)}, settings, logr.Discard())
+	v.node = n
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	go func() { v.done <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-v.done
+		_ = metrics.Closer.Close()
+	})
+	return v
+}
+
+func eventually(t *testing.T, what string, within time.Duration, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
+
+type caller struct {
+	t    *testing.T
+	site *standin.Site
+	http standin.Client
+}
+
+func newCaller(t *testing.T, site *standin.Site) *caller {
+	return &caller{t: t, site: site, http: standin.Client{HTTP: &http.Client{Timeout: 4 * time.Second}}}
+}
+
+func (c *caller) do(method string, v *vm, path, body string) (int, string) {
+	status, answer, err := c.http.Do(context.Background(), method, v.callers, path, body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return status, answer
+}
+
+func (c *caller) submit(v *vm, id, spec string) {
+	c.t.Helper()
+	c.site.Judge.Sent(id)
+	status, answer := c.do(http.MethodPost, v, standin.QueuePrefix+id, standin.Submission(spec, 2, 1000))
+	if status != http.StatusOK {
+		c.t.Fatalf("submission %s: %d %s", id, status, answer)
+	}
+}
+
+func (c *caller) state(v *vm, id string) string {
+	_, answer := c.do(http.MethodGet, v, standin.QueuePrefix+id, "")
+	return answer
+}
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func newSite(t *testing.T, executors int) *standin.Site {
+	t.Helper()
+	site, err := standin.NewSite(executors, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if faults, _ := site.Judge.Faults(); len(faults) > 0 {
+			t.Errorf("the judge saw: %s", strings.Join(faults, "; "))
+		}
+		site.Close()
+	})
+	return site
+}
+
+func TestSubmissionsRunThroughAnyVM(t *testing.T) {
+	site := newSite(t, 4)
+	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b"), startVM(t, site, "c")}
+	c := newCaller(t, site)
+	for i, v := range vms {
+		eventually(t, "VM is ready", 5*time.Second, func() bool { return v.node.Configuration() != nil })
+		c.submit(v, id(i), "ms=100")
+	}
+	for i := range vms {
+		eventually(t, "completed at another VM", 8*time.Second, func() bool {
+			return strings.Contains(c.state(vms[(i+1)%3], id(i)), "completed")
+		})
+	}
+	if status, _ := c.do(http.MethodPost, vms[0], standin.QueuePrefix+id(0), standin.Submission("ms=100", 2, 1000)); status != http.StatusOK {
+		t.Fatalf("a repeated submission got %d", status)
+	}
+	if status, _ := c.do(http.MethodGet, vms[0], standin.QueuePrefix+id(99), ""); status != http.StatusGone {
+		t.Fatalf("an unknown submission got %d, want 410", status)
+	}
+	if status, _ := c.do(http.MethodGet, vms[0], "/elsewhere/"+id(0), ""); status != http.StatusNotFound {
+		t.Fatalf("an unknown queue got %d, want 404", status)
+	}
+	if status, answer := c.do(http.MethodPost, vms[0], standin.QueuePrefix+id(7), `{"steps":[{"count":0}]}`); status != http.StatusBadRequest || !strings.Contains(answer, "steps[0].count") {
+		t.Fatalf("a malformed submission got %d %s", status, answer)
+	}
+	if _, starts := site.Judge.Faults(); starts != 6 {
+		t.Fatalf("%d starts, want 6", starts)
+	}
+}
+
+func TestOwnerStopsAndAnotherGoesOn(t *testing.T) {
+	site := newSite(t, 4)
+	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b")}
+	c := newCaller(t, site)
+	eventually(t, "an owner", 5*time.Second, func() bool { return vms[0].node.current.Load() != nil || vms[1].node.current.Load() != nil })
+	leader, other := vms[0], vms[1]
+	if vms[1].node.current.Load() != nil {
+		leader, other = vms[1], vms[0]
+	}
+	eventually(t, "configuration", 5*time.Second, func() bool { return other.node.Configuration() != nil })
+	c.submit(other, id(1), "ms=1500")
+	c.submit(other, id(2), "lasts")
+	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := site.Judge.Faults(); return n == 4 })
+	leader.stop()
+	eventually(t, "the other VM decides", 4*time.Second, func() bool { return other.node.current.Load() != nil })
+	eventually(t, "completed after the change", 8*time.Second, func() bool { return strings.Contains(c.state(other, id(1)), "completed") })
+	if _, starts := site.Judge.Faults(); starts != 4 {
+		t.Fatalf("%d starts, want 4: what ran was adopted", starts)
+	}
+	if status, _ := c.do(http.MethodDelete, other, standin.QueuePrefix+id(2), ""); status != http.StatusOK {
+		t.Fatalf("cancel got %d", status)
+	}
+	eventually(t, "cancelled", 3*time.Second, func() bool { return strings.Contains(c.state(other, id(2)), "cancelled") })
+}
+
+func TestStoreOutageRefusesAtOnceAndKeepsWorkRunning(t *testing.T) {
+	site := newSite(t, 2)
+	v := startVM(t, site, "a")
+	c := newCaller(t, site)
+	eventually(t, "configuration", 5*time.Second, func() bool { return v.node.Configuration() != nil })
+	c.submit(v, id(1), "lasts")
+	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := site.Judge.Faults(); return n == 2 })
+	site.Store.SetFaults(standin.Faults{Silent: true})
+	c.do(http.MethodPost, v, standin.QueuePrefix+id(2), standin.Submission("ms=50", 1, 1000)) // opens the breaker
+	site.Judge.Sent(id(3))
+	begun := time.Now()
+	status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(3), standin.Submission("ms=50", 1, 1000))
+	if took := time.Since(begun); status != http.StatusServiceUnavailable || took > time.Second {
+		t.Fatalf("status %d after %v, want 503 at once", status, took)
+	}
+	site.Judge.Refused(id(3))
+	time.Sleep(2 * time.Second)
+	site.Store.SetFaults(standin.Faults{})
+	site.Judge.Sent(id(4))
+	eventually(t, "a submission is taken again", 3*time.Second, func() bool {
+		status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(4), standin.Submission("ms=50", 1, 1000))
+		return status == http.StatusOK
+	})
+	eventually(t, "and completed", 8*time.Second, func() bool { return strings.Contains(c.state(v, id(4)), "completed") })
+	if _, starts := site.Judge.Faults(); starts != 3 {
+		t.Fatalf("%d starts, want 3: what lasts ran through the outage", starts)
+	}
+}
+
+func TestConfigurationReachesAllVMs(t *testing.T) {
+	site := newSite(t, 1)
+	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b"), startVM(t, site, "c")}
+	for _, v := range vms {
+		eventually(t, "first configuration", 5*time.Second, func() bool { return v.node.configs.version() == 1 })
+	}
+	site.Configure(5)
+	for _, v := range vms {
+		eventually(t, "the newer one", 2*time.Second, func() bool { return v.node.configs.version() == 5 })
+	}
+	site.Configure(4)
+	time.Sleep(time.Second)
+	for _, v := range vms {
+		if got := v.node.configs.version(); got != 5 {
+			t.Fatalf("version %d, a VM went back", got)
+		}
+	}
+}
