--- a/internal/dispatch/sharing.go
+++ b/internal/dispatch/sharing.go
@@ -50,7 +50,7 @@
 		if !r.task.step.def.Filler || r.phase != runRunning || r.paceOut || now < r.paceDue {
 			continue
 		}
-		next := r.pace
+		var next int
 		switch {
 		case wanted == 0:
 			next = 0
