A pass over what changed only; state from an owner that lost the store

Change: steps without room are tried on workers that gained room; passes are spaced by the number of live submissions; completed is told when all ends are seen; when the store does not answer, an owner without authority still tells what it knows.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -60,9 +60,10 @@
 func (d *Dispatcher) ask(now time.Duration, s *step) {
 	a := &s.advice
 	policy := s.job.queue.Advice
-	if policy == nil || a.asking || now < a.retryAt || d.adviceOut >= d.adviceSlots {
+	if policy == nil || a.asking || now < a.retryAt || d.adviceOut >= d.adviceSlots || !s.fresh && now < s.askDue {
 		return
 	}
+	s.askDue = now + retryEvery
 	var candidates []*worker
 	usable := 0
 	for _, w := range d.order {
@@ -108,6 +109,7 @@
 	}
 	a := &t.step.advice
 	a.asking = false
+	t.step.fresh = true
 	if err != nil {
 		a.retryAt = now + adviceRetry
 		d.events.Record(event.AdviceFailed, id, len(named), err)
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -25,22 +25,58 @@
 	d.recover(now)
 	d.stops(now)
 	d.holds(now)
-	steps := d.ready(now)
-	d.askAdvice(now, steps)
-	for _, s := range steps {
-		d.placeStep(now, s)
+	if now >= d.passDue {
+		d.passDue = now + passCost*time.Duration(len(d.live))
+		d.pass(now)
 	}
-	d.preempt(now, steps)
 	out := d.out
 	d.out = nil
 	return out
 }
 
+// pass places what waits. A step that has found no worker is tried again only on workers that
+// have gained room since, and asks for advice or for others' room only now and then: work
+// grows with what changes, not with what waits.
+func (d *Dispatcher) pass(now time.Duration) {
+	gained := d.gained
+	d.gained = nil
+	for _, w := range gained {
+		w.gaining = false
+	}
+	steps := d.ready(now)
+	d.askAdvice(now, steps)
+	var unplaced []*step
+	for _, s := range steps {
+		among := gained
+		if s.fresh {
+			among = d.order
+		}
+		if len(among) > 0 && (!s.def.Gang || s.fresh || now >= s.roomDue) {
+			d.placeStep(now, s, among)
+		}
+		if s.waiting > 0 && (s.fresh || now >= s.roomDue) {
+			s.roomDue = now + retryEvery
+			unplaced = append(unplaced, s)
+		}
+		s.fresh = s.waiting > 0 && s.delayed
+	}
+	d.preempt(now, unplaced)
+}
+
+// gain notes that a worker may take more than at the last pass.
+func (d *Dispatcher) gain(w *worker) {
+	if !w.gaining {
+		w.gaining = true
+		d.gained = append(d.gained, w)
+	}
+}
+
 // scan looks at all workers and runs, which is not needed after every message.
 func (d *Dispatcher) scan(now time.Duration, wall time.Time) {
 	d.runList = slices.DeleteFunc(d.runList, func(r *run) bool { return r.gone })
 	d.openOccurrences(wall)
 	d.expireWorkers(now)
+	d.endAvoidance(now)
 	d.drain(now)
 	d.watchRuns(now)
 	d.speculate(now)
@@ -93,6 +129,18 @@
 	})
 }
 
+// endAvoidance notes workers that take runs again.
+func (d *Dispatcher) endAvoidance(now time.Duration) {
+	for _, w := range d.order {
+		if w.avoided && now >= w.avoidUntil {
+			w.avoided = false
+			d.gain(w)
+		} else if now < w.avoidUntil {
+			w.avoided = true
+		}
+	}
+}
+
 // recover notes when nothing that an earlier owner started can run unseen.
 func (d *Dispatcher) recover(now time.Duration) {
 	if d.recovered {
@@ -104,6 +152,9 @@
 		}
 	}
 	d.recovered = true
+	for _, j := range d.live {
+		j.refresh()
+	}
 	d.events.Record(event.OwnerRecovered, d.opts.Fence, now-d.began, len(d.order), len(d.runs), len(d.live))
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,8 +23,10 @@
 	live    []*job // not final, by arrival
 	ended   []*job // final, by the time of their end
 	runs    map[fleet.RunID]*run
-	runList []*run // in the order of their start; those that are gone are dropped by compact
-	closing []*run // whose start or stop is not settled
+	runList []*run    // in the order of their start; those that are gone are dropped by compact
+	closing []*run    // whose start or stop is not settled
+	gained  []*worker // since the last pass
+	passDue time.Duration
 	scanDue time.Duration
 	cancels map[fleet.JobID]bool // of submissions that are not known yet
 
@@ -58,6 +60,7 @@
 	d.conf = c
 	for _, j := range d.live {
 		d.setQueue(j)
+		j.refresh()
 	}
 }
 
@@ -108,6 +111,9 @@
 		if !w.listed {
 			d.events.Record(event.WorkerListed, e.ID, e.Service, e.Address, e.Domain)
 		}
+		if !w.listed || w.entry.Draining && !e.Draining {
+			d.gain(w)
+		}
 		w.entry, w.listed = e, true
 		if !w.recorded {
 			d.recordDirty = true
@@ -194,7 +200,9 @@
 	}
 }
 
-// State is what callers are told. A final state is told once it is durable.
+// State is what callers are told. Completed is told as soon as all ends were seen: until they
+// are durable they are not acknowledged, so that a successor finds them at the workers. Failed
+// and canceled rest on what only the store keeps, and are told once they are durable.
 func (d *Dispatcher) State(id fleet.JobID) fleet.State {
 	j := d.jobs[id]
 	switch {
@@ -202,6 +210,8 @@
 		return fleet.Unknown
 	case j.shown.Final():
 		return j.shown
+	case j.state == fleet.Completed:
+		return fleet.Completed
 	case j.began || j.state.Final():
 		return fleet.Running
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,6 +43,10 @@
 	notBefore time.Duration
 	perWorker map[model.WorkerID]int // active runs, for MaxPerWorker
 	advice    advice
+	fresh     bool          // all workers are to be tried, not only those that gained room
+	delayed   bool          // a task waits for its time
+	roomDue   time.Duration // when to look for others' room again
+	askDue    time.Duration // when to look whether advice is needed again
 }
 
 // job is a submission with its progress.
@@ -68,7 +72,7 @@
 // newStep builds one step with all tasks waiting.
 func newStep(j *job, occurrence, index int) *step {
 	def := &j.sub.Steps[index]
-	s := &step{id: fleet.StepID{Job: j.sub.ID, Occurrence: occurrence, Step: index}, def: def, job: j, waiting: def.Tasks}
+	s := &step{id: fleet.StepID{Job: j.sub.ID, Occurrence: occurrence, Step: index}, def: def, job: j, waiting: def.Tasks, fresh: true}
 	s.tasks = make([]*task, def.Tasks)
 	for i := range s.tasks {
 		s.tasks[i] = &task{step: s, index: i}
@@ -91,6 +95,15 @@
 	j.steps[occurrence] = steps
 }
 
+// refresh makes all steps be tried on all workers.
+func (j *job) refresh() {
+	for _, steps := range j.steps {
+		for _, s := range steps {
+			s.fresh = true
+		}
+	}
+}
+
 // complete reports whether all of the step's tasks are done.
 func (s *step) complete() bool { return s.done == len(s.tasks) }
 
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -75,6 +75,7 @@
 	if len(r.asks) != 6 {
 		t.Fatalf("%d long calls are out, want 6 of 8 slots", len(r.asks))
 	}
+	r.after(time.Millisecond)
 	r.submit("advised", "quick", tasks(1, 1))
 	r.decide()
 	if len(r.asks) != 1 || r.asks[0].Step.Job != "quick" {
@@ -120,6 +121,7 @@
 		t.Fatalf("%d members start without room for all", len(r.starts))
 	}
 	r.report(b.To.ID, r.end(b, fleet.OutcomeDone))
+	r.after(retryEvery)
 	r.decide()
 	if len(r.starts) != 4 {
 		t.Fatalf("%d members of 4", len(r.starts))
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -23,6 +23,8 @@
 	stopRetry          = 300 * time.Millisecond // until a stop is answered
 	clockDrift         = 0.98                   // rate of the slowest worker's clock, from the platform's page
 	lapseMargin        = 60 * time.Millisecond  // added to a lease's end, for timers that fire late
+	passCost           = 15 * time.Microsecond  // between passes for each live submission: a tenth of what a pass takes
+	retryEvery         = 50 * time.Millisecond  // between tries of a waiting step for advice or for others' room
 	scanEvery          = 25 * time.Millisecond  // between looks over all workers and runs
 	lookEvery          = 150 * time.Millisecond // between looks for the end of a stopped run
 	roomBackoff        = 300 * time.Millisecond // of a worker that refused for want of room: its next report corrects the books
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,7 +20,8 @@
 )
 
 // placeStep starts as many of the step's waiting tasks as fit.
-func (d *Dispatcher) placeStep(now time.Duration, s *step) {
+func (d *Dispatcher) placeStep(now time.Duration, s *step, among []*worker) {
+	s.delayed = false
 	if s.def.Gang {
 		d.placeGang(now, s)
 		return
@@ -29,10 +30,14 @@
 		if s.waiting == 0 {
 			return
 		}
-		if t.state != taskWaiting || now < t.notBefore {
+		if t.state != taskWaiting {
 			continue
 		}
-		w := d.choose(now, s, t, nil)
+		if now < t.notBefore {
+			s.delayed = true
+			continue
+		}
+		w := d.choose(now, s, t, among)
 		if w == nil {
 			return
 		}
@@ -41,15 +46,15 @@
 	}
 }
 
-// choose returns the best worker for a task, or nil. extra is room that is spoken for.
-func (d *Dispatcher) choose(now time.Duration, s *step, t *task, extra map[*worker]model.Resources) *worker {
+// choose returns the best of the workers for a task, or nil.
+func (d *Dispatcher) choose(now time.Duration, s *step, t *task, among []*worker) *worker {
 	var best *worker
 	bestScore := 0.0
-	for _, w := range d.order {
-		if !d.feasible(now, s, w, extra[w]) {
+	for _, w := range among {
+		if !d.feasible(now, s, w, model.Resources{}) {
 			continue
 		}
-		if score := d.score(s, t, w, extra[w]); best == nil || score < bestScore {
+		if score := d.score(s, t, w, model.Resources{}); best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -157,6 +157,7 @@
 			for _, r := range rec.Workers {
 				if w := d.workers[model.WorkerID(r.ID)]; w != nil {
 					w.recorded = true
+					d.gain(w)
 				}
 			}
 		case rec.IsWorker:
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -51,6 +51,9 @@
 	if w.failing > 0 {
 		d.events.Record(event.WorkerHeard, id, now-w.lastHeard, w.failing)
 	}
+	if w.failing > 0 || !w.heard {
+		d.gain(w)
+	}
 	w.holding, w.failing, w.lastHeard = false, 0, now
 	if w.heard && w.born != rep.Born {
 		d.reborn(now, w, rep.Born)
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -21,7 +21,7 @@
 			t.runs[0] != r || s.job.closed() || !d.doubtful(now, r) {
 			continue
 		}
-		w := d.choose(now, s, t, nil)
+		w := d.choose(now, s, t, d.order)
 		if w == nil {
 			d.ask(now, s)
 			continue
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -42,6 +42,8 @@
 	probing    bool
 	serving    int // runs with a latency target
 	fillers    int
+	gaining    bool          // in Dispatcher.gained
+	avoided    bool          // avoidUntil lay ahead at the last scan
 	drainEnd   time.Duration // until when a draining worker surely stays
 	stalls     int           // runs in a row that made no progress
 }
@@ -147,6 +149,7 @@
 	delete(w.runs, r.id)
 	delete(d.runs, r.id)
 	w.used = w.used.Sub(r.demand)
+	d.gain(w)
 	if r.phase == runStopping {
 		w.leaving = w.leaving.Sub(r.demand)
 	}
@@ -174,6 +177,7 @@
 	if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
+	t.step.fresh = true
 	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
 	if t.state == taskActive && len(t.runs) == 0 {
 		t.state = taskWaiting
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -140,7 +140,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.ownerAt, n.attached = address, now
+	n.ownerAt, n.lastOwner, n.attached = address, address, now
 	n.waiting, n.waitingAt = reply.Waiting, now
 	if len(reply.Peers) > 0 {
 		n.peers = reply.Peers
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -32,7 +32,8 @@
 }
 
 type stateRequest struct {
-	ID fleet.JobID `json:"id"`
+	ID    fleet.JobID `json:"id"`
+	Stale bool        `json:"stale"` // an owner may answer whose lease is not surely held
 }
 
 type stateAnswer struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 
 	mu        sync.Mutex
 	ownerAt   string // peer address of the owner that this VM follows; empty: none
+	lastOwner string // the last one that was followed; kept when it is lost
 	attached  time.Time
 	waiting   map[string]int
 	waitingAt time.Time
@@ -173,26 +174,44 @@
 	waitingMaxAge = 4 * time.Second        // counts may lag by the visibility bound and 2 s
 )
 
-// State asks the owner. The store knows too, a little later.
+// State asks the owner. The store knows too, a little later. When it does not answer
+// either, an owner that has lost the store still knows what it has seen.
 func (n *Node) State(ctx context.Context, id fleet.JobID) (fleet.State, error) {
-	if state, err := n.stateOfOwner(ctx, id); err == nil && state != fleet.Unknown {
+	if state, err := n.stateOfOwner(ctx, id, false); err == nil && state != fleet.Unknown {
 		return state, nil
 	}
+	state, err := n.storedState(ctx, id)
+	if err != nil {
+		if stale, staleErr := n.stateOfOwner(ctx, id, true); staleErr == nil && stale != fleet.Unknown {
+			return stale, nil
+		}
+	}
+	return state, err
+}
+
+func (n *Node) storedState(ctx context.Context, id fleet.JobID) (fleet.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	return owner.StoredState(ctx, n.opts.Store, id)
 }
 
-func (n *Node) stateOfOwner(ctx context.Context, id fleet.JobID) (fleet.State, error) {
+func (n *Node) stateOfOwner(ctx context.Context, id fleet.JobID, stale bool) (fleet.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	if o := n.current.Load(); o != nil && o.Authorized() {
+	if o := n.current.Load(); o != nil && (stale || o.Authorized()) {
 		return o.State(ctx, id)
 	}
-	address := n.ownerAddress()
+	n.mu.Lock()
+	address := n.ownerAt
+	if stale {
+		address = n.lastOwner
+	}
+	n.mu.Unlock()
 	if address == "" {
 		return fleet.Unknown, errNoOwner
 	}
 	var reply stateAnswer
-	err := n.opts.Caller.Call(ctx, address, methodState, stateRequest{ID: id}, &reply)
+	err := n.opts.Caller.Call(ctx, address, methodState, stateRequest{ID: id, Stale: stale}, &reply)
 	return reply.State, err
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -77,9 +77,9 @@
 }
 
 func (n *Node) serveState(ctx context.Context, r stateRequest) (stateAnswer, error) {
-	o, err := n.owner()
-	if err != nil {
-		return stateAnswer{}, err
+	o := n.current.Load()
+	if o == nil || !r.Stale && !o.Authorized() {
+		return stateAnswer{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM does not decide", Verdict: verdict.NotRun}
 	}
 	state, err := o.State(ctx, r.ID)
 	return stateAnswer{State: state}, err
