--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,8 +24,9 @@
 const (
 	headerTimeout = 3 * time.Second         // of a caller's request line and headers
 	idleTimeout   = 60 * time.Second        // of a caller's connection
-	stopNotice    = 1200 * time.Millisecond // the entry balancer asks every second and needs two misses; open connections go on meanwhile
-	closeReserve  = 500 * time.Millisecond  // of the grace time, for the end of the process
+	stopNotice    = 2200 * time.Millisecond // the entry balancer asks every second and needs two misses
+	closeReserve  = 600 * time.Millisecond  // of the grace time, for the end of the process
+	connCheck     = 20 * time.Millisecond
 )
 
 // Options are the parts and settings of a process.
@@ -58,6 +59,7 @@
 	advisors *advisors
 	stopping atomic.Bool
 	current  atomic.Pointer[owner.Owner]
+	conns    atomic.Int64 // open connections of callers and of the platform
 	// confirmed is the clock reading of the last answer of the store about the configuration.
 	confirmed atomic.Int64
 
@@ -94,9 +96,15 @@
 		return errors.Wrap(err, "peer listener")
 	}
 	group.Go(func() error { return n.opts.Peers.Serve(groupCtx, listener) })
+	var listeners []net.Listener
 	for _, s := range servers {
+		l, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listener")
+		}
+		listeners = append(listeners, l)
 		group.Go(func() error {
-			if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
 				return errors.Wrap(err, s.Addr)
 			}
 			return nil
@@ -111,7 +119,7 @@
 	case <-ctx.Done():
 	case <-groupCtx.Done():
 	}
-	n.stop(servers, cancelDecide)
+	n.stop(servers, listeners, cancelDecide)
 	cancelWork()
 	return group.Wait()
 }
@@ -119,21 +127,37 @@
 func (n *Node) server(address string, handler http.Handler) *http.Server {
 	chain := negroni.New(negroni.NewRecovery())
 	chain.UseHandler(handler)
-	return &http.Server{Addr: address, Handler: chain, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Addr: address, Handler: chain, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: n.countConn}
+}
+
+// countConn counts the open connections of all servers.
+func (n *Node) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		n.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.conns.Add(-1)
+	}
 }
 
 // stop leaves the entry balancer's rotation, hands the authority over, and ends requests
-// that are under way.
-func (n *Node) stop(servers []*http.Server, cancelDecide context.CancelFunc) {
+// that are under way. Answers ask callers to close their connections; an idle one is not
+// closed from here while there is time, as a request may be on its way.
+func (n *Node) stop(servers []*http.Server, listeners []net.Listener, cancelDecide context.CancelFunc) {
 	begun := time.Now()
 	n.opts.Events.Record(event.NodeStopping, n.opts.Grace)
 	n.stopping.Store(true)
 	cancelDecide()
 	time.Sleep(min(stopNotice, n.opts.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(n.opts.Grace-closeReserve))
-	defer cancel()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	deadline := begun.Add(n.opts.Grace - closeReserve)
+	for n.conns.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(connCheck)
+	}
 	for _, s := range servers {
-		_ = s.Shutdown(ctx) // what is open at the end of the grace time is cut
+		_ = s.Close() // what is open at the end of the grace time is cut
 	}
 	n.opts.Events.Record(event.NodeStopped, time.Since(begun))
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,7 +67,7 @@
 	opts       Options
 	authority  *Authority
 	dispatcher *dispatch.Dispatcher
-	mail       chan func(now time.Duration)
+	mail       *mailbox
 	group      *errgroup.Group
 	ended      chan struct{} // closed when Run ends
 
@@ -89,7 +89,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return &Owner{
 		opts: opts, authority: authority,
-		mail:       make(chan func(time.Duration), mailboxSize),
+		mail:       newMailbox(opts.Clock),
 		ended:      make(chan struct{}),
 		startDelay: opts.Scope.Histogram("start_order_seconds", buckets),
 		holdTime:   opts.Scope.Histogram("hold_seconds", buckets),
@@ -99,12 +99,13 @@
 // Run decides until ctx is done or the authority is lost, and says why it ended. It gives
 // the authority up at the end.
 func (o *Owner) Run(ctx context.Context, why string) error {
-	defer o.authority.release(ctx)
 	defer close(o.ended)
 	group, ctx := errgroup.WithContext(ctx)
 	o.group = group
 	group.Go(func() error { return o.authority.Keep(ctx) })
 	group.Go(func() error {
+		// Watches end a little later; a successor need not wait for them.
+		defer o.authority.release(ctx)
 		state, err := o.load(ctx)
 		if err != nil {
 			return err
@@ -121,10 +122,7 @@
 
 // post hands a message to the loop; it is dropped when the owner has ended.
 func (o *Owner) post(ctx context.Context, f func(now time.Duration)) {
-	select {
-	case o.mail <- f:
-	case <-ctx.Done():
-	}
+	o.mail.post(ctx, f)
 }
 
 // loop is the one goroutine that touches the dispatcher.
@@ -133,10 +131,9 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case f := <-o.mail:
-			now := o.opts.Clock()
-			f(now)
-			o.drainMail(now)
+		case msg := <-o.mail.messages:
+			msg.do(msg.at)
+			o.mail.drain()
 		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
@@ -154,17 +151,6 @@
 	}
 }
 
-func (o *Owner) drainMail(now time.Duration) {
-	for range drainMail {
-		select {
-		case f := <-o.mail:
-			f(now)
-		default:
-			return
-		}
-	}
-}
-
 // noteAuthority records when the lease is not surely held, and when it is again.
 func (o *Owner) noteAuthority(now time.Duration) {
 	holds := o.authority.Holds(now)
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -15,9 +15,7 @@
 func ask[T any](ctx context.Context, o *Owner, f func(now time.Duration) T) (T, error) {
 	reply := make(chan T, 1)
 	var zero T
-	select {
-	case o.mail <- func(now time.Duration) { reply <- f(now) }:
-	case <-ctx.Done():
+	if !o.mail.post(ctx, func(now time.Duration) { reply <- f(now) }) {
 		return zero, ctx.Err()
 	}
 	select {
@@ -43,13 +41,14 @@
 	o.post(ctx, func(time.Duration) { o.dispatcher.SetConfiguration(c) })
 }
 
+// notifyTimeout bounds how long a notice waits for a loop that has ended.
+const notifyTimeout = time.Second
+
 // Notify hands over an item of the intake that its writer has just stored.
 func (o *Owner) Notify(ctx context.Context, item fleet.Item) {
-	select {
-	case o.mail <- func(now time.Duration) { o.take(now, []fleet.Item{item}, nil) }:
-	case <-o.ended:
-	case <-ctx.Done():
-	}
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	o.post(ctx, func(now time.Duration) { o.take(now, []fleet.Item{item}, nil) })
 }
 
 // Fence returns the owner's fencing token.
