--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # lint checks the format, vets, runs staticcheck and compares the wire output.
 lint:
-	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform); if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	$(GO) tool wire diff ./internal/server
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -26,6 +26,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			nodeCommand(),
+			explainCommand(),
 			sheetCommand(),
 			branchCommand(),
 			jobCommand(),
