--- /dev/null
+++ b/internal/soak/cmd/main.go
@@ -0,0 +1,73 @@
+// Command soak runs seeded soaks and exits with 1 when one has found a fault.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"filbertcross/internal/soak"
+)
+
+func main() {
+	opts := soak.Options{Out: os.Stdout}
+	seeds, dir := 1, ""
+	app := &cli.Command{
+		Name:  "soak",
+		Usage: "run the real programs under faults from outside and check the platform's rules",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Value: "bin/filbertcross", Usage: "`FILE` of the program", Destination: &opts.Binary},
+			&cli.StringFlag{Name: "dir", Usage: "`DIR` for settings and logs; kept when a fault is found", Destination: &dir},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`", Destination: &opts.Seed},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "`NUMBER` of seeds, one after the other", Destination: &seeds},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "`TIME` of load and faults for each seed", Destination: &opts.Duration},
+			&cli.IntFlag{Name: "vms", Value: 3, Usage: "`NUMBER` of entry VMs", Destination: &opts.VMs},
+			&cli.IntFlag{Name: "workers", Value: 6, Usage: "`NUMBER` of workers", Destination: &opts.Executors},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error { return soakSeeds(ctx, opts, seeds, dir) },
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func soakSeeds(ctx context.Context, opts soak.Options, seeds int, dir string) error {
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return errors.Wrap(err, "directory")
+		}
+	}
+	bad := 0
+	for range seeds {
+		opts.Dir = filepath.Join(dir, fmt.Sprint(opts.Seed))
+		if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
+			return errors.Wrap(err, "directory")
+		}
+		faults, err := soak.Run(ctx, opts)
+		if err != nil {
+			return err
+		}
+		for _, f := range faults {
+			fmt.Println(" ", f)
+		}
+		if len(faults) > 0 {
+			bad++
+			fmt.Printf("seed %d found faults; settings and logs are in %s\n", opts.Seed, opts.Dir)
+		} else if err := os.RemoveAll(opts.Dir); err != nil {
+			return errors.Wrap(err, "directory")
+		}
+		opts.Seed++
+	}
+	fmt.Printf("%d seeds, %d with faults\n", seeds, bad)
+	if bad > 0 {
+		return errors.Newf("%d of %d seeds found faults", bad, seeds)
+	}
+	return nil
+}
