Small owners yield to large followers; faster hand-over; stopping VMs still ask for advice

Change: small VMs stand back up to 1.2 s and yield to a much larger follower after 2 s; followers are told once the key is free; parts are loaded side by side; a stopping VM follows on; each soak has loopback addresses of its own.

--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -198,6 +198,10 @@
 		Text: "This VM follows an owner.",
 		Does: "Nothing.",
 		Keys: []string{"owner", "address", "fence"}})
+	OwnerYields = Define(Def{ID: 1209, Name: "owner-yields", Level: Info,
+		Text: "This VM gives the authority up, as a much larger one follows it.",
+		Does: "Nothing.",
+		Keys: []string{"rank", "follower_rank"}})
 	OwnerLost = Define(Def{ID: 1205, Name: "owner-lost", Level: Warn,
 		Text: "The owner does not answer this VM.",
 		Does: "Look at the owner's VM and at the links to it.",
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -27,8 +27,9 @@
 	peerDial    = 500 * time.Millisecond
 	runLease    = 3500 * time.Millisecond // survives a change of owner (about 2 s) after a hold that is up to 0.9 s old
 	holdGrace   = 3 * time.Second         // carries what runs over an outage of the store of about 5 s
-	largeVM     = 0.4                     // cores from which a VM is a first choice as the owner
-	standBack   = 250 * time.Millisecond  // of a VM without any processor; in proportion for small ones
+	largeVM     = 0.4                     // cores from which a VM is a first choice as the owner: one of 350 workers takes about 0.3
+	fastLink    = 50.0                    // Mbit/s, likewise: it takes about 5, ten times that in a takeover
+	standBack   = 1200 * time.Millisecond // of a VM with nothing, in proportion for small ones: longer than it takes a large one to notice that the owner is lost
 )
 
 // Settings are the process's own settings.
@@ -61,7 +62,7 @@
 		ReadyPath:    platform.ReadyPath,
 		Metrics:      net.JoinHostPort(s.IP, strconv.Itoa(own.MetricsPort)),
 		Grace:        seconds(s.Bounds.GraceS),
-		Rank:         rank(s.Limits.CPUShare * max(s.Limits.CPUCores, 1)),
+		Rank:         rank(s.Limits.CPUShare*max(s.Limits.CPUCores, 1), s.Limits.LinkMbps),
 		Incarnation:  uuid.NewString(),
 		Store:        store,
 		Advisor:      platform.NewAdvice(s.AdviceAddress),
@@ -97,6 +98,10 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // rank is how long a VM stands back in an election: small ones leave it to large ones.
-func rank(cores float64) time.Duration {
-	return time.Duration(max(0, 1-cores/largeVM) * float64(standBack))
+func rank(cores, mbps float64) time.Duration {
+	size := min(cores/largeVM, 1)
+	if mbps > 0 {
+		size = min(size, mbps/fastLink)
+	}
+	return time.Duration((1 - size) * float64(standBack))
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -20,7 +20,9 @@
 	ownerWatch     = 700 * time.Millisecond // a follower without an answer looks at the owner's key so long
 	storeTimeout   = 700 * time.Millisecond
 	leadRetry      = 100 * time.Millisecond
-	campaignSpread = 30 * time.Millisecond // random, so that not all campaign at once
+	yieldAfter     = 2 * time.Second        // a small owner gives way to a large follower, not at once so that there is an owner
+	yieldFor       = 300 * time.Millisecond // a follower has to be so much larger, in terms of rank
+	campaignSpread = 30 * time.Millisecond  // random, so that not all campaign at once
 )
 
 // lead makes this VM the owner or a follower, until ctx is done.
@@ -80,6 +82,10 @@
 	if !pause(ctx, n.opts.Rank+rand.N(campaignSpread)) {
 		return
 	}
+	if n.stopping.Load() {
+		pause(ctx, leadRetry)
+		return
+	}
 	self := owner.Record{Node: n.opts.Name, Address: n.opts.PeerAddress, Incarnation: n.opts.Incarnation}
 	authority, err := owner.Campaign(ctx, n.opts.Store, n.opts.Owner.Clock, self, replace)
 	if err != nil {
@@ -89,6 +95,13 @@
 		}
 		return
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.setYield(cancel)
+	defer n.setYield(nil)
+	if n.stopping.Load() {
+		cancel() // the stop came during the election
+	}
 	o := owner.New(n.opts.Owner, authority)
 	n.detach()
 	n.current.Store(o)
@@ -101,6 +114,22 @@
 	}
 }
 
+func (n *Node) setYield(f context.CancelFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.yield, n.elected = f, time.Now()
+}
+
+// yieldNow gives the authority up, if this VM has it.
+func (n *Node) yieldNow() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.yield != nil {
+		n.yield()
+		n.yield = nil
+	}
+}
+
 // follow polls the owner until it does not answer, and reports whether it is proved dead.
 func (n *Node) follow(ctx context.Context, address string) (dead bool) {
 	defer n.detach()
@@ -127,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
 	var reply attachAnswer
-	request := attachRequest{Name: n.opts.Name, Address: n.opts.PeerAddress, Configuration: n.configs.version()}
+	request := attachRequest{Name: n.opts.Name, Address: n.opts.PeerAddress, Configuration: n.configs.version(), Rank: n.opts.Rank}
 	if n.ownerAddress() != address {
 		request.Configuration = -1 // a first poll is answered at once
 	}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -19,9 +19,10 @@
 )
 
 type attachRequest struct {
-	Name          string `json:"name"`
-	Address       string `json:"address"`
-	Configuration int64  `json:"configuration"` // version in force there
+	Name          string        `json:"name"`
+	Address       string        `json:"address"`
+	Configuration int64         `json:"configuration"` // version in force there
+	Rank          time.Duration `json:"rank"`          // how long it stands back in an election
 }
 
 type attachAnswer struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,8 +64,10 @@
 	confirmed atomic.Int64
 
 	mu        sync.Mutex
-	ownerAt   string // peer address of the owner that this VM follows; empty: none
-	lastOwner string // the last one that was followed; kept when it is lost
+	ownerAt   string             // peer address of the owner that this VM follows; empty: none
+	lastOwner string             // the last one that was followed; kept when it is lost
+	yield     context.CancelFunc // ends this VM's time as the owner; nil: it is none
+	elected   time.Time
 	attached  time.Time
 	waiting   map[string]int
 	waitingAt time.Time
@@ -110,16 +112,14 @@
 			return nil
 		})
 	}
-	decide, cancelDecide := context.WithCancel(groupCtx)
-	defer cancelDecide()
-	group.Go(func() error { n.lead(decide); return nil })
+	group.Go(func() error { n.lead(groupCtx); return nil })
 	group.Go(func() error { n.followConfiguration(groupCtx); return nil })
 	n.opts.Events.Record(event.NodeStarted, n.opts.Name, n.opts.Callers, n.opts.PeerAddress)
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
 	}
-	n.stop(servers, listeners, cancelDecide)
+	n.stop(servers, listeners)
 	cancelWork()
 	return group.Wait()
 }
@@ -141,13 +141,13 @@
 }
 
 // stop leaves the entry balancer's rotation, hands the authority over, and ends requests
-// that are under way. Answers ask callers to close their connections; an idle one is not
+// that are under way; until the end this VM makes calls for advice for the owner. Answers ask callers to close their connections; an idle one is not
 // closed from here while there is time, as a request may be on its way.
-func (n *Node) stop(servers []*http.Server, listeners []net.Listener, cancelDecide context.CancelFunc) {
+func (n *Node) stop(servers []*http.Server, listeners []net.Listener) {
 	begun := time.Now()
 	n.opts.Events.Record(event.NodeStopping, n.opts.Grace)
 	n.stopping.Store(true)
-	cancelDecide()
+	n.yieldNow()
 	time.Sleep(min(stopNotice, n.opts.Grace/2))
 	for _, l := range listeners {
 		_ = l.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -41,7 +41,7 @@
 		ready:   fmt.Sprintf("127.0.0.1:%d", freePort(t)),
 		done:    make(chan error, 1),
 	}
-	settings, err := platform.ParseSettings(site.Settings(name, v.callers, v.ready, freePort(t)))
+	settings, err := platform.ParseSettings(site.Settings(name, "127.0.0.1", v.callers, v.ready, freePort(t)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
 	"filbertcross/internal/peer"
@@ -50,6 +51,7 @@
 		return attachAnswer{}, err
 	}
 	n.advisors.attached(r.Address)
+	n.giveWay(r.Rank)
 	_, _, changed := n.configs.get()
 	if n.opts.Owner.Clock()-time.Duration(n.confirmed.Load()) > configFresh {
 		return attachAnswer{}, &peer.Error{Code: peer.CodeNotOwner, Message: "the configuration here may be old", Verdict: verdict.NotRun}
@@ -143,6 +145,17 @@
 	}()
 }
 
+// giveWay ends this VM's time as the owner when a much larger one follows it.
+func (n *Node) giveWay(rank time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.yield != nil && n.opts.Rank-rank >= yieldFor && time.Since(n.elected) > yieldAfter {
+		n.opts.Events.Record(event.OwnerYields, n.opts.Rank, rank)
+		n.yield()
+		n.yield = nil
+	}
+}
+
 // relay writes to the store through the owner, for a VM that the store turns away.
 type relay struct{ node *Node }
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
 
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/event"
@@ -36,16 +37,47 @@
 	}
 }
 
+// loadOnce reads all parts side by side. The order does not matter: nobody writes progress
+// now, and a submission that comes meanwhile is found by the watch.
 func (o *Owner) loadOnce(ctx context.Context) (stored, error) {
 	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}}
-	var err error
-	// The intake is read before the progress: a job without progress has none.
-	if state.intake, state.revision, err = o.opts.Store.List(ctx, intakePrefix); err != nil {
-		return state, err
-	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		state.intake, state.revision, err = o.opts.Store.List(ctx, intakePrefix)
+		return err
+	})
+	group.Go(func() error { return o.loadProgress(ctx, &state) })
+	group.Go(func() error {
+		record, found, _, err := o.opts.Store.Get(ctx, workersKey)
+		if err != nil || !found {
+			return err
+		}
+		if err := cbor.Unmarshal(record.Value, &state.recorded); err != nil {
+			o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
+		}
+		return nil
+	})
+	group.Go(func() (err error) {
+		state.workers, err = o.readWorkers(ctx)
+		return err
+	})
+	group.Go(func() error {
+		conf, found, _, err := o.opts.Store.Get(ctx, o.opts.Codec.ConfigKey)
+		if err != nil || !found {
+			return err
+		}
+		if state.conf, err = o.opts.Codec.Configuration(conf.Value); err != nil {
+			o.opts.Events.Record(event.StoredEntryInvalid, o.opts.Codec.ConfigKey, err)
+		}
+		return nil
+	})
+	return state, group.Wait()
+}
+
+func (o *Owner) loadProgress(ctx context.Context, state *stored) error {
 	items, _, err := o.opts.Store.List(ctx, progressPfx)
 	if err != nil {
-		return state, err
+		return err
 	}
 	for _, item := range items {
 		p := &dispatch.Progress{}
@@ -55,28 +87,7 @@
 		}
 		state.progress[fleet.JobID(strings.TrimPrefix(item.Key, progressPfx))] = p
 	}
-	record, found, _, err := o.opts.Store.Get(ctx, workersKey)
-	if err != nil {
-		return state, err
-	}
-	if found {
-		if err := cbor.Unmarshal(record.Value, &state.recorded); err != nil {
-			o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
-		}
-	}
-	if state.workers, err = o.readWorkers(ctx); err != nil {
-		return state, err
-	}
-	conf, found, _, err := o.opts.Store.Get(ctx, o.opts.Codec.ConfigKey)
-	if err != nil {
-		return state, err
-	}
-	if found {
-		if state.conf, err = o.opts.Codec.Configuration(conf.Value); err != nil {
-			o.opts.Events.Record(event.StoredEntryInvalid, o.opts.Codec.ConfigKey, err)
-		}
-	}
-	return state, nil
+	return nil
 }
 
 // adopt builds the dispatcher from what was loaded. Its revision of a job decides whether
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,7 +69,7 @@
 	dispatcher *dispatch.Dispatcher
 	mail       *mailbox
 	group      *errgroup.Group
-	ended      chan struct{} // closed when Run ends
+	ended      chan struct{} // closed when nothing is decided any more
 
 	flushing   bool
 	flushDue   time.Duration
@@ -99,12 +99,13 @@
 // Run decides until ctx is done or the authority is lost, and says why it ended. It gives
 // the authority up at the end.
 func (o *Owner) Run(ctx context.Context, why string) error {
-	defer close(o.ended)
 	group, ctx := errgroup.WithContext(ctx)
 	o.group = group
 	group.Go(func() error { return o.authority.Keep(ctx) })
 	group.Go(func() error {
-		// Watches end a little later; a successor need not wait for them.
+		// Watches end a little later; a successor need not wait for them, and followers learn
+		// of the end once the key is free.
+		defer close(o.ended)
 		defer o.authority.release(ctx)
 		state, err := o.load(ctx)
 		if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -71,7 +71,7 @@
 		running.Wait()
 	}()
 	for i := range opts.VMs {
-		v, err := newVM(site, opts.Binary, opts.Dir, i)
+		v, err := newVM(site, opts.Binary, opts.Dir, opts.Seed, i)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -32,8 +32,9 @@
 	told   bool      // a signal that ends it was sent
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freePort finds a port of an address that only this soak uses.
+func freePort(ip string) (int, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return 0, errors.Wrap(err, "port")
 	}
@@ -41,13 +42,15 @@
 	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
-// newVM writes a settings file whose store is behind the VM's own proxy.
-func newVM(site *standin.Site, binary, dir string, i int) (*vm, error) {
+// newVM writes a settings file whose store is behind the VM's own proxy. The VM has a
+// loopback address of its own, so that its ports are free at every start.
+func newVM(site *standin.Site, binary, dir string, seed uint64, i int) (*vm, error) {
 	v := &vm{name: fmt.Sprintf("vm-%d", i), binary: binary}
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+seed>>8&0x7f, seed&0xff, 1+i)
 	ports := make([]int, 4)
 	for k := range ports {
 		var err error
-		if ports[k], err = freePort(); err != nil {
+		if ports[k], err = freePort(ip); err != nil {
 			return nil, err
 		}
 	}
@@ -55,9 +58,9 @@
 	if v.store, err = NewProxy(site.StoreAddress); err != nil {
 		return nil, err
 	}
-	v.callers, v.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	v.callers, v.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 	v.metricsPort = ports[3]
-	text := strings.Replace(site.Settings(v.name, v.callers, v.ready, ports[2]), site.StoreAddress, v.store.Address(), 1)
+	text := strings.Replace(site.Settings(v.name, ip, v.callers, v.ready, ports[2]), site.StoreAddress, v.store.Address(), 1)
 	v.settings = filepath.Join(dir, v.name+".toml")
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings")
