--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,18 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
 DURATION ?= 30s
 
-.PHONY: build demo test lint generate prove bench clean
+.PHONY: build deploy demo test lint generate prove soak bench clean
+
+SOAK_SEEDS ?= 1
 
 build:
 	$(GO) build -o bin/filbertcross ./cmd/filbertcross
 	$(GO) build -o bin/standin ./internal/standin/cmd/standin
 
+# deploy builds as the users' machines do; the line stands in deploy/system.toml.
+deploy:
+	@line=$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml); echo "$$line"; sh -c "$$line"
+
 demo: build
 	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep) $(if $(SHORT),-short)
 
@@ -23,12 +29,17 @@
 
 # test runs every test with the race detector and fixed seeds, then real processes:
 # a short randomised run and the demo, both judged by what must hold, not by the clock.
-test: lint build
+test: lint build deploy
 	@grep -v '^#' KNOWN-RED.txt || echo "KNOWN-RED.txt: none"
 	FILBERTCROSS_SEED=$(SEED) $(GO) test -race -count=1 -timeout 8m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 	$(GO) run ./internal/standin/prove -seed $(SEED) -duration 10s
+	$(GO) run ./internal/soak/cmd -seed $(SEED) -duration 15s
 	$(GO) run ./internal/standin/demo -short
 
+# soak runs the programs of the users' machines under faults from outside, seed after seed.
+soak: build
+	$(GO) run ./internal/soak/cmd -seed $(SEED) -seeds $(SOAK_SEEDS) -duration $(DURATION)
+
 # prove runs real processes under random work and faults from SEED for DURATION.
 prove: build
 	$(GO) run ./internal/standin/prove -seed $(SEED) -duration $(DURATION)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -219,3 +219,42 @@
 		}
 	}
 }
+
+// Pattern: the store does writes seconds after their callers gave up (platform_lost late), and
+// then the owner changes. A late write of older progress must not undo a newer one (found by
+// deploy/days/contracts.toml, TWICE 220).
+func TestLateWriteOfOlderProgressDoesNotUndoANewerOne(t *testing.T) {
+	site := newSite(t, 4)
+	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b")}
+	c := newCaller(t, site)
+	eventually(t, "an owner", 5*time.Second, func() bool { return vms[0].node.current.Load() != nil || vms[1].node.current.Load() != nil })
+	leader, other := vms[0], vms[1]
+	if vms[1].node.current.Load() != nil {
+		leader, other = vms[1], vms[0]
+	}
+	eventually(t, "configuration", 5*time.Second, func() bool { return other.node.Configuration() != nil })
+	steps := make([]string, 12)
+	for i := range steps { // tasks of one submission end one after the other
+		after := ""
+		if i > 0 {
+			after = fmt.Sprintf(`,"after":[%d]`, i-1)
+		}
+		steps[i] = fmt.Sprintf(`{"count":1,"cpu":500,"mem-mb":64,"est-runtime-ms":150%s}`, after)
+	}
+	body := fmt.Sprintf(`{"spec":"ms=150","steps":[%s]}`, strings.Join(steps, ","))
+	for n := range 8 {
+		site.Judge.Sent(id(n))
+		if status, _ := c.do(http.MethodPost, other, standin.QueuePrefix+id(n), body); status != http.StatusOK {
+			t.Fatalf("submission got %d", status)
+		}
+	}
+	site.Store.SetFaults(standin.Faults{LateWrite: 0.5})
+	time.Sleep(2500 * time.Millisecond)
+	site.Store.SetFaults(standin.Faults{})
+	time.Sleep(3 * time.Second) // the late writes are done
+	leader.stop()
+	eventually(t, "the other VM decides", 6*time.Second, func() bool { return other.node.current.Load() != nil })
+	for n := range 8 {
+		eventually(t, "completed", 15*time.Second, func() bool { return strings.Contains(c.state(other, id(n)), "completed") })
+	}
+}
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -11,13 +11,17 @@
 	"filbertcross/internal/fleet"
 )
 
+// recordEntries is how many entries of a transaction a record takes at most: a condition and
+// a write. The owner's own key is one more condition.
+const recordEntries = 2
+
 // flush starts the write of what has changed. One write is out at a time, and what
 // changes meanwhile goes into the next (group commit).
 func (o *Owner) flush(ctx context.Context, now time.Duration) {
 	if o.flushing || !o.authorized || now < o.flushDue && !o.dispatcher.Urgent() {
 		return
 	}
-	batch := o.dispatcher.Batch(now, fleet.MaxTxnEntries-1) // one entry is the condition
+	batch := o.dispatcher.Batch(now, (fleet.MaxTxnEntries-1)/recordEntries)
 	if len(batch) == 0 {
 		return
 	}
@@ -28,32 +32,58 @@
 	}
 	o.flushing = true
 	go func() {
-		_, err := limit(ctx, flushTimeout, func(ctx context.Context) (int64, error) { return o.opts.Store.Commit(ctx, txn) })
-		deposed := false
-		var conflict *fleet.ConflictError
-		if errors.As(err, &conflict) {
-			deposed = true
-		}
-		o.post(ctx, func(now time.Duration) {
-			o.flushing = false
-			o.flushDue = now + flushLinger
-			o.dispatcher.Committed(now, batch, err == nil)
-			if err != nil {
-				o.flushDue = now + flushRetry
-				o.opts.Events.Record(event.ProgressUnwritten, len(batch), err)
-			}
-			if deposed {
-				o.group.Go(func() error { return errors.Wrap(errDeposed, "another VM wrote the owner's key") })
-			}
-		})
+		revision, err := limit(ctx, flushTimeout, func(ctx context.Context) (int64, error) { return o.opts.Store.Commit(ctx, txn) })
+		o.post(ctx, func(now time.Duration) { o.flushed(now, batch, txn, revision, err) })
 	}()
 }
 
-// txn writes a batch under the condition that this owner's key still stands.
+// flushed takes the result of a write. Without an answer it may take effect later, which the
+// conditions make harmless: the next write of a key changes its revision.
+func (o *Owner) flushed(now time.Duration, batch []dispatch.Record, txn fleet.Txn, revision int64, err error) {
+	o.flushing = false
+	o.flushDue = now + flushLinger
+	o.dispatcher.Committed(now, batch, err == nil)
+	var conflict *fleet.ConflictError
+	switch {
+	case err == nil:
+		for _, w := range txn.Set {
+			o.revisions[w.Key] = revision
+		}
+		for _, key := range txn.Remove {
+			delete(o.revisions, key)
+		}
+	case errors.As(err, &conflict):
+		o.flushDue = now
+		o.settleConflict(conflict)
+	default:
+		o.flushDue = now + flushRetry
+		o.opts.Events.Record(event.ProgressUnwritten, len(batch), err)
+	}
+}
+
+// settleConflict learns the revisions that an unanswered write of this owner has made. If the
+// owner's own key is not as it was, another VM decides.
+func (o *Owner) settleConflict(conflict *fleet.ConflictError) {
+	deposed := true
+	for _, item := range conflict.Current {
+		if item.Key == Key {
+			deposed = item.Revision != o.authority.Fence
+			continue
+		}
+		o.revisions[item.Key] = item.Revision
+	}
+	if deposed {
+		o.group.Go(func() error { return errors.Wrap(errDeposed, "the owner's key is another one's") })
+	}
+}
+
+// txn writes a batch under the condition that this owner's key still stands, and that each
+// record is the one last known: a write that the store does late must not undo a newer one.
 func (o *Owner) txn(batch []dispatch.Record) (fleet.Txn, error) {
 	txn := fleet.Txn{If: []fleet.Condition{{Key: Key, Revision: o.authority.Fence}}}
 	set := func(key string, value any) error {
 		data, err := encoding.Marshal(value)
+		txn.If = append(txn.If, fleet.Condition{Key: key, Revision: o.revisions[key]})
 		txn.Set = append(txn.Set, fleet.Write{Key: key, Value: data})
 		return err
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -19,6 +19,8 @@
 	revision int64 // to watch the intake from
 	progress map[fleet.JobID]*dispatch.Progress
 	recorded []dispatch.RecordedWorker
+	recordAt int64            // revision of the record of workers; 0: there is none
+	written  map[string]int64 // revision of each progress record
 	workers  []fleet.WorkerEntry
 	conf     *fleet.Configuration
 }
@@ -40,7 +42,7 @@
 // loadOnce reads all parts side by side. The order does not matter: nobody writes progress
 // now, and a submission that comes meanwhile is found by the watch.
 func (o *Owner) loadOnce(ctx context.Context) (stored, error) {
-	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}}
+	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}, written: map[string]int64{}}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
 		state.intake, state.revision, err = o.opts.Store.List(ctx, intakePrefix)
@@ -52,6 +54,7 @@
 		if err != nil || !found {
 			return err
 		}
+		state.recordAt = record.Revision
 		if err := cbor.Unmarshal(record.Value, &state.recorded); err != nil {
 			o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
 		}
@@ -80,6 +83,7 @@
 		return err
 	}
 	for _, item := range items {
+		state.written[item.Key] = item.Revision
 		p := &dispatch.Progress{}
 		if err := cbor.Unmarshal(item.Value, p); err != nil {
 			o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
@@ -100,6 +104,10 @@
 		d.SetConfiguration(state.conf)
 	}
 	d.Recover(state.recorded)
+	o.revisions = state.written
+	if state.recordAt != 0 {
+		o.revisions[workersKey] = state.recordAt
+	}
 	d.SetWorkers(now, state.workers)
 	o.take(now, state.intake, state.progress)
 	o.opts.Events.Record(event.OwnerElected, o.authority.Fence, why, len(state.intake), len(state.workers))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -71,6 +71,7 @@
 	group      *errgroup.Group
 	ended      chan struct{} // closed when nothing is decided any more
 
+	revisions  map[string]int64 // of the records this owner writes, as last known
 	flushing   bool
 	flushDue   time.Duration
 	authorized bool
@@ -91,6 +92,7 @@
 		opts: opts, authority: authority,
 		mail:       newMailbox(opts.Clock),
 		ended:      make(chan struct{}),
+		revisions:  map[string]int64{},
 		startDelay: opts.Scope.Histogram("start_order_seconds", buckets),
 		holdTime:   opts.Scope.Histogram("hold_seconds", buckets),
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -74,6 +74,9 @@
 	{"store-lossy", func(r *run, _ *rand.Rand, d time.Duration) string {
 		return r.storeFault(standin.Faults{LoseAnswer: 0.3}, d)
 	}},
+	{"store-late", func(r *run, _ *rand.Rand, d time.Duration) string {
+		return r.storeFault(standin.Faults{LateWrite: 0.3}, d)
+	}},
 	{"store-slow", func(r *run, _ *rand.Rand, d time.Duration) string {
 		return r.storeFault(standin.Faults{Delay: 200 * time.Millisecond}, d)
 	}},
