A remembered refusal is no proof of death; notices need a store heard a moment ago

An owner was killed, started again and was elected; a follower's link still remembered that its address refused connections and replaced it while it lived. The living owner was told of a submission with a revision above the successor's token and started it, as the successor did. Change: a refusal counts only from a dial made after the record was read; an owner takes notices only if the store answered for its lease within 0.5 s, so that a key taken away without a sign does not leave two that start the same submission.

--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,13 +56,25 @@
 		n.campaign(ctx, item.Revision, "an earlier process of this VM had the authority")
 		return
 	}
-	if n.follow(ctx, rec.Address) {
+	if n.follow(ctx, rec.Address) && refuses(ctx, rec.Address) {
 		n.campaign(ctx, item.Revision, "nobody listens at the owner's address")
 		return
 	}
 	n.watchOwner(ctx, item.Revision)
 }
 
+// refuses reports whether nobody listens at an address now. A refusal that the link to a peer
+// remembers may be older than the record that is to be replaced.
+func refuses(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: storeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // watchOwner waits until the owner's key changes, for a while.
 func (n *Node) watchOwner(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -16,6 +16,7 @@
 	renewEvery    = 300 * time.Millisecond  // three renewals may fail
 	renewTimeout  = 500 * time.Millisecond  // a slow store takes about 250 ms
 	safetyMargin  = 200 * time.Millisecond  // of the lease that is not used: late timers, and orders on their way
+	freshFor      = 500 * time.Millisecond  // a renewal and a half; shorter than it takes to elect a successor
 	campaignCalls = 700 * time.Millisecond  // timeout of one store call
 )
 
@@ -28,10 +29,20 @@
 	Fence int64
 	lease int64
 	until atomic.Int64 // clock reading up to which the lease is surely held
+	heard atomic.Int64 // clock reading when the last answered call for the lease was sent
 	store fleet.Store
 	clock Clock
 }
 
+// ElectionTxn writes an owner's entry in place of the one with the revision.
+func ElectionTxn(self Record, replace, lease int64) (fleet.Txn, error) {
+	value, err := encoding.Marshal(self)
+	return fleet.Txn{
+		If:  []fleet.Condition{{Key: Key, Revision: replace}},
+		Set: []fleet.Write{{Key: Key, Value: value, Lease: lease}},
+	}, errors.Wrap(err, "owner record")
+}
+
 // ErrTaken says that another VM has the authority.
 var ErrTaken = errors.New("owner: another VM has the authority")
 
@@ -43,17 +54,15 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := encoding.Marshal(self)
+	txn, err := ElectionTxn(self, replace, lease)
 	if err != nil {
-		return nil, errors.Wrap(err, "owner record")
+		return nil, err
 	}
 	a := &Authority{lease: lease, store: store, clock: clock}
 	a.until.Store(int64(begun + LeaseTTL - safetyMargin))
+	a.heard.Store(int64(begun))
 	a.Fence, err = call(ctx, func(ctx context.Context) (int64, error) {
-		return store.Commit(ctx, fleet.Txn{
-			If:  []fleet.Condition{{Key: Key, Revision: replace}},
-			Set: []fleet.Write{{Key: Key, Value: value, Lease: lease}},
-		})
+		return store.Commit(ctx, txn)
 	})
 	if err == nil {
 		return a, nil
@@ -89,6 +98,12 @@
 // Holds reports whether the lease is surely held at the clock reading.
 func (a *Authority) Holds(now time.Duration) bool { return int64(now) < a.until.Load() }
 
+// Fresh reports whether the store answered for the lease a moment ago. A platform may take
+// the key away without a sign; until then no successor can have been elected.
+func (a *Authority) Fresh(now time.Duration) bool {
+	return now-time.Duration(a.heard.Load()) < freshFor
+}
+
 // Keep renews the lease until ctx is done or the lease has ended. An ended lease is an
 // error; renewals that fail for other reasons are repeated.
 func (a *Authority) Keep(ctx context.Context) error {
@@ -107,6 +122,7 @@
 		switch {
 		case err == nil:
 			a.until.Store(max(a.until.Load(), int64(sent+LeaseTTL-safetyMargin)))
+			a.heard.Store(int64(sent))
 		case errors.Is(err, fleet.ErrLeaseEnded):
 			return err
 		}
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -44,11 +44,17 @@
 // notifyTimeout bounds how long a notice waits for a loop that has ended.
 const notifyTimeout = time.Second
 
-// Notify hands over an item of the intake that its writer has just stored.
+// Notify hands over an item of the intake that its writer has just stored. An owner that has
+// not heard the store for a moment leaves it to its watch: a successor that it does not know
+// of would take the submission for its own.
 func (o *Owner) Notify(ctx context.Context, item fleet.Item) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	o.post(ctx, func(now time.Duration) { o.take(now, []fleet.Item{item}, nil) })
+	o.post(ctx, func(now time.Duration) {
+		if o.authority.Fresh(now) {
+			o.take(now, []fleet.Item{item}, nil)
+		}
+	})
 }
 
 // Fence returns the owner's fencing token.
