Only what is used of settings and configuration; leases as long as the platform allows; metrics test

Change: they are gone; the authority's lease is the longer of the two, and what a successor waits for counts it in. TestMetricsTellAnswersAndLatencies reads the page.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -9,9 +9,7 @@
 	GrantBound  time.Duration // from the election: how long what an earlier owner granted can last
 	HoldGrace   time.Duration // for which leases are still renewed after the authority is not surely held
 	StopTimeout time.Duration // within which a worker ends a stopped run
-	GangTimeout time.Duration
 	Retention   time.Duration // of final states
-	Checkpoint  time.Duration // interval between a worker's checkpoints
 }
 
 // Timing of calls and of judgements.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"filbertcross/internal/fleet"
@@ -209,6 +208,3 @@
 	}
 	return false
 }
-
-// Describe renders a batch for logs.
-func Describe(batch []Record) string { return strconv.Itoa(len(batch)) + " records" }
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -33,7 +33,7 @@
 func testOptions() Options {
 	return Options{
 		Fence: testFence, Lease: testLease, GrantBound: 8 * time.Second, HoldGrace: 3 * time.Second,
-		StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Retention: 2 * time.Minute, Checkpoint: 2 * time.Second,
+		StopTimeout: 200 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
 
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -7,10 +7,9 @@
 
 // Configuration is the operators' configuration in force. It is immutable.
 type Configuration struct {
-	Version  int64
-	Queues   []Queue
-	Services map[string]Service
-	MaxBody  int64 // bytes of a submission
+	Version int64
+	Queues  []Queue
+	MaxBody int64 // bytes of a submission
 }
 
 // Queue takes submissions under a host and a path prefix.
@@ -33,14 +32,6 @@
 	Validity time.Duration // of a ticket
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name           string
-	HealthPath     string
-	AdmissionCheck bool // its workers refuse what does not fit
-	Standby        bool // its machines are off
-}
-
 // Find returns the queue with the longest prefix of path under host.
 func (c *Configuration) Find(host, path string) (Queue, bool) {
 	best := -1
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -21,15 +21,16 @@
 
 // Settings that a process derives from the platform's.
 const (
-	memoryShare = 0.7 // of the machine's memory, from where on the collector works harder
-	mebibyte    = 1 << 20
-	peerStall   = 800 * time.Millisecond // a silent connection to a VM is given up after this
-	peerDial    = 500 * time.Millisecond
-	runLease    = 3500 * time.Millisecond // survives a change of owner (about 2 s) after a hold that is up to 0.9 s old
-	holdGrace   = 3 * time.Second         // carries what runs over an outage of the store of about 5 s
-	largeVM     = 0.4                     // cores from which a VM is a first choice as the owner: one of 350 workers takes about 0.3
-	fastLink    = 50.0                    // Mbit/s, likewise: it takes about 5, ten times that in a takeover
-	standBack   = 1200 * time.Millisecond // of a VM with nothing, in proportion for small ones: longer than it takes a large one to notice that the owner is lost
+	memoryShare     = 0.7              // of the machine's memory, from where on the collector works harder
+	retentionMargin = 10 * time.Second // the platform counts from its own view of the end
+	mebibyte        = 1 << 20
+	peerStall       = 800 * time.Millisecond // a silent connection to a VM is given up after this
+	peerDial        = 500 * time.Millisecond
+	runLease        = 3500 * time.Millisecond // survives a change of owner (about 2 s) after a hold that is up to 0.9 s old
+	holdGrace       = 3 * time.Second         // carries what runs over an outage of the store of about 5 s
+	largeVM         = 0.4                     // cores from which a VM is a first choice as the owner: one of 350 workers takes about 0.3
+	fastLink        = 50.0                    // Mbit/s, likewise: it takes about 5, ten times that in a takeover
+	standBack       = 1200 * time.Millisecond // of a VM with nothing, in proportion for small ones: longer than it takes a large one to notice that the owner is lost
 )
 
 // Settings are the process's own settings.
@@ -53,43 +54,42 @@
 	events := &telemetry.Recorder{Log: log, Scope: metrics.Scope}
 	peers := peer.Options{Clock: clock, StallTimeout: peerStall, DialTimeout: peerDial, MaxBackoff: peerDial}
 	store := platform.NewStore(s.Store.Address)
-	maxHold := platform.Milliseconds(s.Bounds.MaxHoldMS)
+	lease := min(runLease, platform.Milliseconds(s.Bounds.MaxHoldMS))
+	authority := max(owner.LeaseTTL, platform.Milliseconds(s.Store.MinLeaseMS))
 	return New(Options{
-		Name:         s.NodeName,
-		PeerAddress:  net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
-		Callers:      s.Listen.Callers,
-		Ready:        s.Listen.Ready,
-		ReadyPath:    platform.ReadyPath,
-		Metrics:      net.JoinHostPort(s.IP, strconv.Itoa(own.MetricsPort)),
-		Grace:        seconds(s.Bounds.GraceS),
-		Rank:         rank(s.Limits.CPUShare*max(s.Limits.CPUCores, 1), s.Limits.LinkMbps),
-		Incarnation:  uuid.NewString(),
-		Store:        store,
-		Advisor:      platform.NewAdvice(s.AdviceAddress),
-		ConfigPrefix: platform.OperatorPrefix,
-		Events:       events,
-		Scope:        metrics.Scope,
-		MetricsPage:  metrics.Handler,
-		Peers:        peer.NewServer(peers, events),
-		Caller:       peer.NewClient(peers, events),
+		Name:        s.NodeName,
+		PeerAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
+		Callers:     s.Listen.Callers,
+		Ready:       s.Listen.Ready,
+		ReadyPath:   platform.ReadyPath,
+		Metrics:     net.JoinHostPort(s.IP, strconv.Itoa(own.MetricsPort)),
+		Grace:       seconds(s.Bounds.GraceS),
+		Rank:        rank(s.Limits.CPUShare*max(s.Limits.CPUCores, 1), s.Limits.LinkMbps),
+		Incarnation: uuid.NewString(),
+		Store:       store,
+		Advisor:     platform.NewAdvice(s.AdviceAddress),
+		Events:      events,
+		Scope:       metrics.Scope,
+		MetricsPage: metrics.Handler,
+		Peers:       peer.NewServer(peers, events),
+		Caller:      peer.NewClient(peers, events),
 		Format: entry.Format{
 			DeadlineHeader: platform.DeadlineHeader, ValidID: platform.ValidJobID, Submission: platform.ParseSubmission,
 			State: platform.FormatState, Waiting: platform.FormatWaiting,
 		},
 		Owner: owner.Options{
-			Store: store, Workers: platform.NewExecutors(), Events: events, Scope: metrics.Scope, Clock: bootClock,
+			LeaseTTL: authority,
+			Store:    store, Workers: platform.NewExecutors(), Events: events, Scope: metrics.Scope, Clock: bootClock,
 			Codec: owner.Codec{
 				WorkerPrefix: platform.WorkerPrefix, Worker: platform.ParseWorkerEntry,
 				ConfigKey: platform.ConfigurationKey, Configuration: platform.ParseConfiguration,
 			},
 			Dispatch: dispatch.Options{
-				Lease:       min(runLease, maxHold),
-				GrantBound:  min(runLease, maxHold) + owner.LeaseTTL + holdGrace,
+				Lease:       lease,
+				GrantBound:  lease + authority + holdGrace,
 				HoldGrace:   holdGrace,
 				StopTimeout: platform.Milliseconds(s.Bounds.StopTimeoutMS),
-				GangTimeout: platform.Milliseconds(s.Bounds.GangTimeoutMS),
-				Retention:   seconds(s.Bounds.StatusS),
-				Checkpoint:  seconds(s.Bounds.CheckpointS),
+				Retention:   seconds(s.Bounds.StatusS) + retentionMargin,
 			},
 		},
 	}), log, metrics
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -101,7 +101,7 @@
 		return
 	}
 	self := owner.Record{Node: n.opts.Name, Address: n.opts.PeerAddress, Incarnation: n.opts.Incarnation}
-	authority, err := owner.Campaign(ctx, n.opts.Store, n.opts.Owner.Clock, self, replace)
+	authority, err := owner.Campaign(ctx, n.opts.Store, n.opts.Owner.Clock, n.opts.Owner.LeaseTTL, self, replace)
 	if err != nil {
 		n.opts.Events.Record(event.CampaignFailed, why, err)
 		if !errors.Is(err, owner.ErrTaken) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,25 +31,24 @@
 
 // Options are the parts and settings of a process.
 type Options struct {
-	Name         string
-	PeerAddress  string
-	Callers      string
-	Ready        string
-	ReadyPath    string
-	Metrics      string
-	Grace        time.Duration
-	Rank         time.Duration // a small VM stands back so long when an owner is elected
-	Incarnation  string
-	Store        fleet.Store
-	Advisor      fleet.Advisor
-	Owner        owner.Options // without Advice
-	Format       entry.Format
-	ConfigPrefix string
-	Events       event.Recorder
-	Scope        tally.Scope
-	MetricsPage  http.Handler
-	Peers        *peer.Server
-	Caller       peer.Caller
+	Name        string
+	PeerAddress string
+	Callers     string
+	Ready       string
+	ReadyPath   string
+	Metrics     string
+	Grace       time.Duration
+	Rank        time.Duration // a small VM stands back so long when an owner is elected
+	Incarnation string
+	Store       fleet.Store
+	Advisor     fleet.Advisor
+	Owner       owner.Options // without Advice
+	Format      entry.Format
+	Events      event.Recorder
+	Scope       tally.Scope
+	MetricsPage http.Handler
+	Peers       *peer.Server
+	Caller      peer.Caller
 }
 
 // Node is the process of an entry VM. Its fields below mu are shared between goroutines.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	node    *Node
 	callers string
 	ready   string
+	metrics string
 	stop    context.CancelFunc
 	done    chan error
 }
@@ -45,7 +46,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, _, metrics := Build(Settings{MetricsPort: freePort(t)}, settings, logr.Discard())
+	metricsPort := freePort(t)
+	v.metrics = fmt.Sprintf("127.0.0.1:%d", metricsPort)
+	n, _, metrics := Build(Settings{MetricsPort: metricsPort}, settings, logr.Discard())
 	v.node = n
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
@@ -147,6 +150,24 @@
 	}
 }
 
+func TestMetricsTellAnswersAndLatencies(t *testing.T) {
+	site := newSite(t, 1)
+	v := startVM(t, site, "a")
+	c := newCaller(t, site)
+	eventually(t, "configuration", 5*time.Second, func() bool { return v.node.Configuration() != nil })
+	c.submit(v, id(1), "ms=50")
+	eventually(t, "completed", 8*time.Second, func() bool { return strings.Contains(c.state(v, id(1)), "completed") })
+	eventually(t, "metrics", 5*time.Second, func() bool {
+		_, page, err := c.http.Do(context.Background(), http.MethodGet, v.metrics, "/metrics", "")
+		for _, want := range []string{`filbertcross_caller_answers{`, `method="POST",status="200"`, "filbertcross_caller_seconds_bucket", "filbertcross_hold_seconds_bucket", `event="run-placed"`} {
+			if err != nil || !strings.Contains(page, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func TestOwnerStopsAndAnotherGoesOn(t *testing.T) {
 	site := newSite(t, 4)
 	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b")}
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -28,6 +28,7 @@
 type Authority struct {
 	Fence int64
 	lease int64
+	ttl   time.Duration
 	until atomic.Int64 // clock reading up to which the lease is surely held
 	heard atomic.Int64 // clock reading when the last answered call for the lease was sent
 	store fleet.Store
@@ -46,11 +47,11 @@
 // ErrTaken says that another VM has the authority.
 var ErrTaken = errors.New("owner: another VM has the authority")
 
-// Campaign tries to take the authority. replace is the revision of a key whose holder is
+// Campaign tries to take the authority, for ttl at a time. replace is the revision of a key whose holder is
 // proved dead; 0: the key has to be absent.
-func Campaign(ctx context.Context, store fleet.Store, clock Clock, self Record, replace int64) (*Authority, error) {
+func Campaign(ctx context.Context, store fleet.Store, clock Clock, ttl time.Duration, self Record, replace int64) (*Authority, error) {
 	begun := clock()
-	lease, err := call(ctx, func(ctx context.Context) (int64, error) { return store.Grant(ctx, LeaseTTL) })
+	lease, err := call(ctx, func(ctx context.Context) (int64, error) { return store.Grant(ctx, ttl) })
 	if err != nil {
 		return nil, err
 	}
@@ -58,8 +59,8 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Authority{lease: lease, store: store, clock: clock}
-	a.until.Store(int64(begun + LeaseTTL - safetyMargin))
+	a := &Authority{lease: lease, ttl: ttl, store: store, clock: clock}
+	a.until.Store(int64(begun + ttl - safetyMargin))
 	a.heard.Store(int64(begun))
 	a.Fence, err = call(ctx, func(ctx context.Context) (int64, error) {
 		return store.Commit(ctx, txn)
@@ -121,7 +122,7 @@
 		cancel()
 		switch {
 		case err == nil:
-			a.until.Store(max(a.until.Load(), int64(sent+LeaseTTL-safetyMargin)))
+			a.until.Store(max(a.until.Load(), int64(sent+a.ttl-safetyMargin)))
 			a.heard.Store(int64(sent))
 		case errors.Is(err, fleet.ErrLeaseEnded):
 			return err
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -58,6 +58,7 @@
 	Scope    tally.Scope
 	Clock    Clock
 	Codec    Codec
+	LeaseTTL time.Duration    // of the authority
 	Dispatch dispatch.Options // without Fence
 }
 
