--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -12,6 +12,7 @@
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
+	"filbertcross/internal/pause"
 	"filbertcross/internal/peer"
 )
 
@@ -34,7 +35,7 @@
 		switch {
 		case err != nil:
 			n.followKnown(ctx)
-			pause(ctx, leadRetry)
+			pause.For(ctx, leadRetry)
 		case !found:
 			n.campaign(ctx, 0, "no VM has the authority")
 		default:
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
 	defer cancel()
 	if _, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatch); err != nil {
-		pause(ctx, leadRetry)
+		pause.For(ctx, leadRetry)
 	}
 }
 
@@ -93,11 +94,11 @@
 
 // campaign tries to become the owner and is it until the authority ends.
 func (n *Node) campaign(ctx context.Context, replace int64, why string) {
-	if !pause(ctx, n.opts.Rank+rand.N(campaignSpread)) {
+	if !pause.For(ctx, n.opts.Rank+rand.N(campaignSpread)) {
 		return
 	}
 	if n.stopping.Load() {
-		pause(ctx, leadRetry)
+		pause.For(ctx, leadRetry)
 		return
 	}
 	self := owner.Record{Node: n.opts.Name, Address: n.opts.PeerAddress, Incarnation: n.opts.Incarnation}
@@ -105,7 +106,7 @@
 	if err != nil {
 		n.opts.Events.Record(event.CampaignFailed, why, err)
 		if !errors.Is(err, owner.ErrTaken) {
-			pause(ctx, leadRetry)
+			pause.For(ctx, leadRetry)
 		}
 		return
 	}
@@ -124,7 +125,7 @@
 		go o.SetConfiguration(ctx, conf)
 	}
 	if err := o.Run(ctx, why); err != nil && ctx.Err() == nil {
-		pause(ctx, leadRetry)
+		pause.For(ctx, leadRetry)
 	}
 }
 
@@ -222,16 +223,6 @@
 // askedPeers is how many VMs are asked for the owner in one round.
 const askedPeers = 3
 
-// pause waits and reports whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // followConfiguration reads the configuration from the store while this VM is the owner,
 // or has no owner to learn it from.
 func (n *Node) followConfiguration(ctx context.Context) {
@@ -239,13 +230,13 @@
 	for ctx.Err() == nil {
 		if n.attachedLately() {
 			after = 0
-			pause(ctx, attachedCheck)
+			pause.For(ctx, attachedCheck)
 			continue
 		}
 		next, err := n.readConfiguration(ctx, after)
 		if err != nil {
 			after = 0
-			pause(ctx, leadRetry)
+			pause.For(ctx, leadRetry)
 			continue
 		}
 		after = next
@@ -284,7 +275,7 @@
 		if found {
 			n.takeConfiguration(ctx, item.Value)
 		} else {
-			pause(ctx, leadRetry)
+			pause.For(ctx, leadRetry)
 		}
 		return revision, nil
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -120,6 +120,18 @@
 	return site
 }
 
+// ownerAndFollower starts two VMs and waits until one decides and the other is configured.
+func ownerAndFollower(t *testing.T, site *standin.Site) (leader, other *vm) {
+	t.Helper()
+	leader, other = startVM(t, site, "a"), startVM(t, site, "b")
+	eventually(t, "an owner", 5*time.Second, func() bool { return leader.node.current.Load() != nil || other.node.current.Load() != nil })
+	if other.node.current.Load() != nil {
+		leader, other = other, leader
+	}
+	eventually(t, "configuration", 5*time.Second, func() bool { return other.node.Configuration() != nil })
+	return leader, other
+}
+
 func TestSubmissionsRunThroughAnyVM(t *testing.T) {
 	site := newSite(t, 4)
 	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b"), startVM(t, site, "c")}
@@ -170,14 +182,8 @@
 
 func TestOwnerStopsAndAnotherGoesOn(t *testing.T) {
 	site := newSite(t, 4)
-	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b")}
+	leader, other := ownerAndFollower(t, site)
 	c := newCaller(t, site)
-	eventually(t, "an owner", 5*time.Second, func() bool { return vms[0].node.current.Load() != nil || vms[1].node.current.Load() != nil })
-	leader, other := vms[0], vms[1]
-	if vms[1].node.current.Load() != nil {
-		leader, other = vms[1], vms[0]
-	}
-	eventually(t, "configuration", 5*time.Second, func() bool { return other.node.Configuration() != nil })
 	c.submit(other, id(1), "ms=1500")
 	c.submit(other, id(2), "lasts")
 	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := site.Judge.Faults(); return n == 4 })
@@ -246,14 +252,8 @@
 // deploy/days/contracts.toml, TWICE 220).
 func TestLateWriteOfOlderProgressDoesNotUndoANewerOne(t *testing.T) {
 	site := newSite(t, 4)
-	vms := []*vm{startVM(t, site, "a"), startVM(t, site, "b")}
+	leader, other := ownerAndFollower(t, site)
 	c := newCaller(t, site)
-	eventually(t, "an owner", 5*time.Second, func() bool { return vms[0].node.current.Load() != nil || vms[1].node.current.Load() != nil })
-	leader, other := vms[0], vms[1]
-	if vms[1].node.current.Load() != nil {
-		leader, other = vms[1], vms[0]
-	}
-	eventually(t, "configuration", 5*time.Second, func() bool { return other.node.Configuration() != nil })
 	steps := make([]string, 12)
 	for i := range steps { // tasks of one submission end one after the other
 		after := ""
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -8,6 +8,7 @@
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/pause"
 )
 
 // watchIntake follows submissions and cancellations. When the store has dropped the
@@ -21,7 +22,7 @@
 				o.opts.Events.Record(event.StoreCallFailed, "watch intake", err)
 			}
 			failing = true
-			pause(ctx, watchRetry)
+			pause.For(ctx, watchRetry)
 			continue
 		}
 		if failing {
@@ -51,7 +52,7 @@
 	var patientUntil time.Duration
 	failing := false
 	known := map[string]fleet.WorkerEntry{}
-	for pause(ctx, listEvery) {
+	for pause.For(ctx, listEvery) {
 		entries, err := limit(ctx, listTimeout, o.readWorkers)
 		now := o.opts.Clock()
 		if err != nil {
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -11,6 +11,7 @@
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/pause"
 )
 
 // stored is what a new owner finds in the store.
@@ -33,7 +34,7 @@
 			return state, nil
 		}
 		o.opts.Events.Record(event.StoreCallFailed, "load", err)
-		if !pause(ctx, loadRetry) {
+		if !pause.For(ctx, loadRetry) {
 			return stored{}, ctx.Err()
 		}
 	}
@@ -141,13 +142,3 @@
 		}
 	}
 }
-
-// pause waits and reports whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
