--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,7 +86,7 @@
 func (d *Dispatcher) worker(id model.WorkerID) *worker {
 	w := d.workers[id]
 	if w == nil {
-		w = &worker{entry: fleet.WorkerEntry{ID: id}, runs: map[fleet.RunID]*run{}}
+		w = &worker{entry: fleet.WorkerEntry{ID: id}, runs: map[fleet.RunID]*run{}, lastHeard: d.began}
 		d.workers[id] = w
 		d.order = append(d.order, w)
 	}
