--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -219,3 +219,9 @@
 		Does: "Nothing, if another VM did.",
 		Keys: []string{"why", "error"}})
 )
+
+// PeerExhausted tells that a VM had no descriptor for a connection of another.
+var PeerExhausted = Define(Def{ID: 6006, Name: "peer-exhausted", Level: Warn,
+	Text: "A connection of another VM could not be accepted for want of descriptors or memory; it is tried again.",
+	Does: "Raise the limit, or use larger VMs: each worker takes up to six connections of the owner.",
+	Keys: []string{"error"}})
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -52,7 +52,7 @@
 	var patientUntil time.Duration
 	failing := false
 	known := map[string]fleet.WorkerEntry{}
-	for pause.For(ctx, listEvery) {
+	for pause.For(ctx, listPause(len(known))) {
 		entries, err := limit(ctx, listTimeout, o.readWorkers)
 		now := o.opts.Clock()
 		if err != nil {
@@ -84,6 +84,14 @@
 	}
 }
 
+// listPause is longer for many workers: their entries take about 300 bytes each.
+func listPause(workers int) time.Duration {
+	if workers > manyWorkers {
+		return listSeldom
+	}
+	return listEvery
+}
+
 // readWorkers reads all entries and passes over those that name no worker.
 func (o *Owner) readWorkers(ctx context.Context) ([]fleet.WorkerEntry, error) {
 	items, _, err := o.opts.Store.List(ctx, o.opts.Codec.WorkerPrefix)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,6 +26,8 @@
 	loadRetry     = 100 * time.Millisecond
 	loadTimeout   = 3 * time.Second
 	listEvery     = 500 * time.Millisecond // reading of the workers' entries; the draining bound is 2 s
+	listSeldom    = time.Second            // the same for many workers, still below the draining bound
+	manyWorkers   = 500
 	listTimeout   = 1500 * time.Millisecond
 	returnOfStore = 2200 * time.Millisecond // after an outage, entries of live workers are back within about 2 s
 	watchWait     = 700 * time.Millisecond  // a watch that went silent is noticed after this and the timeout
--- /dev/null
+++ b/internal/peer/exhausted_test.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"filbertcross/internal/event"
+)
+
+// starved fails its first accepts like a process without descriptors.
+type starved struct {
+	net.Listener
+	failures int
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	if s.failures > 0 {
+		s.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return s.Listener.Accept()
+}
+
+// Pattern: the owner of 3,000 workers runs out of descriptors; its process must not end
+// (sweep-300: "accept4: too many open files").
+func TestServerOutlivesExhaustedDescriptors(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(Options{}, event.Discard{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, &starved{Listener: l, failures: 2}) }()
+	time.Sleep(3 * acceptPause)
+	select {
+	case err := <-ended:
+		t.Fatalf("the server ended: %v", err)
+	default:
+	}
+	client := NewClient(Options{}, event.Discard{})
+	defer client.Close()
+	// An unknown method is answered, so the connection was accepted.
+	if err := client.Call(ctx, l.Addr().String(), "no.such", nil, nil); err.(*Error).Code != CodeUnknown {
+		t.Fatalf("call: %v", err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,6 +66,11 @@
 	s.mu.Unlock()
 	for {
 		conn, err := l.Accept()
+		if err != nil && exhausted(err) {
+			s.recorder.Record(event.PeerExhausted, err)
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return s.acceptError(ctx, err)
 		}
@@ -75,6 +81,15 @@
 	}
 }
 
+// acceptPause lets connections end before the next is accepted.
+const acceptPause = 50 * time.Millisecond
+
+// exhausted reports whether the process or the machine has no descriptor or memory for one
+// more connection; the caller tries again, so that is no reason to end.
+func exhausted(err error) bool {
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED)
+}
+
 func (s *Server) acceptError(ctx context.Context, err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
