--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -244,7 +244,7 @@
 	}
 }
 
-// RunsAt lists the runs booked on a worker, for tests and for operators.
+// RunsAt lists the runs booked on a worker, for tests.
 func (d *Dispatcher) RunsAt(id model.WorkerID) []fleet.RunID {
 	w := d.workers[id]
 	if w == nil {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"filbertcross/internal/event"
+	"filbertcross/internal/model"
 )
 
 // Limits of what counts as standing still.
@@ -59,8 +61,8 @@
 					d.ask(now, s)
 					continue
 				}
-			case !last || s.def.Gang && !s.def.Checkpointing || !s.def.Checkpointing:
-				continue
+			case !last || !s.def.Checkpointing:
+				continue // it may end in time, or its work would be lost either way
 			}
 			if s.def.Gang {
 				d.breakGang(now, r, "a member's worker is leaving")
@@ -73,10 +75,5 @@
 
 // hasTicket reports whether some worker with room may take a task of the step now.
 func (d *Dispatcher) hasTicket(now time.Duration, s *step) bool {
-	for _, w := range d.order {
-		if d.feasible(now, s, w, w.entry.Capacity.Sub(w.entry.Capacity)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.order, func(w *worker) bool { return d.feasible(now, s, w, model.Resources{}) })
 }
