--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 demo: build
 	$(GO) run ./internal/standin/demo $(if $(KEEP),-keep) $(if $(SHORT),-short)
+	$(GO) run ./internal/soak/cmd -seed $(SEED) -duration 10s
 
 # lint checks the format, vets, runs staticcheck and compares the wire output.
 lint:
