A reborn worker rests only if an acknowledgement may come late

Change: the rest is for a worker that lived on after the loss, or was silent for less than three holds; one that was dead never received the hold. A hold after a failure acknowledges nothing.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -192,8 +192,9 @@
 		if w.holding || now < w.holdDue || w.entry.Address == "" {
 			continue
 		}
-		h := fleet.Hold{Fence: d.opts.Fence, Acknowledged: w.unsentAck()}
+		h := fleet.Hold{Fence: d.opts.Fence}
 		if w.heard && w.failing == 0 {
+			h.Acknowledged = w.unsentAck()
 			h.Deadline = w.clockNow(now) + d.opts.Lease.Milliseconds()
 			w.granted = max(w.granted, h.Deadline)
 			if len(w.ackQueue) == 0 {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -25,6 +25,7 @@
 	retryEvery         = 50 * time.Millisecond    // between tries of a waiting step for advice or for others' room
 	scanEvery          = 25 * time.Millisecond    // between looks over all workers and runs
 	lateOrders         = 12500 * time.Millisecond // within which an unanswered order may still be carried out; the platform says 12 s
+	deadSilence        = 3                        // unanswered holds in a row, about a second: the worker was dead when they were sent
 	lookEvery          = 150 * time.Millisecond   // between looks for the end of a stopped run
 	roomBackoff        = 300 * time.Millisecond   // of a worker that refused for want of room: its next report corrects the books
 	unhealthyBackoff   = time.Second              // of a worker that refused as unhealthy
--- /dev/null
+++ b/internal/dispatch/reborn_test.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"filbertcross/internal/fleet"
+)
+
+// rebornAfter makes a worker acknowledge an end, be silent for a number of holds, and come
+// back as another incarnation; it reports how many of two tasks start there at once.
+func rebornAfter(t *testing.T, silent int) int {
+	t.Helper()
+	r := newRig(t, 1)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.record()
+	r.decide() // a hold with the acknowledgement
+	if len(r.holds) != 1 || r.holds[0].Hold.Acknowledged != 1 {
+		t.Fatalf("holds %v", r.holds)
+	}
+	for range silent {
+		r.after(HoldWait + OrderTimeout)
+		r.d.HoldFailed(r.now, wid(0), errLost)
+		r.after(holdRetry)
+		r.decide()
+		for _, h := range r.holds {
+			if h.Hold.Acknowledged != 0 {
+				t.Fatal("a hold after a failure acknowledges: the next incarnation may get it")
+			}
+		}
+	}
+	r.after(time.Millisecond)
+	r.d.Report(r.now, r.now, wid(0), false, fleet.Report{Born: 9, Clock: 5})
+	r.submit("quick", "b", tasks(2, 4))
+	r.after(scanEvery)
+	r.decide()
+	return len(r.starts)
+}
+
+// Pattern: executors that flap (srv_flap) come back at once and are needed; one whose
+// acknowledgement may still be carried out late must not get runs whose ends it would forget.
+func TestRebornWorkerRestsOnlyIfAnAcknowledgementMayComeLate(t *testing.T) {
+	if got := rebornAfter(t, 1); got != 0 {
+		t.Errorf("%d starts on a worker whose last acknowledgement may come late", got)
+	}
+	if got := rebornAfter(t, deadSilence); got != 2 {
+		t.Errorf("%d starts on a worker that was dead for a while, want 2", got)
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -17,7 +17,7 @@
 	}
 	w.holding = false
 	if w.ackOut != 0 {
-		w.ackLost = now
+		w.ackDoubt, w.ackOut = now, 0
 	}
 	w.holdDue = now
 	if w.failing > 0 {
@@ -57,9 +57,12 @@
 	if w.failing > 0 || !w.heard {
 		d.gain(w)
 	}
+	silence := w.failing
 	w.holding, w.failing, w.lastHeard = false, 0, now
 	if w.heard && w.born != rep.Born {
-		d.reborn(now, w, rep.Born)
+		d.reborn(now, w, rep.Born, silence)
+	} else if w.ackDoubt != 0 {
+		w.ackLost, w.ackDoubt = w.ackDoubt, 0
 	}
 	w.provenAt = max(w.provenAt, sent)
 	w.born, w.heard, w.ackSent = rep.Born, true, max(w.ackSent, w.ackOut)
@@ -91,7 +94,7 @@
 
 // reborn ends all runs of the worker's earlier incarnation. A start whose answer is still
 // missing could reach the new one, so it is stopped there first.
-func (d *Dispatcher) reborn(now time.Duration, w *worker, born int64) {
+func (d *Dispatcher) reborn(now time.Duration, w *worker, born int64, silence int) {
 	d.events.Record(event.WorkerReborn, w.entry.ID, w.born, born, len(w.runs))
 	for _, r := range d.sorted(w.runs) {
 		if r.answered > w.provenAt {
@@ -106,6 +109,11 @@
 	}
 	w.seen, w.acked, w.ackQueue, w.granted, w.clock = 0, 0, nil, 0, 0
 	w.ackOut, w.ackSent = 0, 0
+	// A hold that a dead worker never received cannot be carried out late.
+	if w.ackDoubt != 0 && silence < deadSilence {
+		w.ackLost = w.ackDoubt
+	}
+	w.ackDoubt = 0
 	if w.ackLost != 0 {
 		w.avoidUntil = max(w.avoidUntil, w.ackLost+lateOrders)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -38,7 +38,8 @@
 	ackQueue []pendingAck
 	ackOut   int64         // in the hold that is out
 	ackSent  int64         // highest number in a hold that was answered
-	ackLost  time.Duration // when a hold with a number was given up without an answer; 0: never
+	ackDoubt time.Duration // when the last hold with a number was given up, while the worker is silent; 0: none
+	ackLost  time.Duration // when a hold with a number was lost by a worker that lived on; 0: never
 
 	failures   int // in a row
 	lastFailed fleet.JobID
