--- a/internal/soak/cmd/main.go
+++ b/internal/soak/cmd/main.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +18,7 @@
 
 func main() {
 	opts := soak.Options{Out: os.Stdout}
-	seeds, dir := 1, ""
+	seeds, dir, again := 1, "", false
 	app := &cli.Command{
 		Name:  "soak",
 		Usage: "run the real programs under faults from outside and check the platform's rules",
@@ -25,11 +27,21 @@
 			&cli.StringFlag{Name: "dir", Usage: "`DIR` for settings and logs; kept when a fault is found", Destination: &dir},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`", Destination: &opts.Seed},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "`NUMBER` of seeds, one after the other", Destination: &seeds},
+			&cli.BoolFlag{Name: "regressions", Usage: "the seeds that found a fault once, in place of --seed and --seeds", Destination: &again},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "`TIME` of load and faults for each seed", Destination: &opts.Duration},
 			&cli.IntFlag{Name: "vms", Value: 3, Usage: "`NUMBER` of entry VMs", Destination: &opts.VMs},
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "`NUMBER` of workers", Destination: &opts.Executors},
 		},
-		Action: func(ctx context.Context, _ *cli.Command) error { return soakSeeds(ctx, opts, seeds, dir) },
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			list := slices.Sorted(maps.Keys(soak.Regressions))
+			if !again {
+				list = list[:0]
+				for i := range seeds {
+					list = append(list, opts.Seed+uint64(i))
+				}
+			}
+			return soakSeeds(ctx, opts, list, dir)
+		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -37,7 +49,7 @@
 	}
 }
 
-func soakSeeds(ctx context.Context, opts soak.Options, seeds int, dir string) error {
+func soakSeeds(ctx context.Context, opts soak.Options, seeds []uint64, dir string) error {
 	if dir == "" {
 		var err error
 		if dir, err = os.MkdirTemp("", "soak-"); err != nil {
@@ -45,7 +57,8 @@
 		}
 	}
 	bad := 0
-	for range seeds {
+	for _, seed := range seeds {
+		opts.Seed = seed
 		opts.Dir = filepath.Join(dir, fmt.Sprint(opts.Seed))
 		if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
 			return errors.Wrap(err, "directory")
@@ -63,11 +76,10 @@
 		} else if err := os.RemoveAll(opts.Dir); err != nil {
 			return errors.Wrap(err, "directory")
 		}
-		opts.Seed++
 	}
-	fmt.Printf("%d seeds, %d with faults\n", seeds, bad)
+	fmt.Printf("%d seeds, %d with faults\n", len(seeds), bad)
 	if bad > 0 {
-		return errors.Newf("%d of %d seeds found faults", bad, seeds)
+		return errors.Newf("%d of %d seeds found faults", bad, len(seeds))
 	}
 	return nil
 }
