Maintenance waves: machines are vacated, recorded and ordered down in turn

Ruled out: reading GET /machines to follow a machine (a worker's entry names its machine; an order for one that is gone or busy says so); a watch of its own (the owner already watches the configuration, now the whole prefix op/). Change: dispatch/wave.go decides without I/O; progress of a wave is written under the owner's key before an order goes out; successors count what may be down.

--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -40,8 +40,12 @@
 	Workers []model.WorkerID
 }
 
-func (HoldCommand) command()   {}
-func (StartCommand) command()  {}
-func (StopCommand) command()   {}
-func (PaceCommand) command()   {}
-func (AdviseCommand) command() {}
+// MaintainCommand is answered by Maintained.
+type MaintainCommand struct{ Order fleet.Maintenance }
+
+func (HoldCommand) command()     {}
+func (StartCommand) command()    {}
+func (StopCommand) command()     {}
+func (PaceCommand) command()     {}
+func (AdviseCommand) command()   {}
+func (MaintainCommand) command() {}
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -78,6 +78,7 @@
 	d.expireWorkers(now)
 	d.endAvoidance(now)
 	d.drain(now)
+	d.maintain(now)
 	d.watchRuns(now)
 	d.speculate(now)
 	d.share(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,8 @@
 
 	dirty        []*job
 	removals     []fleet.JobID
+	waves        []*wave
+	dirtyWaves   []*wave
 	recordDirty  bool
 	recovered    bool
 	deposed      bool
@@ -114,6 +116,7 @@
 		if !w.listed || w.entry.Draining && !e.Draining {
 			d.gain(w)
 		}
+		w.retired = w.retired && e.Born == w.retiredBorn
 		w.entry, w.listed = e, true
 		if !w.recorded {
 			d.recordDirty = true
@@ -125,6 +128,7 @@
 			d.events.Record(event.WorkerUnlisted, w.entry.ID, len(w.runs))
 		}
 	}
+	d.markVacating()
 }
 
 // AddJob takes an accepted submission, and reports whether it is new here; progress is nil
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -10,6 +10,9 @@
 	HoldGrace   time.Duration // for which leases are still renewed after the authority is not surely held
 	StopTimeout time.Duration // within which a worker ends a stopped run
 	Retention   time.Duration // of final states
+
+	MaintenanceTime time.Duration // from the order until the machine has a worker again
+	HolderRest      time.Duration // between the orders of two owners to one machine
 }
 
 // Timing of calls and of judgements.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -45,7 +45,9 @@
 	Remove   bool             // the job is forgotten
 	Workers  []RecordedWorker // the record of workers
 	IsWorker bool
+	Wave     *WaveProgress
 
+	wave    *wave
 	job     *job
 	version int64
 }
@@ -106,7 +108,7 @@
 
 // Urgent reports whether a record that callers wait for is to be written.
 func (d *Dispatcher) Urgent() bool {
-	if d.recordDirty {
+	if d.recordDirty || len(d.dirtyWaves) > 0 {
 		return true
 	}
 	for _, j := range d.dirty {
@@ -132,6 +134,13 @@
 		d.recordDirty = false
 		batch = append(batch, rec)
 	}
+	for len(batch)+1 < limit && len(d.dirtyWaves) > 0 {
+		v := d.dirtyWaves[0]
+		d.dirtyWaves = d.dirtyWaves[1:]
+		v.listedIn = false
+		batch = append(batch, Record{Wave: v.progress(), wave: v, version: v.version})
+		limit-- // a wave takes one entry more, for what operators read
+	}
 	for len(batch) < limit && len(d.dirty) > 0 {
 		j := d.dirty[0]
 		d.dirty = d.dirty[1:]
@@ -162,6 +171,10 @@
 			}
 		case rec.IsWorker:
 			d.recordDirty = true
+		case rec.Wave != nil && ok:
+			rec.wave.durable = max(rec.wave.durable, rec.version)
+		case rec.Wave != nil:
+			d.waveChanged(rec.wave)
 		case rec.Remove && !ok:
 			d.removals = append(d.removals, rec.Job)
 		case rec.Remove:
--- /dev/null
+++ b/internal/dispatch/wave_test.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+	"filbertcross/internal/verdict"
+)
+
+// waveRig is a rig whose workers run on machines m0, m1, and so on.
+type waveRig struct {
+	*rig
+	workers int
+	life    map[int]int64 // incarnation of the worker on each machine
+	gone    map[int]bool  // down for maintenance
+	orders  []fleet.Maintenance
+}
+
+func newWaveRig(t *testing.T, workers int) *waveRig {
+	t.Helper()
+	r := &waveRig{rig: &rig{t: t, now: time.Hour, wall: time.Unix(1_800_000_000, 0), ends: map[model.WorkerID]int64{}},
+		workers: workers, life: map[int]int64{}, gone: map[int]bool{}}
+	r.takeOver(testFence)
+	return r
+}
+
+// takeOver begins an owner that knows the workers' entries only.
+func (r *waveRig) takeOver(fence int64) {
+	opts := testOptions()
+	opts.Fence, opts.MaintenanceTime, opts.HolderRest = fence, 2*time.Second, 3*time.Second
+	r.d = New(r.now, opts, event.Discard{})
+	r.d.SetConfiguration(testQueues())
+	r.listMachines()
+	r.record()
+}
+
+func machine(i int) fleet.MachineID { return fleet.MachineID(fmt.Sprintf("m%d", i)) }
+
+func (r *waveRig) listMachines() {
+	var entries []fleet.WorkerEntry
+	for i := range r.workers {
+		if !r.gone[i] {
+			e := entry(i)
+			e.Machine, e.Born = machine(i), 1+r.life[i]
+			entries = append(entries, e)
+		}
+	}
+	r.d.SetWorkers(r.now, entries)
+}
+
+// step lets time go on and keeps what was ordered.
+func (r *waveRig) step() []MaintainCommand {
+	r.after(scanEvery)
+	r.record()
+	var orders []MaintainCommand
+	r.holds, r.starts, r.stops = nil, nil, nil
+	for _, c := range r.d.Decide(r.now, r.wall, true) {
+		switch c := c.(type) {
+		case MaintainCommand:
+			orders = append(orders, c)
+			r.orders = append(r.orders, c.Order)
+		case StartCommand:
+			r.starts = append(r.starts, c)
+		case StopCommand:
+			r.stops = append(r.stops, c)
+		}
+	}
+	return orders
+}
+
+// hear lets every worker that is up report; lasting tasks are at work.
+func (r *waveRig) hear() {
+	for i := range r.workers {
+		if r.gone[i] {
+			continue
+		}
+		var rows []fleet.RunningRow
+		for _, run := range r.d.RunsAt(wid(i)) {
+			rows = append(rows, fleet.RunningRow{RunID: run, Percent: fullPace})
+		}
+		r.d.Report(r.now, r.now, wid(i), false, fleet.Report{Born: 1 + r.life[i], Clock: r.now.Milliseconds(), Running: rows})
+	}
+}
+
+// stopAll carries the stops out: the ends are listed at once.
+func (r *waveRig) stopAll() {
+	for _, s := range r.stops {
+		r.d.Stopped(r.now, s.Run, s.To.ID, nil)
+		r.ends[s.To.ID]++
+		end := fleet.EndRow{Number: r.ends[s.To.ID], RunID: s.Run, Outcome: fleet.OutcomeStopped}
+		var rows []fleet.RunningRow
+		for _, run := range r.d.RunsAt(s.To.ID) {
+			if run != s.Run {
+				rows = append(rows, fleet.RunningRow{RunID: run, Percent: fullPace})
+			}
+		}
+		var i int
+		fmt.Sscanf(string(s.To.ID), "w%d", &i)
+		r.now += time.Millisecond
+		r.d.Report(r.now, r.now, s.To.ID, false, fleet.Report{Born: 1 + r.life[i], Clock: r.now.Milliseconds(), Running: rows, Ended: []fleet.EndRow{end}})
+	}
+}
+
+func (r *waveRig) index(id fleet.MachineID) (i int) {
+	fmt.Sscanf(string(id), "m%d", &i)
+	return i
+}
+
+func wholeWave(workers, parallel int) fleet.Wave {
+	w := fleet.Wave{Number: 1, Within: 20 * time.Second, MaxParallel: parallel}
+	for i := range workers {
+		w.Machines = append(w.Machines, machine(i))
+	}
+	return w
+}
+
+// Pattern: all machines of a busy pool are to be maintained, two at once, while watches with a
+// disruption budget run there.
+func TestWaveTakesEmptyMachinesAndKeepsDisruptionBudgets(t *testing.T) {
+	const workers, parallel = 6, 2
+	r := newWaveRig(t, workers)
+	r.hear()
+	watch := tasks(4, 8)
+	watch.LongRunning, watch.MaxUnavailable, watch.MaxPerWorker = true, 1, 1
+	r.submit("quick", "watch", watch)
+	r.step()
+	r.accept(r.starts)
+	r.hear()
+	r.d.SetWave(r.now, r.wall, wholeWave(workers, parallel), nil)
+	backAt := map[int]time.Duration{}
+	for range 800 {
+		for i, at := range backAt {
+			if r.now >= at {
+				delete(backAt, i)
+				r.gone[i] = false
+				r.life[i]++
+				r.ends[wid(i)] = 0
+				r.listMachines()
+			}
+		}
+		orders := r.step()
+		for _, o := range orders {
+			i := r.index(o.Order.Machine)
+			if n := len(r.d.RunsAt(wid(i))); n > 0 {
+				t.Fatalf("machine %d is ordered down with %d runs", i, n)
+			}
+			backAt[i], r.gone[i] = r.now+2*time.Second, true
+			r.listMachines()
+			r.d.Maintained(r.now, o.Order, nil)
+		}
+		if len(backAt) > parallel {
+			t.Fatalf("%d machines are down, %d may be", len(backAt), parallel)
+		}
+		for _, s := range r.starts {
+			if r.gone[r.index(fleet.MachineID("m"+string(s.To.ID[1:])))] {
+				t.Fatalf("a start goes to %s, which is down", s.To.ID)
+			}
+		}
+		r.accept(r.starts)
+		away := 0
+		for _, task := range r.d.jobs["watch"].steps[0][0].tasks {
+			if len(task.runs) == 0 || task.runs[0].phase != runRunning {
+				away++
+			}
+		}
+		if len(r.stops) > 1 || away > 1 {
+			t.Fatalf("%d stops, %d watches away, one may be", len(r.stops), away)
+		}
+		r.stopAll()
+		r.hear()
+	}
+	if len(r.orders) != workers {
+		t.Fatalf("%d orders for %d machines", len(r.orders), workers)
+	}
+	if v := r.d.wave(1); !v.completed || r.now > v.due+20*time.Second {
+		t.Fatalf("wave completed: %v", v.completed)
+	}
+}
+
+// Pattern: the owner is lost in the middle of a wave; its successor has not heard the workers yet.
+func TestSuccessorOrdersNoMachineDownBeforeItsWorkerIsHeard(t *testing.T) {
+	r := newWaveRig(t, 4)
+	r.d.SetWave(r.now, r.wall, wholeWave(4, 4), &WaveProgress{Wave: 1, Begun: r.wall})
+	for range 10 {
+		if orders := r.step(); len(orders) > 0 {
+			t.Fatalf("%v is ordered down, and what runs there is not known", orders[0].Order.Machine)
+		}
+	}
+	r.hear()
+	r.step()
+	r.step()
+	if len(r.orders) != 4 {
+		t.Fatalf("%d machines of 4 are ordered down when their workers run nothing", len(r.orders))
+	}
+}
+
+// Pattern: the owner is lost between an order and its answer.
+func TestSuccessorCountsMachinesThatMayBeDown(t *testing.T) {
+	r := newWaveRig(t, 4)
+	r.d.SetWave(r.now, r.wall, wholeWave(4, 1), &WaveProgress{Wave: 1, Begun: r.wall, Ordered: []fleet.MachineID{machine(2)}})
+	r.hear()
+	for r.now < time.Hour+2900*time.Millisecond {
+		if orders := r.step(); len(orders) > 0 {
+			t.Fatalf("%v is ordered while m2 may be down, or too soon after the last owner's order", orders[0].Order.Machine)
+		}
+		r.hear()
+	}
+	for len(r.orders) == 0 && r.now < time.Hour+5*time.Second {
+		r.step()
+		r.hear()
+	}
+	if len(r.orders) != 1 || r.orders[0].Machine != machine(2) {
+		t.Fatalf("orders %v, want m2 settled first", r.orders)
+	}
+	r.d.Maintained(r.now, r.orders[0], nil) // it had been done before; its worker is the new one
+	r.step()
+	if w := r.d.workers[wid(2)]; w.retired {
+		t.Fatal("the worker that came back is taken for the one that was ordered down")
+	}
+}
+
+func TestOrderWaitsForItsRecord(t *testing.T) {
+	r := newWaveRig(t, 1)
+	r.hear()
+	r.d.SetWave(r.now, r.wall, wholeWave(1, 1), nil)
+	for range 5 {
+		r.after(scanEvery)
+		for _, c := range r.d.Decide(r.now, r.wall, true) {
+			if m, ok := c.(MaintainCommand); ok {
+				t.Fatalf("%v is ordered down before that is durable", m.Order.Machine)
+			}
+		}
+	}
+	if r.step(); len(r.orders) != 1 {
+		t.Fatalf("%d orders once it is durable", len(r.orders))
+	}
+}
+
+// Pattern: a machine of the wave is down for another reason; the others must not wait for it.
+func TestBusyMachineDoesNotHoldUpItsWave(t *testing.T) {
+	r := newWaveRig(t, 3)
+	r.hear()
+	r.d.SetWave(r.now, r.wall, wholeWave(3, 1), nil)
+	ordered := map[fleet.MachineID]bool{}
+	for range 400 {
+		for _, o := range r.step() {
+			ordered[o.Order.Machine] = true
+			var err error
+			if o.Order.Machine == machine(0) {
+				err = &fleet.CallError{Op: "maintain", Refusal: fleet.RefusedBusy, Verdict: verdict.NotRun}
+			}
+			r.d.Maintained(r.now, o.Order, err)
+		}
+		r.hear()
+	}
+	if !ordered[machine(1)] || !ordered[machine(2)] {
+		t.Fatalf("ordered: %v", ordered)
+	}
+	if r.d.wave(1).completed {
+		t.Fatal("the wave is called complete while a machine is left")
+	}
+}
+
+func TestFencedOrderEndsTheOwner(t *testing.T) {
+	r := newWaveRig(t, 1)
+	r.hear()
+	r.d.SetWave(r.now, r.wall, wholeWave(1, 1), nil)
+	r.step()
+	r.step()
+	r.d.Maintained(r.now, r.orders[0], refusal(fleet.RefusedFence))
+	if !r.d.Deposed() {
+		t.Fatal("an owner goes on although a machine has seen a higher fencing token")
+	}
+}
+
+// Pattern: work that does not checkpoint fills the machines; the wave has to be in time.
+func TestRunsEndBeforeTheirMachineGoesAsLongAsTheWaveIsInTime(t *testing.T) {
+	r := newWaveRig(t, 1)
+	r.hear()
+	long := tasks(1, 8)
+	long.Estimate = 60 * time.Second
+	r.submit("rebuild", "long", long)
+	r.step()
+	r.accept(r.starts)
+	begin := r.now
+	wave := wholeWave(1, 1)
+	r.d.SetWave(r.now, r.wall, wave, nil)
+	for len(r.stops) == 0 && r.now < begin+wave.Within {
+		r.step()
+		r.d.Report(r.now, r.now, wid(0), false, fleet.Report{Born: 1, Clock: r.now.Milliseconds(),
+			Running: []fleet.RunningRow{{RunID: r.d.RunsAt(wid(0))[0], Percent: int((r.now - begin) * 100 / long.Estimate)}}})
+	}
+	if len(r.stops) != 1 {
+		t.Fatalf("%d stops when the wave is due", len(r.stops))
+	}
+	if early := begin + wave.Within - r.now; early > 2*time.Second {
+		t.Fatalf("work that does not checkpoint is stopped %v before the wave is due", early)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -51,6 +51,10 @@
 	avoided    bool          // avoidUntil lay ahead at the last scan
 	drainEnd   time.Duration // until when a draining worker surely stays
 	stalls     int           // runs in a row that made no progress
+
+	vacating    bool  // its machine is to be maintained
+	retired     bool  // its machine was ordered down, which ends this incarnation
+	retiredBorn int64 // that incarnation, as its entry says
 }
 
 // pendingAck is an end that may be forgotten once the job's version is durable.
@@ -105,7 +109,7 @@
 
 // placeable reports whether the worker takes new runs.
 func (w *worker) placeable(now time.Duration) bool {
-	return w.listed && w.recorded && w.heard && w.failing == 0 && !w.entry.Draining && now >= w.avoidUntil
+	return w.listed && w.recorded && w.heard && w.failing == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.avoidUntil
 }
 
 // clockNow estimates the worker's clock.
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -22,6 +22,22 @@
 		Text: "The owner's lease is held again.",
 		Does: "Nothing.",
 		Keys: []string{"fence", "lost_for"}})
+	WaveTaken = Define(Def{ID: 2150, Name: "wave-taken", Level: Info,
+		Text: "The owner knows a request of the operators to maintain machines.",
+		Does: "Nothing.",
+		Keys: []string{"wave", "machines", "max_parallel", "due_in", "completed"}})
+	WaveCompleted = Define(Def{ID: 2151, Name: "wave-completed", Level: Info,
+		Text: "Each machine of the wave that is still there has been maintained.",
+		Does: "If it was late, allow more machines at once or more time.",
+		Keys: []string{"wave", "machines", "behind"}})
+	MaintenanceOrdered = Define(Def{ID: 2152, Name: "maintenance-ordered", Level: Info,
+		Text: "A machine without runs is ordered down.",
+		Does: "Nothing.",
+		Keys: []string{"wave", "machine", "down", "left", "due_in"}})
+	MaintenanceAnswered = Define(Def{ID: 2153, Name: "maintenance-answered", Level: Info,
+		Text: "The order was answered, or was not.",
+		Does: "If a machine stays busy, look at its state at the control plane.",
+		Keys: []string{"wave", "machine", "error"}})
 	OccurrenceDue = Define(Def{ID: 2105, Name: "occurrence-due", Level: Info,
 		Text: "A timed submission's run is due.",
 		Does: "Nothing.",
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -18,7 +18,7 @@
 	Capacity  model.Resources
 	Labels    []string // kind and rack
 	Born      int64    // incarnation: Unix millisecond of its start
-	Machine   string
+	Machine   MachineID
 }
 
 // Outcome says how a run ended on its worker.
@@ -95,7 +95,7 @@
 	Fence   int64
 }
 
-// Refusal is why a worker refused an order. Nothing was done.
+// Refusal is why a worker or a machine refused an order. Nothing was done.
 type Refusal string
 
 // The refusals of a worker.
@@ -108,6 +108,8 @@
 	RefusedIncarnation Refusal = "incarnation" // another incarnation answers at the address
 	RefusedUnhealthy   Refusal = "unhealthy"
 	RefusedInvalid     Refusal = "invalid"
+	RefusedBusy        Refusal = "busy" // the machine is not up, or about to leave
+	RefusedWave        Refusal = "wave" // the machine is not of that wave
 )
 
 // Target addresses one incarnation of a worker.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -79,10 +79,13 @@
 		},
 		Owner: owner.Options{
 			LeaseTTL: authority,
-			Store:    store, Workers: platform.NewExecutors(), Events: events, Scope: metrics.Scope, Clock: bootClock,
+			Store:    store, Workers: platform.NewExecutors(),
+			Machines: platform.NewMachines(s.Machines.Address, s.NodeName), Events: events, Scope: metrics.Scope, Clock: bootClock,
 			Codec: owner.Codec{
 				WorkerPrefix: platform.WorkerPrefix, Worker: platform.ParseWorkerEntry,
-				ConfigKey: platform.ConfigurationKey, Configuration: platform.ParseConfiguration,
+				OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigurationKey, Configuration: platform.ParseConfiguration,
+				WavePrefix: platform.WavePrefix, Wave: platform.ParseWave,
+				WaveStatusKey: platform.WaveStatusKey, WaveState: platform.FormatWaveState,
 			},
 			Dispatch: dispatch.Options{
 				Lease:       lease,
@@ -90,6 +93,9 @@
 				HoldGrace:   holdGrace,
 				StopTimeout: platform.Milliseconds(s.Bounds.StopTimeoutMS),
 				Retention:   seconds(s.Bounds.StatusS) + retentionMargin,
+
+				MaintenanceTime: seconds(s.Bounds.MaintenanceS),
+				HolderRest:      platform.Milliseconds(s.Bounds.LeaseMS),
 			},
 		},
 	}), log, metrics
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -265,33 +266,42 @@
 func (n *Node) readConfiguration(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, configWatchTime)
 	defer cancel()
-	key := n.opts.Owner.Codec.ConfigKey
-	if after == 0 {
-		item, found, revision, err := n.opts.Store.Get(ctx, key)
-		if err != nil {
-			return 0, err
-		}
-		n.confirmed.Store(int64(n.opts.Owner.Clock()))
-		if found {
-			n.takeConfiguration(ctx, item.Value)
-		} else {
-			pause.For(ctx, leadRetry)
+	prefix := n.opts.Owner.Codec.OperatorPrefix
+	read := n.opts.Store.List
+	if after > 0 {
+		read = func(ctx context.Context, prefix string) ([]fleet.Item, int64, error) {
+			return n.opts.Store.Watch(ctx, prefix, after, configWatch)
 		}
-		return revision, nil
 	}
-	items, next, err := n.opts.Store.Watch(ctx, key, after, configWatch)
+	items, next, err := read(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
 	n.confirmed.Store(int64(n.opts.Owner.Clock()))
 	for _, item := range items {
-		if item.Key == key && !item.Deleted {
-			n.takeConfiguration(ctx, item.Value)
+		if !item.Deleted {
+			n.takeOperators(ctx, item)
 		}
 	}
+	if n.configs.version() == 0 {
+		pause.For(ctx, leadRetry)
+	}
 	return max(next, after), nil
 }
 
+// takeOperators takes an entry that operators have written.
+func (n *Node) takeOperators(ctx context.Context, item fleet.Item) {
+	codec := n.opts.Owner.Codec
+	switch {
+	case item.Key == codec.ConfigKey:
+		n.takeConfiguration(ctx, item.Value)
+	case strings.HasPrefix(item.Key, codec.WavePrefix):
+		if o := n.current.Load(); o != nil {
+			o.SetWave(ctx, item)
+		}
+	}
+}
+
 func (n *Node) takeConfiguration(ctx context.Context, raw []byte) {
 	if !n.configs.offer(raw, "store") {
 		return
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -92,6 +92,13 @@
 		switch {
 		case rec.IsWorker:
 			err = set(workersKey, rec.Workers)
+		case rec.Wave != nil:
+			state := fleet.WaveRunning
+			if rec.Wave.Completed {
+				state = fleet.WaveCompleted
+			}
+			err = set(waveKey(rec.Wave.Wave), rec.Wave)
+			txn.Set = append(txn.Set, fleet.Write{Key: o.opts.Codec.WaveStatusKey(rec.Wave.Wave), Value: o.opts.Codec.WaveState(state)})
 		case rec.Remove:
 			txn.Remove = append(txn.Remove, JobKey(rec.Job), CancelKey(rec.Job), ProgressKey(rec.Job))
 		default:
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"strconv"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"filbertcross/internal/fleet"
@@ -14,6 +16,7 @@
 	jobPrefix     = "fc/in/j/" // written by the VM that took the submission
 	cancelPrefix  = "fc/in/c/"
 	progressPfx   = "fc/st/" // written by the owner
+	wavePfx       = progressPfx + "wave/"
 	encodedCancel = "1"
 )
 
@@ -35,6 +38,9 @@
 // ProgressKey is where a submission's progress lies.
 func ProgressKey(id fleet.JobID) string { return progressPfx + string(id) }
 
+// waveKey is where the progress of a maintenance wave lies.
+func waveKey(number int64) string { return wavePfx + strconv.FormatInt(number, 10) }
+
 // SubmissionTxn stores a submission unless one with its id is there.
 func SubmissionTxn(s *fleet.Submission) (fleet.Txn, error) {
 	value, err := encoding.Marshal(s)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -24,6 +24,8 @@
 	written  map[string]int64 // revision of each progress record
 	workers  []fleet.WorkerEntry
 	conf     *fleet.Configuration
+	waves    []fleet.Wave
+	begun    map[int64]*dispatch.WaveProgress // by the number of the wave
 }
 
 // load reads everything that lasts; it tries until ctx is done.
@@ -43,7 +45,7 @@
 // loadOnce reads all parts side by side. The order does not matter: nobody writes progress
 // now, and a submission that comes meanwhile is found by the watch.
 func (o *Owner) loadOnce(ctx context.Context) (stored, error) {
-	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}, written: map[string]int64{}}
+	state := stored{progress: map[fleet.JobID]*dispatch.Progress{}, written: map[string]int64{}, begun: map[int64]*dispatch.WaveProgress{}}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
 		state.intake, state.revision, err = o.opts.Store.List(ctx, intakePrefix)
@@ -65,16 +67,7 @@
 		state.workers, err = o.readWorkers(ctx)
 		return err
 	})
-	group.Go(func() error {
-		conf, found, _, err := o.opts.Store.Get(ctx, o.opts.Codec.ConfigKey)
-		if err != nil || !found {
-			return err
-		}
-		if state.conf, err = o.opts.Codec.Configuration(conf.Value); err != nil {
-			o.opts.Events.Record(event.StoredEntryInvalid, o.opts.Codec.ConfigKey, err)
-		}
-		return nil
-	})
+	group.Go(func() error { return o.loadOperators(ctx, &state) })
 	return state, group.Wait()
 }
 
@@ -85,16 +78,52 @@
 	}
 	for _, item := range items {
 		state.written[item.Key] = item.Revision
-		p := &dispatch.Progress{}
-		if err := cbor.Unmarshal(item.Value, p); err != nil {
+		var err error
+		if strings.HasPrefix(item.Key, wavePfx) {
+			p := &dispatch.WaveProgress{}
+			err = cbor.Unmarshal(item.Value, p)
+			state.begun[p.Wave] = p
+		} else {
+			p := &dispatch.Progress{}
+			err = cbor.Unmarshal(item.Value, p)
+			state.progress[fleet.JobID(strings.TrimPrefix(item.Key, progressPfx))] = p
+		}
+		if err != nil {
 			o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
-			continue
 		}
-		state.progress[fleet.JobID(strings.TrimPrefix(item.Key, progressPfx))] = p
 	}
 	return nil
 }
 
+// loadOperators reads the configuration and the maintenance waves.
+func (o *Owner) loadOperators(ctx context.Context, state *stored) error {
+	items, _, err := o.opts.Store.List(ctx, o.opts.Codec.OperatorPrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		switch {
+		case item.Key == o.opts.Codec.ConfigKey:
+			if state.conf, err = o.opts.Codec.Configuration(item.Value); err != nil {
+				o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
+			}
+		case strings.HasPrefix(item.Key, o.opts.Codec.WavePrefix):
+			if wave, ok := o.readWave(item); ok {
+				state.waves = append(state.waves, wave)
+			}
+		}
+	}
+	return nil
+}
+
+func (o *Owner) readWave(item fleet.Item) (fleet.Wave, bool) {
+	wave, err := o.opts.Codec.Wave(item)
+	if err != nil {
+		o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
+	}
+	return wave, err == nil
+}
+
 // adopt builds the dispatcher from what was loaded. Its revision of a job decides whether
 // an earlier owner can have started it.
 func (o *Owner) adopt(state stored, why string) {
@@ -110,6 +139,9 @@
 		o.revisions[workersKey] = state.recordAt
 	}
 	d.SetWorkers(now, state.workers)
+	for _, wave := range state.waves {
+		d.SetWave(now, time.Now(), wave, state.begun[wave.Number])
+	}
 	o.take(now, state.intake, state.progress)
 	o.opts.Events.Record(event.OwnerElected, o.authority.Fence, why, len(state.intake), len(state.workers))
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -33,6 +33,8 @@
 	watchWait     = 700 * time.Millisecond  // a watch that went silent is noticed after this and the timeout
 	watchTimeout  = watchWait + 700*time.Millisecond
 	watchRetry    = 100 * time.Millisecond
+
+	machineTimeout = 1500 * time.Millisecond // of an order to the control plane of machines, which may be slow
 )
 
 // AdviceCaller asks for advice from one of several VMs, each of which may have one call out.
@@ -47,14 +49,21 @@
 type Codec struct {
 	WorkerPrefix  string
 	Worker        func(fleet.Item) (fleet.WorkerEntry, error)
-	ConfigKey     string
 	Configuration func([]byte) (*fleet.Configuration, error)
+
+	OperatorPrefix string // of the configuration and of the waves
+	ConfigKey      string
+	WavePrefix     string
+	Wave           func(fleet.Item) (fleet.Wave, error)
+	WaveStatusKey  func(number int64) string // what operators read
+	WaveState      func(fleet.WaveState) []byte
 }
 
 // Options are the owner's parts and settings.
 type Options struct {
 	Store    fleet.Store
 	Workers  fleet.Workers
+	Machines fleet.Machines
 	Advice   AdviceCaller
 	Events   event.Recorder
 	Scope    tally.Scope
@@ -218,6 +227,11 @@
 			return o.opts.Workers.Pace(ctx, c.To, c.Pace)
 		})
 		return func(now time.Duration) { d.Paced(now, c.Pace.RunID, c.Pace.Percent, err) }
+	case dispatch.MaintainCommand:
+		_, err := limit(ctx, machineTimeout, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, o.opts.Machines.Maintain(ctx, c.Order)
+		})
+		return func(now time.Duration) { d.Maintained(now, c.Order, err) }
 	case dispatch.AdviseCommand:
 		allowed, validity, err := o.opts.Advice.Advise(ctx, c.Step, c.Workers)
 		return func(now time.Duration) { d.Advised(now, c.Step, c.Workers, allowed, validity, err) }
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -41,6 +41,13 @@
 	o.post(ctx, func(time.Duration) { o.dispatcher.SetConfiguration(c) })
 }
 
+// SetWave hands an entry with the operators' request for a maintenance wave to the dispatcher.
+func (o *Owner) SetWave(ctx context.Context, item fleet.Item) {
+	if wave, ok := o.readWave(item); ok {
+		o.post(ctx, func(now time.Duration) { o.dispatcher.SetWave(now, time.Now(), wave, nil) })
+	}
+}
+
 // notifyTimeout bounds how long a notice waits for a loop that has ended.
 const notifyTimeout = time.Second
 
