Copies only where a new run ends well before; preemption grows with the cluster

Preemption stopped 16 runs at a time whatever the cluster's size, and a stop takes up to 0.9 s there. Ruled out: advice (0.1 s a step), the owner's processor time (0.42 of a core at most). Change: a run is copied when it may be lost, or when what is left of it by its own progress is well above what the step's other tasks take; not while steps wait for room. Preemption may stop a third as many runs as there are workers. Three tests of the load that failed first.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -46,6 +46,7 @@
 	steps := d.ready(now)
 	d.askAdvice(now, steps)
 	var unplaced []*step
+	d.crowded = false
 	for _, s := range steps {
 		among := gained
 		if s.fresh {
@@ -54,6 +55,7 @@
 		if len(among) > 0 && (!s.def.Gang || s.fresh || now >= s.roomDue) {
 			d.placeStep(now, s, among)
 		}
+		d.crowded = d.crowded || s.waiting > 0 && !s.advice.asking
 		if s.waiting > 0 && (s.fresh || now >= s.roomDue) {
 			s.roomDue = now + retryEvery
 			unplaced = append(unplaced, s)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	closing []*run    // whose start or stop is not settled
 	gained  []*worker // since the last pass
 	passDue time.Duration
+	crowded bool // steps found no room at the last pass
 	scanDue time.Duration
 	cancels map[fleet.JobID]bool // of submissions that are not known yet
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,7 +37,9 @@
 	job       *job
 	tasks     []*task
 	done      int
-	waiting   int // tasks in taskWaiting
+	runTime   time.Duration // sum over the tasks that ended here
+	timed     int           // how many these are
+	waiting   int           // tasks in taskWaiting
 	started   bool
 	failures  []int64 // runs of a gang that failed
 	notBefore time.Duration
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -241,6 +241,98 @@
 	}
 }
 
+// Pattern: estimates are off by a factor of two and more (hoogvlucht-sched-grown, est_off 0.9).
+// A run that is three quarters through ends before a copy would.
+func TestRunThatGetsOnIsNotCopied(t *testing.T) {
+	r := newRig(t, 2)
+	s := tasks(1, 4)
+	s.Speculative, s.Estimate = true, 100*time.Millisecond
+	r.submit("quick", "a", s)
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	for percent := 20; percent < 100; percent += 20 {
+		r.after(150 * time.Millisecond)
+		r.reportRows(first.To.ID, []fleet.RunningRow{{RunID: first.Start.RunID, Percent: percent}})
+		r.report(otherWorker(first.To.ID))
+		r.after(scanEvery)
+		r.decide()
+		if len(r.starts) != 0 {
+			t.Fatalf("a copy is started of a run at %d percent after %v", percent, r.now-time.Hour)
+		}
+	}
+}
+
+// Pattern: one worker is eight times slower than the others (srv_slow, srv_grey slow): siblings
+// of the step tell how long its tasks take.
+func TestRunOnASlowWorkerIsCopied(t *testing.T) {
+	r := newRig(t, 2)
+	s := tasks(6, 4)
+	s.Speculative, s.Estimate = true, time.Second
+	r.submit("quick", "a", s)
+	r.decide()
+	r.accept(r.starts)
+	placed := r.starts
+	slow := placed[0]
+	for range 8 {
+		r.after(150 * time.Millisecond)
+		for _, w := range []model.WorkerID{wid(0), wid(1)} {
+			var rows []fleet.RunningRow
+			var ends []fleet.EndRow
+			for _, p := range placed {
+				switch {
+				case p.To.ID != w:
+				case p.Start.RunID == slow.Start.RunID:
+					rows = append(rows, fleet.RunningRow{RunID: p.Start.RunID, Percent: int((r.now - time.Hour) / (80 * time.Millisecond))})
+				case r.now-time.Hour < time.Second:
+					rows = append(rows, fleet.RunningRow{RunID: p.Start.RunID, Percent: int((r.now - time.Hour) / (10 * time.Millisecond))})
+				case len(r.d.workers[w].runs) > 0 && r.d.runs[p.Start.RunID] != nil:
+					ends = append(ends, r.end(p, fleet.OutcomeDone))
+				}
+			}
+			r.reportRows(w, rows, ends...)
+		}
+		r.after(scanEvery)
+		r.decide()
+		if len(r.starts) == 1 && r.starts[0].Start.Task == slow.Start.Task {
+			return
+		}
+	}
+	t.Fatalf("no copy of the slow run after %v, when its siblings have ended", r.now-time.Hour)
+}
+
+func otherWorker(id model.WorkerID) model.WorkerID {
+	if id == wid(0) {
+		return wid(1)
+	}
+	return wid(0)
+}
+
+// Pattern: a burst of urgent tasks on a large cluster that is full of work that checkpoints
+// (hoogvlucht-sched-grown scale-1), where a stop takes up to 0.9 s.
+func TestUrgentBurstOnALargeClusterTakesRoomAtOnce(t *testing.T) {
+	const workers = 120
+	r := newRig(t, workers)
+	long := tasks(4*workers, 8)
+	long.Checkpointing, long.Estimate = true, 30*time.Second
+	r.submit("rebuild", "long", long)
+	r.decide()
+	r.accept(r.starts)
+	for i := range workers {
+		r.report(wid(i))
+	}
+	r.submit("quick", "urgent", tasks(40, 8))
+	stops := 0
+	for range 5 {
+		r.decide()
+		stops += len(r.stops)
+		r.after(time.Millisecond)
+	}
+	if stops != 40 {
+		t.Fatalf("%d runs are stopped for forty urgent tasks", stops)
+	}
+}
+
 // Pattern: a filler beside a task that serves people, whose tail rises (sharing, HARM).
 func TestFillerIsSlowedBesideASufferingTask(t *testing.T) {
 	r := newRig(t, 1)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -12,14 +12,15 @@
 // Bounds of preemption.
 const (
 	preemptSlack = 2 * time.Second // a victim keeps at least this beyond what it still needs
-	preemptStops = 16              // runs that are being stopped for others at the same time
+	preemptStops = 16              // runs that are being stopped for others at the same time, at least
+	preemptShare = 3               // workers for each such run: one stop takes up to a second, and a burst wants several tasks a worker
 )
 
 // preempt makes room for the most urgent steps that found none, by stopping runs of less
 // urgent queues that lose no work: those that checkpoint. Room that is already being freed
 // is counted first.
 func (d *Dispatcher) preempt(now time.Duration, steps []*step) {
-	budget := preemptStops
+	budget := max(preemptStops, len(d.order)/preemptShare)
 	for _, r := range d.closing {
 		if r.preempted && !r.gone {
 			budget--
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -219,6 +219,10 @@
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 		}
+		if e.Outcome == fleet.OutcomeDone && r.answered != 0 && r.task.checkpoint == "" {
+			r.task.step.runTime += now - r.answered
+			r.task.step.timed++
+		}
 		d.end(r)
 	} else if t != nil && t.state == taskWaiting && e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -6,19 +6,22 @@
 	"filbertcross/internal/event"
 )
 
-// A copy is started when a run may be lost or takes much longer than declared.
+// A copy is started when a run may be lost, or when a new one would end well before it.
 const (
-	copyAfter  = 1.6                    // times the estimate
-	copyMargin = 300 * time.Millisecond // so that short tasks are not copied for a late report
+	copyGain        = 1.5                    // times what a new run takes, that have to be left of the old one
+	copyGainUnknown = 3.0                    // the same where only the declared run time is known, which is rough
+	copyMargin      = 300 * time.Millisecond // more than that, for a ticket and a late report
+	firstPercent    = 0.5                    // taken for the progress of a run that reports none yet
 )
 
-// speculate starts a second run of tasks that allow copies.
+// speculate starts a second run of tasks that allow copies. While steps wait for room, only
+// runs that may be lost are copied.
 func (d *Dispatcher) speculate(now time.Duration) {
 	for _, r := range d.runList {
 		t := r.task
 		s := t.step
 		if !s.def.Speculative || s.def.Gang || r.gone || r.copied || t.state != taskActive || len(t.runs) != 1 ||
-			t.runs[0] != r || s.job.closed() || !d.doubtful(now, r) {
+			t.runs[0] != r || s.job.closed() || !doubtful(r) && (d.crowded || !outrun(now, r)) {
 			continue
 		}
 		w := d.choose(now, s, t, d.order)
@@ -36,10 +39,53 @@
 	}
 }
 
-// doubtful reports whether the run may be lost or stuck.
-func (d *Dispatcher) doubtful(now time.Duration, r *run) bool {
-	if r.phase == runUncertain || r.phase == runStopping || r.worker.failing > 1 {
-		return true
+// doubtful reports whether the run may be lost.
+func doubtful(r *run) bool {
+	return r.phase == runUncertain || r.phase == runStopping || r.worker.failing > 1
+}
+
+// outrun reports whether a new run would end well before this one, by its progress and by the
+// other tasks of its step, which take about as long.
+func outrun(now time.Duration, r *run) bool {
+	total, ok := projected(r)
+	if !ok {
+		return false
+	}
+	left := total - (now - r.answered)
+	if typical, ok := siblings(r); ok {
+		return left > time.Duration(copyGain*float64(typical))+copyMargin
+	}
+	return left > time.Duration(copyGainUnknown*float64(r.task.step.def.Estimate))+copyMargin
+}
+
+// projected is how long a run takes as a whole at its rate so far.
+func projected(r *run) (time.Duration, bool) {
+	spent := r.worker.lastHeard - r.answered
+	if r.percent > 0 {
+		spent = r.progressAt - r.answered
+	}
+	if r.answered == 0 || spent < copyMargin {
+		return 0, false
+	}
+	return time.Duration(float64(spent) * fullPace / max(float64(r.percent), firstPercent)), true
+}
+
+// siblings is how long other tasks of the step took, or take on other workers.
+func siblings(r *run) (time.Duration, bool) {
+	s := r.task.step
+	if s.timed > 0 {
+		return s.runTime / time.Duration(s.timed), true
+	}
+	least, ok := time.Duration(0), false
+	for _, t := range s.tasks {
+		for _, other := range t.runs {
+			if other.worker == r.worker {
+				continue
+			}
+			if total, known := projected(other); known && (!ok || total < least) {
+				least, ok = total, true
+			}
+		}
 	}
-	return now-r.sent > time.Duration(copyAfter*float64(r.task.step.def.Estimate))+copyMargin
+	return least, ok
 }
