Takeovers ask the earlier owner; writes side by side and hedged when the store is slow

Ruled out: the owner's processor time; elections (0.6 s after the processes were back). A refused connection is no proof that a worker is dead, as cuts may refuse. Change: the record of workers names its owner, and a successor asks that VM; an owner grants nothing before the record names it; empty draining workers leave the record. Up to eight writes are out, final states first. A caller's write is tried again beside the first, whose answer still counts; the breaker judges by calls without an answer for 0.8 s, also for relayed writes. Renewals do not wait for each other.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -188,15 +188,15 @@
 }
 
 // holds sends the holds that are due. One whose answer may be lost must not extend the
-// lease again and again, so after a failure, and before the worker's clock is known, a hold
-// only asks.
+// lease again and again, so after a failure, before the worker's clock is known, and before the
+// record names this owner, a hold only asks.
 func (d *Dispatcher) holds(now time.Duration) {
 	for _, w := range d.order {
 		if w.holding || now < w.holdDue || w.entry.Address == "" {
 			continue
 		}
 		h := fleet.Hold{Fence: d.opts.Fence}
-		if w.heard && w.failing == 0 {
+		if w.heard && w.failing == 0 && d.announced {
 			h.Acknowledged = w.unsentAck()
 			h.Deadline = w.clockNow(now) + d.opts.Lease.Milliseconds()
 			w.granted = max(w.granted, h.Deadline)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,7 +15,9 @@
 	opts   Options
 	events event.Recorder
 	began  time.Duration
-	conf   *fleet.Configuration
+	// inherited is when all that earlier owners granted has surely run out.
+	inherited time.Duration
+	conf      *fleet.Configuration
 
 	workers map[model.WorkerID]*worker
 	order   []*worker // in the order of their appearance, so that decisions repeat
@@ -36,6 +38,8 @@
 	waves        []*wave
 	dirtyWaves   []*wave
 	recordDirty  bool
+	recordOut    bool // the record of workers is in a batch that is out
+	announced    bool // the record names this owner; before that nothing is granted, as a successor would ask another
 	recovered    bool
 	deposed      bool
 	authorizedAt time.Duration // of the last decision with authority
@@ -49,9 +53,10 @@
 // New returns a dispatcher that knows nothing yet.
 func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, events: events, began: now,
+		opts: opts, events: events, began: now, inherited: leaseEnd(now, opts.GrantBound),
 		workers: map[model.WorkerID]*worker{}, jobs: map[fleet.JobID]*job{},
 		runs: map[fleet.RunID]*run{}, cancels: map[fleet.JobID]bool{}, adviceSlots: 1,
+		recordDirty: true,
 	}
 }
 
@@ -78,13 +83,20 @@
 func (d *Dispatcher) Recover(recorded []RecordedWorker) {
 	for _, r := range recorded {
 		w := d.worker(model.WorkerID(r.ID))
-		w.wasSeen, w.recorded = true, true
+		w.wasSeen = true
 		if w.entry.Address == "" {
 			w.entry.Address = r.Address
 		}
 	}
 }
 
+// PredecessorEnded says that the owner before has granted nothing since the given time.
+func (d *Dispatcher) PredecessorEnded(at time.Duration) {
+	if end := leaseEnd(at, d.opts.Lease); end < d.inherited {
+		d.inherited = end
+	}
+}
+
 // worker finds or adds a worker.
 func (d *Dispatcher) worker(id model.WorkerID) *worker {
 	w := d.workers[id]
@@ -119,7 +131,7 @@
 		}
 		w.retired = w.retired && e.Born == w.retiredBorn
 		w.entry, w.listed = e, true
-		if !w.recorded {
+		if w.recorded == w.departing() {
 			d.recordDirty = true
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -67,6 +67,7 @@
 	version   int64 // raised with every change of the progress
 	durable   int64 // version that is in the store
 	listedIn  bool  // in Dispatcher.dirty
+	writing   bool  // in a batch that is out
 	queue     fleet.Queue
 	objective time.Duration // from arrival
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -108,44 +108,43 @@
 
 // Urgent reports whether a record that callers wait for is to be written.
 func (d *Dispatcher) Urgent() bool {
-	if d.recordDirty || len(d.dirtyWaves) > 0 {
+	if d.recordDirty && !d.recordOut {
 		return true
 	}
-	for _, j := range d.dirty {
-		if j.state.Final() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.dirtyWaves, func(v *wave) bool { return !v.writing }) ||
+		slices.ContainsFunc(d.dirty, (*job).ends)
 }
 
-// Batch takes at most limit records to be written together. One batch is out at a time.
+// ends reports whether the job's final state waits to be written.
+func (j *job) ends() bool { return j.state.Final() && !j.writing }
+
+// Batch takes at most limit records to be written together, final states first. Several
+// batches may be out at once; no record is in two of them.
 func (d *Dispatcher) Batch(now time.Duration, limit int) []Record {
 	d.prune(now)
 	var batch []Record
-	if d.recordDirty {
-		rec := Record{IsWorker: true}
-		for _, w := range d.order {
-			w.recorded = w.recorded && (w.listed || len(w.runs) > 0)
-			if w.listed || len(w.runs) > 0 {
-				rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address})
-			}
-		}
-		d.recordDirty = false
-		batch = append(batch, rec)
+	if d.recordDirty && !d.recordOut {
+		d.recordDirty, d.recordOut = false, true
+		batch = append(batch, d.workersRecord())
 	}
-	for len(batch)+1 < limit && len(d.dirtyWaves) > 0 {
-		v := d.dirtyWaves[0]
-		d.dirtyWaves = d.dirtyWaves[1:]
-		v.listedIn = false
+	d.dirtyWaves = slices.DeleteFunc(d.dirtyWaves, func(v *wave) bool {
+		if v.writing || len(batch)+1 >= limit {
+			return false
+		}
+		v.listedIn, v.writing = false, true
 		batch = append(batch, Record{Wave: v.progress(), wave: v, version: v.version})
 		limit-- // a wave takes one entry more, for what operators read
-	}
-	for len(batch) < limit && len(d.dirty) > 0 {
-		j := d.dirty[0]
-		d.dirty = d.dirty[1:]
-		j.listedIn = false
-		batch = append(batch, Record{Job: j.sub.ID, Progress: j.progress(), job: j, version: j.version})
+		return true
+	})
+	for _, wanted := range []func(*job) bool{(*job).ends, func(j *job) bool { return !j.writing }} {
+		d.dirty = slices.DeleteFunc(d.dirty, func(j *job) bool {
+			if len(batch) >= limit || !wanted(j) {
+				return false
+			}
+			j.listedIn, j.writing = false, true
+			batch = append(batch, Record{Job: j.sub.ID, Progress: j.progress(), job: j, version: j.version})
+			return true
+		})
 	}
 	for len(batch)+removedKeys <= limit && len(d.removals) > 0 {
 		batch = append(batch, Record{Job: d.removals[0], Remove: true})
@@ -155,6 +154,19 @@
 	return batch
 }
 
+// workersRecord names the workers on which runs may be, or may be started.
+func (d *Dispatcher) workersRecord() Record {
+	rec := Record{IsWorker: true}
+	for _, w := range d.order {
+		keep := (w.listed || w.wasSeen || len(w.runs) > 0) && !w.departing()
+		w.recorded = w.recorded && keep
+		if keep {
+			rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address})
+		}
+	}
+	return rec
+}
+
 // removedKeys is how many keys the removal of a job takes.
 const removedKeys = 3
 
@@ -162,30 +174,26 @@
 func (d *Dispatcher) Committed(now time.Duration, batch []Record, ok bool) {
 	for _, rec := range batch {
 		switch {
-		case rec.IsWorker && ok:
-			for _, r := range rec.Workers {
-				if w := d.workers[model.WorkerID(r.ID)]; w != nil {
-					w.recorded = true
-					d.gain(w)
-				}
-			}
 		case rec.IsWorker:
-			d.recordDirty = true
-		case rec.Wave != nil && ok:
-			rec.wave.durable = max(rec.wave.durable, rec.version)
+			d.recordOut = false
+			d.recordDirty = d.recordDirty || !ok
+			if ok {
+				d.announced = true
+				d.markRecorded(rec.Workers)
+			}
 		case rec.Wave != nil:
-			d.waveChanged(rec.wave)
-		case rec.Remove && !ok:
-			d.removals = append(d.removals, rec.Job)
+			rec.wave.writing = false
+			if ok {
+				rec.wave.durable = max(rec.wave.durable, rec.version)
+			} else {
+				d.waveChanged(rec.wave)
+			}
 		case rec.Remove:
-		case ok:
-			rec.job.durable = max(rec.job.durable, rec.version)
-			if rec.Progress.State.Final() {
-				rec.job.shown = rec.Progress.State
+			if !ok {
+				d.removals = append(d.removals, rec.Job)
 			}
-		case !rec.job.listedIn:
-			rec.job.listedIn = true
-			d.dirty = append(d.dirty, rec.job)
+		default:
+			d.written(rec, ok)
 		}
 	}
 	for _, w := range d.order {
@@ -198,6 +206,31 @@
 	}
 }
 
+func (d *Dispatcher) markRecorded(workers []RecordedWorker) {
+	for _, r := range workers {
+		if w := d.workers[model.WorkerID(r.ID)]; w != nil {
+			w.recorded = true
+			d.gain(w)
+		}
+	}
+}
+
+// written takes the result of the write of a job's progress.
+func (d *Dispatcher) written(rec Record, ok bool) {
+	j := rec.job
+	j.writing = false
+	switch {
+	case ok:
+		j.durable = max(j.durable, rec.version)
+		if rec.Progress.State.Final() {
+			j.shown = rec.Progress.State
+		}
+	case !j.listedIn:
+		j.listedIn = true
+		d.dirty = append(d.dirty, j)
+	}
+}
+
 // prune forgets jobs whose final state was kept long enough.
 func (d *Dispatcher) prune(now time.Duration) {
 	n := 0
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -20,6 +20,7 @@
 	}
 	r.d.Recover(recorded)
 	r.list(n)
+	r.record()
 	return r
 }
 
@@ -57,6 +58,104 @@
 	}
 }
 
+// Pattern: power is lost for all VMs while some workers are gone (aulaplan-sofia-grown trouble-1):
+// the earlier owner's process is known to have ended, so only its last leases have to run out.
+func TestProvedEndOfThePredecessorShortensTheWait(t *testing.T) {
+	r := takeover(t, 2)
+	r.oldJob("old", nil, tasks(1, 4))
+	r.reportRows(wid(0), nil)
+	r.d.PredecessorEnded(r.now - time.Second)
+	begin := r.now - time.Second
+	for len(r.starts) == 0 && r.now < begin+8*time.Second {
+		r.after(50 * time.Millisecond)
+		r.d.HoldFailed(r.now, wid(1), errLost)
+		r.report(wid(0))
+		r.decide()
+	}
+	if waited := r.now - begin; len(r.starts) != 1 || waited < testLease || waited > testLease+500*time.Millisecond {
+		t.Fatalf("%d starts %v after the earlier owner's end, want one when a lease of %v has run out", len(r.starts), waited, testLease)
+	}
+}
+
+// Pattern: owners follow each other quickly. One that is not named in the record grants nothing,
+// as its successor would ask another one whether it still does.
+func TestOwnerGrantsNothingBeforeTheRecordNamesIt(t *testing.T) {
+	r := &rig{t: t, now: time.Hour, wall: time.Unix(1_800_000_000, 0)}
+	r.d = New(r.now, testOptions(), event.Discard{})
+	r.d.SetConfiguration(testQueues())
+	r.d.Recover([]RecordedWorker{{ID: string(wid(0)), Address: entry(0).Address}})
+	r.list(1)
+	r.submit("quick", "a", tasks(1, 4))
+	for range 3 {
+		r.decide()
+		for _, h := range r.holds {
+			if h.Hold.Deadline != 0 {
+				t.Fatalf("a lease is granted to %s", h.To.ID)
+			}
+			r.report(h.To.ID)
+		}
+		if len(r.starts) != 0 {
+			t.Fatal("a run is started")
+		}
+	}
+	r.record()
+	r.decide()
+	if len(r.holds) != 1 || r.holds[0].Hold.Deadline == 0 || len(r.starts) != 1 {
+		t.Fatalf("holds %v starts %v once the record names it", r.holds, r.starts)
+	}
+}
+
+// Pattern: workers were emptied and have left before the owner is lost (scale_in, then
+// power_off_all); a successor need not wait for them.
+func TestEmptyDrainingWorkerIsNotRecorded(t *testing.T) {
+	r := newRig(t, 2)
+	draining := func(on bool) {
+		r.list(2, func(i int, e *fleet.WorkerEntry) { e.Draining, e.Remaining = on && i == 0, 2*time.Second })
+		r.after(scanEvery)
+		r.decide()
+	}
+	recorded := func() (names []string, written bool) {
+		for _, rec := range r.d.Batch(r.now, 30) {
+			if rec.IsWorker {
+				written = true
+				for _, w := range rec.Workers {
+					names = append(names, w.ID)
+				}
+			}
+			r.d.Committed(r.now, []Record{rec}, true)
+		}
+		return names, written
+	}
+	draining(true)
+	if names, written := recorded(); !written || len(names) != 1 || names[0] != string(wid(1)) {
+		t.Fatalf("record %v, want the worker that stays", names)
+	}
+	draining(true)
+	if _, written := recorded(); written {
+		t.Fatal("the record is written again without a change")
+	}
+	draining(false)
+	if names, _ := recorded(); len(names) != 2 {
+		t.Fatalf("record %v, want both once the worker stays after all", names)
+	}
+}
+
+func TestDrainingWorkerWithEndsThatAreNotDurableStaysRecorded(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("quick", "a", tasks(2, 20))
+	r.decide()
+	r.accept(r.starts)
+	first := r.starts[0]
+	r.list(2, func(i int, e *fleet.WorkerEntry) { e.Draining = wid(i) == first.To.ID })
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.list(2, func(i int, e *fleet.WorkerEntry) { e.Draining = wid(i) == first.To.ID })
+	for _, rec := range r.d.Batch(r.now, 30) {
+		if rec.IsWorker {
+			t.Fatalf("record %v while an end of %s is not durable", rec.Workers, first.To.ID)
+		}
+	}
+}
+
 func TestTakeoverAdoptsWhatRunsAndWhatEnded(t *testing.T) {
 	r := takeover(t, 2)
 	r.oldJob("old", nil, tasks(3, 4))
--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -48,6 +48,7 @@
 	version   int64 // of what is to be durable
 	durable   int64
 	listedIn  bool // in Dispatcher.dirtyWaves
+	writing   bool // in a batch that is out
 }
 
 // machineTurn is one machine in a wave.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -131,16 +131,27 @@
 // worker's clock may run slow, which makes the lease longer on ours.
 func (w *worker) lapse(d *Dispatcher) time.Duration {
 	if !w.heard {
-		return d.began + time.Duration(float64(d.opts.GrantBound)/clockDrift) + lapseMargin
+		return d.inherited
 	}
 	left := time.Duration(max(w.granted-w.clock, 0)) * time.Millisecond
-	end := w.clockAt + time.Duration(float64(left)/clockDrift) + lapseMargin
+	end := leaseEnd(w.clockAt, left)
 	if w.granted == 0 { // only an earlier owner's lease
-		end = max(end, d.began+time.Duration(float64(d.opts.GrantBound)/clockDrift)+lapseMargin)
+		end = max(end, d.inherited)
 	}
 	return end
 }
 
+// leaseEnd is when a lease that was granted at most that long before the given time has run out.
+func leaseEnd(at, lease time.Duration) time.Duration {
+	return at + time.Duration(float64(lease)/clockDrift) + lapseMargin
+}
+
+// departing reports whether nothing runs on a worker, nothing will be started there, and all
+// its ends are durable: a successor need not hear it.
+func (w *worker) departing() bool {
+	return w.entry.Draining && w.heard && len(w.runs) == 0 && len(w.ackQueue) == 0
+}
+
 // attach books a run on its worker.
 func (d *Dispatcher) attach(r *run) {
 	w, s := r.worker, r.task.step
--- a/internal/entry/breaker.go
+++ b/internal/entry/breaker.go
@@ -14,9 +14,9 @@
 
 // Judgement of the store as seen from this VM.
 const (
-	breakAfter = 450 * time.Millisecond // without an answer: longer than a slow store takes
+	breakAfter = 800 * time.Millisecond // without an answer: twice what a slow store takes
 	probeEvery = 150 * time.Millisecond
-	probeTime  = 400 * time.Millisecond
+	probeTime  = breakAfter
 )
 
 // errStoreDown says that a write was not tried, as the store does not answer this VM.
@@ -29,49 +29,72 @@
 	probe  func(ctx context.Context) error
 	events event.Recorder
 
-	mu      sync.Mutex
-	failing time.Time // of the first failure since the last answer; zero: none
-	open    bool
+	mu     sync.Mutex
+	calls  map[int]time.Time // beginnings of the calls that are out
+	next   int
+	silent time.Time // beginning of the first call since the last answer that had none; zero: none
+	open   bool
 }
 
 // NewBreaker wraps the store; probe makes a cheap read.
 func NewBreaker(store Committer, probe func(ctx context.Context) error, events event.Recorder) *Breaker {
-	return &Breaker{store: store, probe: probe, events: events}
+	return &Breaker{store: store, probe: probe, events: events, calls: map[int]time.Time{}}
 }
 
 // Commit passes the write on, or fails at once with verdict NotRun.
 func (b *Breaker) Commit(ctx context.Context, t fleet.Txn) (int64, error) {
-	if b.isOpen() {
+	call, ok := b.enter()
+	if !ok {
 		return 0, &fleet.CallError{Op: "store commit", Verdict: verdict.NotRun, Cause: errStoreDown}
 	}
-	begun := time.Now()
 	revision, err := b.store.Commit(ctx, t)
-	b.note(begun, err)
+	b.leave(call, err)
 	return revision, err
 }
 
-func (b *Breaker) isOpen() bool {
+// enter notes a call, unless the store has been silent for too long.
+func (b *Breaker) enter() (call int, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.open
+	now := time.Now()
+	since := b.silent
+	for _, begun := range b.calls {
+		if since.IsZero() || begun.Before(since) {
+			since = begun
+		}
+	}
+	if !b.open && !since.IsZero() && now.Sub(since) >= breakAfter {
+		b.open = true
+		b.events.Record(event.StoreCallFailed, "commit", now.Sub(since))
+		go b.recover()
+	}
+	if b.open {
+		return 0, false
+	}
+	b.next++
+	b.calls[b.next] = now
+	return b.next, true
 }
 
-// note takes the result of a call. A refusal for its condition is an answer.
-func (b *Breaker) note(begun time.Time, err error) {
+// leave takes the result of a call. A refusal for its condition is an answer, after which only
+// later calls can prove silence.
+func (b *Breaker) leave(call int, err error) {
 	var conflict *fleet.ConflictError
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	begun := b.calls[call]
+	delete(b.calls, call)
 	if err == nil || errors.As(err, &conflict) {
-		b.failing = time.Time{}
+		b.silent = time.Time{}
+		for other, since := range b.calls {
+			if since.Before(begun) {
+				b.calls[other] = begun // its answer is late or lost; the store lives
+			}
+		}
 		return
 	}
-	if b.failing.IsZero() {
-		b.failing = begun
-	}
-	if !b.open && time.Since(b.failing) >= breakAfter {
-		b.open = true
-		b.events.Record(event.StoreCallFailed, "commit", err)
-		go b.recover()
+	if b.silent.IsZero() || begun.Before(b.silent) {
+		b.silent = begun
 	}
 }
 
@@ -86,7 +109,8 @@
 			continue
 		}
 		b.mu.Lock()
-		b.open, b.failing = false, time.Time{}
+		b.open, b.silent = false, time.Time{}
+		clear(b.calls)
 		b.mu.Unlock()
 		b.events.Record(event.StoreCallAnswered, "commit")
 		return
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -12,9 +12,9 @@
 
 // Timing of a write for a caller.
 const (
-	firstTry        = 350 * time.Millisecond // the store answers in about 4 ms; lost answers are tried again soon
-	longerTry       = 3                      // factor from try to try, for a store that is slow
-	refusals        = 3                      // tries that did nothing before the caller is told
+	nextTry         = 350 * time.Millisecond  // an answer that is not there is asked for again: the store takes about 4 ms, and 400 when it is slow
+	tryTime         = 1300 * time.Millisecond // of one try; the first answer of any counts
+	refusals        = 3                       // tries that did nothing before the caller is told
 	betweenRefusals = 40 * time.Millisecond
 	reserve         = 100 * time.Millisecond // of the caller's time, for the answer to arrive
 )
@@ -34,44 +34,68 @@
 }
 
 // create stores a key that must not exist; one that exists already counts as stored, as the
-// key is the caller's own id. A lost answer is settled by writing again: the condition makes
-// the repetition harmless. direct is tried first, relay when the store turns this VM away.
+// key is the caller's own id. While a try has no answer another one is made: the condition
+// makes the repetition harmless. direct and relay take turns; the store may turn this VM away.
 func create(ctx context.Context, direct, relay Committer, t fleet.Txn) Result {
+	type outcome struct {
+		revision int64
+		err      error
+	}
 	r := Result{Verdict: verdict.NotRun}
-	timeout := firstTry
-	for refused := 0; ; {
-		r.Tries++
+	answers := make(chan outcome, maxTries)
+	out, refused := 0, 0
+	launch := func() {
 		via := direct
-		if refused%2 == 1 && relay != nil {
+		if r.Tries%2 == 1 && relay != nil {
 			via = relay
 		}
-		revision, err := try(ctx, via, t, timeout)
-		var conflict *fleet.ConflictError
-		switch {
-		case err == nil || errors.As(err, &conflict):
-			r.Stored, r.Revision, r.Err = true, revision, nil
-			return r
-		case fleet.NotRun(err):
-			refused++
-		default:
-			r.Verdict = verdict.MayHaveRun
-			timeout *= longerTry
-			refused++ // the other way may answer
-		}
-		r.Err = err
-		if ctx.Err() != nil || refused >= refusals && r.Verdict == verdict.NotRun {
-			return r
-		}
+		r.Tries++
+		out++
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, tryTime)
+			defer cancel()
+			revision, err := via.Commit(ctx, t)
+			answers <- outcome{revision, err}
+		}()
+	}
+	launch()
+	timer := time.NewTimer(nextTry)
+	defer timer.Stop()
+	for {
 		select {
-		case <-time.After(betweenRefusals):
+		case a := <-answers:
+			out--
+			var conflict *fleet.ConflictError
+			switch {
+			case a.err == nil || errors.As(a.err, &conflict):
+				r.Stored, r.Revision, r.Err = true, a.revision, nil
+				return r
+			case fleet.NotRun(a.err):
+				refused++
+			default:
+				r.Verdict = verdict.MayHaveRun
+			}
+			r.Err = a.err
+			if out == 0 && r.Verdict == verdict.NotRun && refused >= refusals {
+				return r
+			}
+			if out == 0 {
+				timer.Reset(betweenRefusals)
+			}
+		case <-timer.C:
+			if r.Tries < maxTries {
+				launch()
+			}
+			timer.Reset(nextTry)
 		case <-ctx.Done():
+			if out > 0 || r.Err == nil {
+				r.Verdict = verdict.MayHaveRun
+				r.Err = errors.Wrap(ctx.Err(), "no answer to a write")
+			}
 			return r
 		}
 	}
 }
 
-func try(ctx context.Context, via Committer, t fleet.Txn, timeout time.Duration) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return via.Commit(ctx, t)
-}
+// maxTries bounds the tries of one write; a caller waits for about ten.
+const maxTries = 24
--- /dev/null
+++ b/internal/entry/intake_test.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/verdict"
+)
+
+// store answers the nth call as told.
+type store struct {
+	mu     sync.Mutex
+	calls  int
+	answer func(ctx context.Context, call int) error
+}
+
+func (s *store) Commit(ctx context.Context, _ fleet.Txn) (int64, error) {
+	s.mu.Lock()
+	s.calls++
+	n := s.calls
+	s.mu.Unlock()
+	if err := s.answer(ctx, n); err != nil {
+		return 0, err
+	}
+	return 7, nil
+}
+
+var (
+	errLost    = &fleet.CallError{Op: "store commit", Verdict: verdict.MayHaveRun}
+	errRefused = &fleet.CallError{Op: "store commit", Status: 503, Verdict: verdict.NotRun}
+)
+
+// after answers when that time has passed, or is lost with ctx.
+func after(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return errLost
+	}
+}
+
+func timed(t *testing.T, direct, relay Committer) (Result, time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2900*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	return create(ctx, direct, relay, fleet.Txn{}), time.Since(begun)
+}
+
+// Pattern: the store takes 500 ms for every answer (platform_slow). The first answer counts, also
+// when another try was made meanwhile.
+func TestWriteToASlowStoreTakesOneAnswer(t *testing.T) {
+	s := &store{answer: func(ctx context.Context, _ int) error { return after(ctx, 500*time.Millisecond) }}
+	r, took := timed(t, s, nil)
+	if !r.Stored || took > 700*time.Millisecond {
+		t.Fatalf("stored %v after %v, the store answers in 500ms", r.Stored, took)
+	}
+}
+
+// Pattern: answers of writes are lost (platform_lost).
+func TestLostAnswerIsSettledByAnotherTry(t *testing.T) {
+	s := &store{answer: func(ctx context.Context, call int) error {
+		if call == 1 {
+			<-ctx.Done()
+			return errLost
+		}
+		return nil
+	}}
+	if r, took := timed(t, s, nil); !r.Stored || took > 600*time.Millisecond {
+		t.Fatalf("stored %v after %v", r.Stored, took)
+	}
+}
+
+func TestRefusedWriteIsToldAtOnceAsNotRun(t *testing.T) {
+	s := &store{answer: func(context.Context, int) error { return errRefused }}
+	r, took := timed(t, s, s)
+	if r.Stored || r.Verdict != verdict.NotRun || took > 400*time.Millisecond {
+		t.Fatalf("%+v after %v", r, took)
+	}
+}
+
+// A write that may still take effect is never called not run, whatever other tries say.
+func TestUnansweredTryKeepsTheVerdictOpen(t *testing.T) {
+	s := &store{answer: func(ctx context.Context, call int) error {
+		if call == 1 {
+			<-ctx.Done()
+			return errLost
+		}
+		return errRefused
+	}}
+	if r, _ := timed(t, s, s); r.Stored || r.Verdict != verdict.MayHaveRun {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// Pattern: the store turns this VM away (platform_down nodes); the owner writes for it.
+func TestRelayWritesForAVMThatTheStoreTurnsAway(t *testing.T) {
+	direct := &store{answer: func(context.Context, int) error { return errRefused }}
+	relay := &store{answer: func(context.Context, int) error { return nil }}
+	if r, took := timed(t, direct, relay); !r.Stored || took > 300*time.Millisecond {
+		t.Fatalf("stored %v after %v", r.Stored, took)
+	}
+}
+
+func TestBreakerLeavesASlowStoreAloneAndStopsASilentOne(t *testing.T) {
+	var mu sync.Mutex
+	takes := 500 * time.Millisecond
+	s := &store{answer: func(ctx context.Context, _ int) error {
+		mu.Lock()
+		d := takes
+		mu.Unlock()
+		return after(ctx, d)
+	}}
+	b := NewBreaker(s, func(ctx context.Context) error { return s.answer(ctx, 0) }, event.Discard{})
+	write := func(wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		_, err := b.Commit(ctx, fleet.Txn{})
+		return err
+	}
+	var group sync.WaitGroup
+	for range 8 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if err := write(time.Second); err != nil {
+				t.Errorf("a slow store: %v", err)
+			}
+		}()
+		time.Sleep(100 * time.Millisecond)
+	}
+	group.Wait()
+	mu.Lock()
+	takes = time.Hour
+	mu.Unlock()
+	go func() { _ = write(2 * time.Second) }()
+	time.Sleep(breakAfter + 50*time.Millisecond)
+	begun := time.Now()
+	if err := write(time.Second); !fleet.NotRun(err) || time.Since(begun) > 100*time.Millisecond {
+		t.Fatalf("a silent store: %v after %v", err, time.Since(begun))
+	}
+}
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -10,6 +10,10 @@
 		Text: "All that an earlier owner started is adopted or proved not running.",
 		Does: "If it takes longer than the lease, look for workers that do not answer.",
 		Keys: []string{"fence", "took", "workers", "runs", "submissions"}})
+	PredecessorEnded = Define(Def{ID: 2154, Name: "predecessor-ended", Level: Info,
+		Text: "The owner before decides no more; only its last leases have to run out.",
+		Does: "Nothing.",
+		Keys: []string{"owner", "address", "since"}})
 	OwnerDeposed = Define(Def{ID: 2102, Name: "owner-deposed", Level: Warn,
 		Text: "Another VM decides; this one stopped.",
 		Does: "Nothing once; if it repeats, look for paused VMs or a slow store.",
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -130,6 +130,22 @@
 	}
 }
 
+// Ended implements owner.Predecessor. Another process at the address proves that the earlier
+// one is dead.
+func (n *Node) Ended(ctx context.Context, earlier owner.Record, fence int64) (time.Duration, bool) {
+	if earlier.Address == n.opts.PeerAddress {
+		if earlier.Incarnation != n.opts.Incarnation {
+			return n.started, true
+		}
+		return n.opts.Owner.Clock(), true // this process leads one term after the other
+	}
+	var reply endAnswer
+	if err := n.opts.Caller.Call(ctx, earlier.Address, methodEnd, endRequest{Fence: fence}, &reply); err != nil {
+		return 0, false // asked again; without an answer leases run out
+	}
+	return n.opts.Owner.Clock(), reply.Ended || reply.Incarnation != earlier.Incarnation
+}
+
 func (n *Node) setYield(f context.CancelFunc) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -16,6 +16,7 @@
 	methodAdvise peer.Method = "node.advise"
 	methodNotify peer.Method = "node.notify" // what a VM has just stored, ahead of the owner's watch
 	methodOwner  peer.Method = "node.owner"  // which owner a VM knows
+	methodEnd    peer.Method = "node.end"    // a successor asks whether this VM still decides
 )
 
 type attachRequest struct {
@@ -74,3 +75,13 @@
 	Address string `json:"address"`
 	Fence   int64  `json:"fence"`
 }
+
+// endRequest asks a VM to end as an owner with a lower fencing token.
+type endRequest struct {
+	Fence int64 `json:"fence"`
+}
+
+type endAnswer struct {
+	Incarnation string `json:"incarnation"` // of the process that answers
+	Ended       bool   `json:"ended"`       // it decides nothing under a lower token
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,8 +54,10 @@
 // Node is the process of an entry VM. Its fields below mu are shared between goroutines.
 type Node struct {
 	opts     Options
+	started  time.Duration // clock reading when the process began
 	configs  *configurations
 	advisors *advisors
+	writes   *entry.Breaker // for callers, of this VM or relayed for another
 	stopping atomic.Bool
 	current  atomic.Pointer[owner.Owner]
 	conns    atomic.Int64 // open connections of callers and of the platform
@@ -75,9 +77,11 @@
 
 // New wires a node's own parts.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, configs: newConfigurations(opts.Owner.Codec.Configuration, opts.Events)}
+	n := &Node{opts: opts, started: opts.Owner.Clock(), configs: newConfigurations(opts.Owner.Codec.Configuration, opts.Events)}
 	n.advisors = newAdvisors(opts.Caller, opts.Advisor)
 	n.opts.Owner.Advice = n.advisors
+	n.opts.Owner.Earlier = n
+	n.writes = n.breaker()
 	n.register(opts.Peers)
 	return n
 }
@@ -85,7 +89,7 @@
 // Run serves until ctx is done, then stops gracefully within the grace time.
 func (n *Node) Run(ctx context.Context) error {
 	servers := []*http.Server{
-		n.server(n.opts.Callers, entry.NewHandler(n.opts.Format, n, n.breaker(), relay{n}, n.opts.Events, n.opts.Scope)),
+		n.server(n.opts.Callers, entry.NewHandler(n.opts.Format, n, n.writes, relay{n}, n.opts.Events, n.opts.Scope)),
 		n.server(n.opts.Ready, http.HandlerFunc(n.ready)),
 		n.server(n.opts.Metrics, n.opts.MetricsPage),
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -22,6 +22,7 @@
 	r.Handle(methodAdvise, handle(n.serveAdvise))
 	r.Handle(methodNotify, handle(n.serveNotify))
 	r.Handle(methodOwner, handle(n.serveOwner))
+	r.Handle(methodEnd, handle(n.serveEnd))
 }
 
 // handle decodes a call's message.
@@ -88,7 +89,7 @@
 }
 
 func (n *Node) serveCommit(ctx context.Context, r commitRequest) (commitAnswer, error) {
-	revision, err := n.opts.Store.Commit(ctx, r.Txn)
+	revision, err := n.writes.Commit(ctx, r.Txn)
 	reply := commitAnswer{Revision: revision}
 	var conflict *fleet.ConflictError
 	switch {
@@ -116,6 +117,16 @@
 	return ownerAnswer{Address: n.ownerAddress()}, nil
 }
 
+// serveEnd answers a successor. A process that is being elected right now grants nothing before
+// the record of workers names it, which the successor's key prevents.
+func (n *Node) serveEnd(ctx context.Context, r endRequest) (endAnswer, error) {
+	reply := endAnswer{Incarnation: n.opts.Incarnation, Ended: true}
+	if o := n.current.Load(); o != nil {
+		reply.Ended = o.StandDown(ctx, r.Fence)
+	}
+	return reply, nil
+}
+
 func (n *Node) serveNotify(ctx context.Context, r notifyRequest) (struct{}, error) {
 	o, err := n.owner()
 	if err != nil {
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -14,7 +14,7 @@
 const (
 	LeaseTTL      = 1500 * time.Millisecond // bounds how long nobody decides after an owner is lost without a trace
 	renewEvery    = 300 * time.Millisecond  // three renewals may fail
-	renewTimeout  = 500 * time.Millisecond  // a slow store takes about 250 ms
+	renewTimeout  = 900 * time.Millisecond  // a slow store takes about 400 ms; the next renewal does not wait for it
 	safetyMargin  = 200 * time.Millisecond  // of the lease that is not used: late timers, and orders on their way
 	freshFor      = 500 * time.Millisecond  // a renewal and a half; shorter than it takes to elect a successor
 	campaignCalls = 700 * time.Millisecond  // timeout of one store call
@@ -26,13 +26,15 @@
 // Authority is the right to decide: a key under a lease in the store. Its fencing token is
 // the revision that created the key. Safe for concurrent use.
 type Authority struct {
-	Fence int64
-	lease int64
-	ttl   time.Duration
-	until atomic.Int64 // clock reading up to which the lease is surely held
-	heard atomic.Int64 // clock reading when the last answered call for the lease was sent
-	store fleet.Store
-	clock Clock
+	Fence   int64
+	self    Record
+	lease   int64
+	ttl     time.Duration
+	until   atomic.Int64 // clock reading up to which the lease is surely held
+	heard   atomic.Int64 // clock reading when the last answered call for the lease was sent
+	latency atomic.Int64 // of the store's last answer to a renewal
+	store   fleet.Store
+	clock   Clock
 }
 
 // ElectionTxn writes an owner's entry in place of the one with the revision.
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Authority{lease: lease, ttl: ttl, store: store, clock: clock}
+	a := &Authority{self: self, lease: lease, ttl: ttl, store: store, clock: clock}
 	a.until.Store(int64(begun + ttl - safetyMargin))
 	a.heard.Store(int64(begun))
 	a.Fence, err = call(ctx, func(ctx context.Context) (int64, error) {
@@ -106,26 +108,49 @@
 }
 
 // Keep renews the lease until ctx is done or the lease has ended. An ended lease is an
-// error; renewals that fail for other reasons are repeated.
+// error; renewals that fail for other reasons are repeated. One that has no answer yet does not
+// hold up the next.
 func (a *Authority) Keep(ctx context.Context) error {
 	ticker := time.NewTicker(renewEvery)
 	defer ticker.Stop()
+	ended := make(chan error, 1)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-ended:
+			return err
 		case <-ticker.C:
+			go func() {
+				if err := a.renew(ctx); errors.Is(err, fleet.ErrLeaseEnded) {
+					select {
+					case ended <- err:
+					default: // told already
+					}
+				}
+			}()
 		}
-		sent := a.clock()
-		renew, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := a.store.Renew(renew, a.lease)
-		cancel()
-		switch {
-		case err == nil:
-			a.until.Store(max(a.until.Load(), int64(sent+a.ttl-safetyMargin)))
-			a.heard.Store(int64(sent))
-		case errors.Is(err, fleet.ErrLeaseEnded):
-			return err
+	}
+}
+
+func (a *Authority) renew(ctx context.Context) error {
+	sent := a.clock()
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	err := a.store.Renew(ctx, a.lease)
+	if err == nil {
+		raise(&a.until, int64(sent+a.ttl-safetyMargin))
+		raise(&a.heard, int64(sent))
+		a.latency.Store(int64(a.clock() - sent))
+	}
+	return err
+}
+
+// raise stores a value unless a higher one is there.
+func raise(into *atomic.Int64, value int64) {
+	for old := into.Load(); value > old; old = into.Load() {
+		if into.CompareAndSwap(old, value) {
+			return
 		}
 	}
 }
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -15,10 +15,18 @@
 // a write. The owner's own key is one more condition.
 const recordEntries = 2
 
-// flush starts the write of what has changed. One write is out at a time, and what
-// changes meanwhile goes into the next (group commit).
+// flush starts writes of what has changed. What changes while one is out goes into the next
+// (group commit), unless callers wait for it and the store is slow: then more are out, each with
+// other records.
 func (o *Owner) flush(ctx context.Context, now time.Duration) {
-	if o.flushing || !o.authorized || now < o.flushDue && !o.dispatcher.Urgent() {
+	if !o.authorized || now < o.flushRetryAt {
+		return
+	}
+	urgent := o.dispatcher.Urgent()
+	switch {
+	case o.flushes == 0 && (urgent || now >= o.flushDue):
+	case urgent && o.flushes < maxFlushes && now >= o.flushSent+flushGap:
+	default:
 		return
 	}
 	batch := o.dispatcher.Batch(now, (fleet.MaxTxnEntries-1)/recordEntries)
@@ -27,12 +35,16 @@
 	}
 	txn, err := o.txn(batch)
 	if err != nil {
+		o.dispatcher.Committed(now, batch, false)
+		o.flushRetryAt = now + flushRetry
 		o.opts.Events.Record(event.ProgressUnwritten, len(batch), err)
 		return
 	}
-	o.flushing = true
+	o.flushes++
+	o.flushSent = now
+	timeout := max(flushTimeout, time.Duration(flushPatience*o.authority.latency.Load()))
 	go func() {
-		revision, err := limit(ctx, flushTimeout, func(ctx context.Context) (int64, error) { return o.opts.Store.Commit(ctx, txn) })
+		revision, err := limit(ctx, timeout, func(ctx context.Context) (int64, error) { return o.opts.Store.Commit(ctx, txn) })
 		o.post(ctx, func(now time.Duration) { o.flushed(now, batch, txn, revision, err) })
 	}()
 }
@@ -40,7 +52,7 @@
 // flushed takes the result of a write. Without an answer it may take effect later, which the
 // conditions make harmless: the next write of a key changes its revision.
 func (o *Owner) flushed(now time.Duration, batch []dispatch.Record, txn fleet.Txn, revision int64, err error) {
-	o.flushing = false
+	o.flushes--
 	o.flushDue = now + flushLinger
 	o.dispatcher.Committed(now, batch, err == nil)
 	var conflict *fleet.ConflictError
@@ -56,7 +68,7 @@
 		o.flushDue = now
 		o.settleConflict(conflict)
 	default:
-		o.flushDue = now + flushRetry
+		o.flushRetryAt = now + flushRetry
 		o.opts.Events.Record(event.ProgressUnwritten, len(batch), err)
 	}
 }
@@ -91,7 +103,7 @@
 		var err error
 		switch {
 		case rec.IsWorker:
-			err = set(workersKey, rec.Workers)
+			err = set(workersKey, fleetRecord{Owner: o.authority.self, Workers: rec.Workers})
 		case rec.Wave != nil:
 			state := fleet.WaveRunning
 			if rec.Wave.Completed {
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"filbertcross/internal/dispatch"
 	"filbertcross/internal/fleet"
 )
 
@@ -64,6 +65,12 @@
 	Incarnation string `cbor:"3,keyasint"` // of its process
 }
 
+// fleetRecord is the entry under workersKey: who may have started runs, and where.
+type fleetRecord struct {
+	Owner   Record                    `cbor:"1,keyasint"`
+	Workers []dispatch.RecordedWorker `cbor:"2,keyasint"`
+}
+
 // ParseRecord reads an owner's entry.
 func ParseRecord(value []byte) (Record, error) {
 	var r Record
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -19,7 +19,7 @@
 	intake   []fleet.Item
 	revision int64 // to watch the intake from
 	progress map[fleet.JobID]*dispatch.Progress
-	recorded []dispatch.RecordedWorker
+	recorded fleetRecord
 	recordAt int64            // revision of the record of workers; 0: there is none
 	written  map[string]int64 // revision of each progress record
 	workers  []fleet.WorkerEntry
@@ -133,7 +133,7 @@
 	if state.conf != nil {
 		d.SetConfiguration(state.conf)
 	}
-	d.Recover(state.recorded)
+	d.Recover(state.recorded.Workers)
 	o.revisions = state.written
 	if state.recordAt != 0 {
 		o.revisions[workersKey] = state.recordAt
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,7 +19,10 @@
 const (
 	tick          = 50 * time.Millisecond  // bounds how late a timer of the dispatcher fires
 	flushLinger   = 80 * time.Millisecond  // gathers ends into one write; it delays only their acknowledgement
-	flushTimeout  = 450 * time.Millisecond // of one write; a slow store takes about 250 ms, and a lost answer delays what callers are told
+	flushTimeout  = 450 * time.Millisecond // of one write at least; a lost answer delays what callers are told
+	flushPatience = 3                      // times the store's answer to a renewal, which a slow store takes for a write
+	maxFlushes    = 8                      // writes out at once while the store is slow
+	flushGap      = 20 * time.Millisecond  // between them: longer than a healthy store takes, so that there is one
 	flushRetry    = 100 * time.Millisecond
 	mailboxSize   = 4096
 	drainMail     = 512 // messages taken before the next decision
@@ -45,6 +48,12 @@
 	Slots() int
 }
 
+// Predecessor learns that an earlier owner decides no more, and when it had ceased to.
+type Predecessor interface {
+	// Ended asks the VM once; false: it is not known.
+	Ended(ctx context.Context, earlier Record, fence int64) (at time.Duration, ok bool)
+}
+
 // Codec translates the platform's entries.
 type Codec struct {
 	WorkerPrefix  string
@@ -65,6 +74,7 @@
 	Workers  fleet.Workers
 	Machines fleet.Machines
 	Advice   AdviceCaller
+	Earlier  Predecessor
 	Events   event.Recorder
 	Scope    tally.Scope
 	Clock    Clock
@@ -82,15 +92,19 @@
 	mail       *mailbox
 	group      *errgroup.Group
 	ended      chan struct{} // closed when nothing is decided any more
+	standDown  chan struct{} // closed when a successor asks this owner to end
+	standOnce  sync.Once
 
-	revisions  map[string]int64 // of the records this owner writes, as last known
-	flushing   bool
-	flushDue   time.Duration
-	authorized bool
-	lostAt     time.Duration
-	startDelay tally.Histogram
-	holdTime   tally.Histogram
-	invalid    sync.Map // revision of each invalid entry, by key
+	revisions    map[string]int64 // of the records this owner writes, as last known
+	flushes      int              // writes that are out
+	flushDue     time.Duration
+	flushSent    time.Duration // of the last one
+	flushRetryAt time.Duration // after one that failed
+	authorized   bool
+	lostAt       time.Duration
+	startDelay   tally.Histogram
+	holdTime     tally.Histogram
+	invalid      sync.Map // revision of each invalid entry, by key
 }
 
 // errDeposed ends Run.
@@ -104,6 +118,7 @@
 		opts: opts, authority: authority,
 		mail:       newMailbox(opts.Clock),
 		ended:      make(chan struct{}),
+		standDown:  make(chan struct{}),
 		revisions:  map[string]int64{},
 		startDelay: opts.Scope.Histogram("start_order_seconds", buckets),
 		holdTime:   opts.Scope.Histogram("hold_seconds", buckets),
@@ -116,6 +131,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o.group = group
 	group.Go(func() error { return o.authority.Keep(ctx) })
+	group.Go(func() error {
+		select {
+		case <-o.standDown:
+			return errors.Wrap(errDeposed, "a successor asked it to end")
+		case <-ctx.Done():
+			return nil
+		}
+	})
 	group.Go(func() error {
 		// Watches end a little later; a successor need not wait for them, and followers learn
 		// of the end once the key is free.
@@ -126,6 +149,7 @@
 			return err
 		}
 		o.adopt(state, why)
+		group.Go(func() error { o.settlePredecessor(ctx, state.recorded.Owner); return nil })
 		group.Go(func() error { o.watchIntake(ctx, state.revision); return nil })
 		group.Go(func() error { o.listWorkers(ctx); return nil })
 		return o.loop(ctx)
