A worker whose address answers for another one is dead

Ruled out: refused connections (a cut may refuse). The answer 421 comes from a worker that listens there, so the recorded one does not. Change: its runs end at once; those started after the hold was sent, or at another address, are left. Three tests, two failed first, the third guards the new rule.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -205,6 +205,7 @@
 			}
 		}
 		w.holding, w.ackOut = true, h.Acknowledged
+		w.holdTo, w.holdSent = w.entry.Address, now
 		d.emit(HoldCommand{To: w.target(), Hold: h})
 	}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -23,14 +23,34 @@
 	if w.failing > 0 {
 		w.holdDue = now + holdRetry
 	}
-	if fleet.RefusalOf(err) == fleet.RefusedFence {
+	switch fleet.RefusalOf(err) {
+	case fleet.RefusedFence:
 		d.deposed = true
+	case fleet.RefusedIncarnation:
+		d.replaced(w)
 	}
 	if w.failing++; w.failing == 1 {
 		d.events.Record(event.WorkerSilent, id, now-w.lastHeard, len(w.runs), err)
 	}
 }
 
+// replaced ends the runs of a worker whose address answered a hold for another one, which proves
+// that it was dead then.
+func (d *Dispatcher) replaced(w *worker) {
+	if w.holdTo != w.entry.Address {
+		return // it may live at its new address
+	}
+	if w.wasSeen || len(w.runs) > 0 {
+		d.events.Record(event.WorkerReplaced, w.entry.ID, w.entry.Address, len(w.runs))
+	}
+	for _, r := range d.sorted(w.runs) {
+		if max(r.sent, r.answered) < w.holdSent {
+			d.end(r)
+		}
+	}
+	w.wasSeen = false
+}
+
 // LookFailed takes the failure of a look, which says nothing: the long poll judges the worker.
 func (d *Dispatcher) LookFailed(id model.WorkerID) {
 	if w := d.workers[id]; w != nil {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -140,6 +140,53 @@
 	}
 }
 
+// Pattern: a worker crashes, its machine comes back with another one at the address, and then the
+// owner is lost (aulaplan-sofia scale-1): the answer of the other one proves that the first is dead.
+func TestAnotherWorkerAtTheAddressProvesThatTheRecordedOneIsDead(t *testing.T) {
+	r := takeover(t, 2)
+	r.oldJob("old", nil, tasks(1, 4))
+	r.reportRows(wid(0), nil)
+	r.d.HoldFailed(r.now, wid(1), refusal(fleet.RefusedIncarnation))
+	r.decide()
+	if len(r.starts) != 1 || r.starts[0].To.ID != wid(0) {
+		t.Fatalf("starts %v, want the old task on the worker that lives", r.starts)
+	}
+}
+
+func TestRunsOfAReplacedWorkerStartElsewhereAtOnce(t *testing.T) {
+	r := newRig(t, 2)
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	first := r.starts[0]
+	r.accept(r.starts)
+	r.report(first.To.ID)
+	r.decide() // sends the hold that will be refused
+	r.after(time.Millisecond)
+	r.d.HoldFailed(r.now, first.To.ID, refusal(fleet.RefusedIncarnation))
+	r.decide()
+	if len(r.starts) != 1 || r.starts[0].To.ID == first.To.ID {
+		t.Fatalf("starts %v, want the task on the other worker", r.starts)
+	}
+}
+
+// A worker that came back at another address may have begun runs there when the answer from its
+// old address arrives.
+func TestAnswerFromAnOldAddressProvesNothingAboutTheNewOne(t *testing.T) {
+	r := newRig(t, 1)
+	r.report(wid(0))
+	r.decide()
+	r.list(1, func(_ int, e *fleet.WorkerEntry) { e.Address = "10.0.1.1:80" })
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	r.accept(r.starts)
+	r.after(time.Millisecond)
+	r.d.HoldFailed(r.now, wid(0), refusal(fleet.RefusedIncarnation))
+	r.decide()
+	if len(r.starts) != 0 || len(r.d.RunsAt(wid(0))) != 1 {
+		t.Fatalf("starts %v, booked %v", r.starts, r.d.RunsAt(wid(0)))
+	}
+}
+
 func TestDrainingWorkerWithEndsThatAreNotDurableStaysRecorded(t *testing.T) {
 	r := newRig(t, 2)
 	r.submit("quick", "a", tasks(2, 20))
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -23,7 +23,9 @@
 
 	holding   bool // a hold is out
 	holdDue   time.Duration
-	looking   bool // a look is out
+	holdTo    string        // address of the last hold
+	holdSent  time.Duration // when it was sent
+	looking   bool          // a look is out
 	lookDue   time.Duration
 	failing   int // holds failed in a row
 	lastHeard time.Duration
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -10,6 +10,10 @@
 		Text: "All that an earlier owner started is adopted or proved not running.",
 		Does: "If it takes longer than the lease, look for workers that do not answer.",
 		Keys: []string{"fence", "took", "workers", "runs", "submissions"}})
+	WorkerReplaced = Define(Def{ID: 2155, Name: "worker-replaced", Level: Info,
+		Text: "Another worker answers at the address: this one is dead, and its tasks start elsewhere.",
+		Does: "Nothing.",
+		Keys: []string{"worker", "address", "runs"}})
 	PredecessorEnded = Define(Def{ID: 2154, Name: "predecessor-ended", Level: Info,
 		Text: "The owner before decides no more; only its last leases have to run out.",
 		Does: "Nothing.",
