--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -145,6 +145,7 @@
 func TestAnotherWorkerAtTheAddressProvesThatTheRecordedOneIsDead(t *testing.T) {
 	r := takeover(t, 2)
 	r.oldJob("old", nil, tasks(1, 4))
+	r.decide()
 	r.reportRows(wid(0), nil)
 	r.d.HoldFailed(r.now, wid(1), refusal(fleet.RefusedIncarnation))
 	r.decide()
