An owner that the store turns away hands over; followers ask a new owner again soon

Ruled out: a shorter lease (renewals through a slow store take 0.4 s). Change: after two failed renewals, or 0.9 s without an answer, the owner asks up to five VMs whether the store answers them; if one says yes it stops deciding and that VM replaces the key. When the store is down for all, nothing changes. Followers repeat their first question for half a second; a new owner confirms the configuration at once; an owner that lost the store finds others through those that followed it. A test failed once (TestSubmissionsRunThroughAnyVM, a VM not ready in 5 s), not again in 35 runs: the cause is not shown; its ports came from the range of outgoing connections, and the VM's error was not told. Both are mended in the harness.

--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -10,6 +10,10 @@
 		Text: "All that an earlier owner started is adopted or proved not running.",
 		Does: "If it takes longer than the lease, look for workers that do not answer.",
 		Keys: []string{"fence", "took", "workers", "runs", "submissions"}})
+	HandOverFailed = Define(Def{ID: 2156, Name: "hand-over-failed", Level: Warn,
+		Text: "The VM that was to take over did not answer; another is elected when the lease has run out.",
+		Does: "Look at the links between the VMs.",
+		Keys: []string{"address", "error"}})
 	WorkerReplaced = Define(Def{ID: 2155, Name: "worker-replaced", Level: Info,
 		Text: "Another worker answers at the address: this one is dead, and its tasks start elsewhere.",
 		Does: "Nothing.",
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -27,21 +27,36 @@
 	yieldAfter     = 2 * time.Second        // a small owner gives way to a large follower, not at once so that there is an owner
 	yieldFor       = 300 * time.Millisecond // a follower has to be so much larger, in terms of rank
 	campaignSpread = 30 * time.Millisecond  // random, so that not all campaign at once
+	unreadyRetry   = 40 * time.Millisecond  // of a follower whose owner loads what lasts, which takes about 100 ms
+	unreadyTries   = 12
 )
 
 // lead makes this VM the owner or a follower, until ctx is done.
 func (n *Node) lead(ctx context.Context) {
 	for ctx.Err() == nil {
-		item, found, err := n.ownerItem(ctx)
-		switch {
-		case err != nil:
-			n.followKnown(ctx)
-			pause.For(ctx, leadRetry)
-		case !found:
-			n.campaign(ctx, 0, "no VM has the authority")
-		default:
-			n.followItem(ctx, item)
+		if fence := n.offered.Swap(0); fence != 0 {
+			n.campaign(ctx, fence, "the owner handed over")
+			continue
 		}
+		round, cancel := context.WithCancel(ctx)
+		n.setFollowing(cancel)
+		n.leadRound(round)
+		cancel()
+	}
+}
+
+// leadRound follows the owner while it lasts, or contends for the authority.
+func (n *Node) leadRound(ctx context.Context) {
+	item, found, err := n.ownerItem(ctx)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		n.followKnown(ctx)
+		pause.For(ctx, leadRetry)
+	case !found:
+		n.contend(ctx, 0, "no VM has the authority")
+	default:
+		n.followItem(ctx, item)
 	}
 }
 
@@ -55,12 +70,22 @@
 		return
 	}
 	if rec.Address == n.opts.PeerAddress {
-		n.campaign(ctx, item.Revision, "an earlier process of this VM had the authority")
+		n.contend(ctx, item.Revision, "an earlier process of this VM had the authority")
 		return
 	}
-	if n.follow(ctx, rec.Address) && refuses(ctx, rec.Address) {
-		n.campaign(ctx, item.Revision, "nobody listens at the owner's address")
-		return
+	for range unreadyTries {
+		switch n.follow(ctx, rec.Address) {
+		case ownerDead:
+			if refuses(ctx, rec.Address) {
+				n.contend(ctx, item.Revision, "nobody listens at the owner's address")
+				return
+			}
+		case ownerUnready:
+			if pause.For(ctx, unreadyRetry) {
+				continue
+			}
+		}
+		break
 	}
 	n.watchOwner(ctx, item.Revision)
 }
@@ -93,11 +118,15 @@
 	return item, found, err
 }
 
+// contend campaigns after a while, so that not all VMs do, and a large one first.
+func (n *Node) contend(ctx context.Context, replace int64, why string) {
+	if pause.For(ctx, n.opts.Rank+rand.N(campaignSpread)) {
+		n.campaign(ctx, replace, why)
+	}
+}
+
 // campaign tries to become the owner and is it until the authority ends.
 func (n *Node) campaign(ctx context.Context, replace int64, why string) {
-	if !pause.For(ctx, n.opts.Rank+rand.N(campaignSpread)) {
-		return
-	}
 	if n.stopping.Load() {
 		pause.For(ctx, leadRetry)
 		return
@@ -125,27 +154,12 @@
 	if conf := n.Configuration(); conf != nil {
 		go o.SetConfiguration(ctx, conf)
 	}
+	go n.confirmConfiguration(ctx)
 	if err := o.Run(ctx, why); err != nil && ctx.Err() == nil {
 		pause.For(ctx, leadRetry)
 	}
 }
 
-// Ended implements owner.Predecessor. Another process at the address proves that the earlier
-// one is dead.
-func (n *Node) Ended(ctx context.Context, earlier owner.Record, fence int64) (time.Duration, bool) {
-	if earlier.Address == n.opts.PeerAddress {
-		if earlier.Incarnation != n.opts.Incarnation {
-			return n.started, true
-		}
-		return n.opts.Owner.Clock(), true // this process leads one term after the other
-	}
-	var reply endAnswer
-	if err := n.opts.Caller.Call(ctx, earlier.Address, methodEnd, endRequest{Fence: fence}, &reply); err != nil {
-		return 0, false // asked again; without an answer leases run out
-	}
-	return n.opts.Owner.Clock(), reply.Ended || reply.Incarnation != earlier.Incarnation
-}
-
 func (n *Node) setYield(f context.CancelFunc) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -162,8 +176,17 @@
 	}
 }
 
-// follow polls the owner until it does not answer, and reports whether it is proved dead.
-func (n *Node) follow(ctx context.Context, address string) (dead bool) {
+// following is how a time as a follower ended.
+type following int
+
+const (
+	ownerLost    following = iota // it does not answer, or decides no more
+	ownerUnready                  // it was elected a moment ago and does not decide yet
+	ownerDead                     // nobody listened at its address
+)
+
+// follow polls the owner until it does not answer.
+func (n *Node) follow(ctx context.Context, address string) following {
 	defer n.detach()
 	for known := false; ctx.Err() == nil; {
 		reply, err := n.attach(ctx, address)
@@ -173,14 +196,20 @@
 			if known {
 				n.opts.Events.Record(event.OwnerLost, address, noListener, err)
 			}
-			return noListener
+			switch {
+			case noListener:
+				return ownerDead
+			case !known && failure != nil && failure.Code == peer.CodeNotOwner:
+				return ownerUnready
+			}
+			return ownerLost
 		}
 		if !known {
 			known = true
 			n.opts.Events.Record(event.OwnerFound, address, address, reply.Fence)
 		}
 	}
-	return false
+	return ownerLost
 }
 
 // attach makes one long poll and takes its news.
@@ -219,7 +248,7 @@
 // followKnown finds the owner through other VMs when the store does not answer this one.
 func (n *Node) followKnown(ctx context.Context) {
 	n.mu.Lock()
-	peers := append([]string(nil), n.peers...)
+	peers := append(n.advisors.peers(), n.peers...) // those that followed this VM, and those that it heard of
 	n.mu.Unlock()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(len(peers), askedPeers)] {
@@ -278,6 +307,16 @@
 	return n.current.Load() == nil && time.Since(n.attached) < attachedAge && n.configs.version() > 0
 }
 
+// confirmConfiguration reads the configuration at once: followers rely on an owner only while
+// its own reading is fresh.
+func (n *Node) confirmConfiguration(ctx context.Context) {
+	for range unreadyTries {
+		if _, err := n.readConfiguration(ctx, 0); err == nil || !pause.For(ctx, unreadyRetry) {
+			return
+		}
+	}
+}
+
 // readConfiguration waits for a change after a revision, or reads what is there.
 func (n *Node) readConfiguration(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, configWatchTime)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -17,6 +17,8 @@
 	methodNotify peer.Method = "node.notify" // what a VM has just stored, ahead of the owner's watch
 	methodOwner  peer.Method = "node.owner"  // which owner a VM knows
 	methodEnd    peer.Method = "node.end"    // a successor asks whether this VM still decides
+	methodOffer  peer.Method = "node.offer"  // an owner that the store does not answer asks who could take over
+	methodTake   peer.Method = "node.take"   // it has ended, and the VM is to replace it
 )
 
 type attachRequest struct {
@@ -85,3 +87,13 @@
 	Incarnation string `json:"incarnation"` // of the process that answers
 	Ended       bool   `json:"ended"`       // it decides nothing under a lower token
 }
+
+// offerRequest names an owner by its fencing token, which is the revision of its key.
+type offerRequest struct {
+	Fence int64 `json:"fence"`
+}
+
+type offerAnswer struct {
+	Able bool          `json:"able"` // the store answers and has the owner's key
+	Rank time.Duration `json:"rank"`
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	writes   *entry.Breaker // for callers, of this VM or relayed for another
 	stopping atomic.Bool
 	current  atomic.Pointer[owner.Owner]
+	offered  atomic.Int64 // fencing token of an owner that has handed over to this VM; 0: none
 	conns    atomic.Int64 // open connections of callers and of the platform
 	// confirmed is the clock reading of the last answer of the store about the configuration.
 	confirmed atomic.Int64
@@ -67,6 +68,7 @@
 	mu        sync.Mutex
 	ownerAt   string             // peer address of the owner that this VM follows; empty: none
 	lastOwner string             // the last one that was followed; kept when it is lost
+	unfollow  context.CancelFunc // interrupts following
 	yield     context.CancelFunc // ends this VM's time as the owner; nil: it is none
 	elected   time.Time
 	attached  time.Time
@@ -81,6 +83,7 @@
 	n.advisors = newAdvisors(opts.Caller, opts.Advisor)
 	n.opts.Owner.Advice = n.advisors
 	n.opts.Owner.Earlier = n
+	n.opts.Owner.Successors = n
 	n.writes = n.breaker()
 	n.register(opts.Peers)
 	return n
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,17 +27,28 @@
 	done    chan error
 }
 
+// nextPort counts through ports below those that the kernel gives to outgoing connections: one of
+// these may take a port between its choice and its use.
+var nextPort = func() *atomic.Int32 {
+	var p atomic.Int32
+	p.Store(int32(12000 + rand.IntN(16000)))
+	return &p
+}()
+
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		port := int(nextPort.Add(1))
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = l.Close()
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	t.Fatal("no free port")
+	return 0
 }
 
-func startVM(t *testing.T, site *standin.Site, name string) *vm {
+func startVM(t *testing.T, site *standin.Site, name string, change ...func(*Options)) *vm {
 	t.Helper()
 	v := &vm{
 		callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)),
@@ -49,13 +62,19 @@
 	metricsPort := freePort(t)
 	v.metrics = fmt.Sprintf("127.0.0.1:%d", metricsPort)
 	n, _, metrics := Build(Settings{MetricsPort: metricsPort}, settings, logr.Discard())
+	for _, c := range change {
+		c(&n.opts)
+		n.writes = n.breaker()
+	}
 	v.node = n
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	go func() { v.done <- n.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-v.done
+		if err := <-v.done; err != nil {
+			t.Errorf("VM %s ended: %v", name, err)
+		}
 		_ = metrics.Closer.Close()
 	})
 	return v
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,6 +23,8 @@
 	r.Handle(methodNotify, handle(n.serveNotify))
 	r.Handle(methodOwner, handle(n.serveOwner))
 	r.Handle(methodEnd, handle(n.serveEnd))
+	r.Handle(methodOffer, handle(n.serveOffer))
+	r.Handle(methodTake, handle(n.serveTake))
 }
 
 // handle decodes a call's message.
@@ -117,16 +119,6 @@
 	return ownerAnswer{Address: n.ownerAddress()}, nil
 }
 
-// serveEnd answers a successor. A process that is being elected right now grants nothing before
-// the record of workers names it, which the successor's key prevents.
-func (n *Node) serveEnd(ctx context.Context, r endRequest) (endAnswer, error) {
-	reply := endAnswer{Incarnation: n.opts.Incarnation, Ended: true}
-	if o := n.current.Load(); o != nil {
-		reply.Ended = o.StandDown(ctx, r.Fence)
-	}
-	return reply, nil
-}
-
 func (n *Node) serveNotify(ctx context.Context, r notifyRequest) (struct{}, error) {
 	o, err := n.owner()
 	if err != nil {
--- a/internal/owner/authority.go
+++ b/internal/owner/authority.go
@@ -33,6 +33,7 @@
 	until   atomic.Int64 // clock reading up to which the lease is surely held
 	heard   atomic.Int64 // clock reading when the last answered call for the lease was sent
 	latency atomic.Int64 // of the store's last answer to a renewal
+	failed  atomic.Int32 // renewals in a row
 	store   fleet.Store
 	clock   Clock
 }
@@ -107,6 +108,11 @@
 	return now-time.Duration(a.heard.Load()) < freshFor
 }
 
+// struggling reports whether the store does not answer this VM.
+func (a *Authority) struggling() bool {
+	return a.failed.Load() >= failureLimit || a.clock()-time.Duration(a.heard.Load()) > silenceLimit
+}
+
 // Keep renews the lease until ctx is done or the lease has ended. An ended lease is an
 // error; renewals that fail for other reasons are repeated. One that has no answer yet does not
 // hold up the next.
@@ -138,7 +144,10 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	err := a.store.Renew(ctx, a.lease)
-	if err == nil {
+	if err != nil {
+		a.failed.Add(1)
+	} else {
+		a.failed.Store(0)
 		raise(&a.until, int64(sent+a.ttl-safetyMargin))
 		raise(&a.heard, int64(sent))
 		a.latency.Store(int64(a.clock() - sent))
--- /dev/null
+++ b/internal/owner/handover.go
@@ -0,0 +1,66 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/pause"
+)
+
+// Timing of a hand-over by an owner that the store does not answer while others may reach it.
+const (
+	silenceLimit  = 900 * time.Millisecond // without an answer to a renewal; the lease would last another 0.4 s, and a slow store takes 0.4 s
+	failureLimit  = 2                      // renewals in a row that failed with an answer
+	handOverCheck = 100 * time.Millisecond
+	handOverRetry = 300 * time.Millisecond // when no VM can take over: the store is down for all
+	findTimeout   = 250 * time.Millisecond
+	electTimeout  = 400 * time.Millisecond
+)
+
+// Successors are the VMs that could take over.
+type Successors interface {
+	// Find returns a VM that the store answers and that finds this owner's key there.
+	Find(ctx context.Context, fence int64) (address string, ok bool)
+	// Elect tells the VM to replace the key of the owner with that fencing token, which decides
+	// nothing any more.
+	Elect(ctx context.Context, address string, fence int64) error
+}
+
+// errHandedOver ends Run.
+var errHandedOver = errors.New("owner: handed over")
+
+// handOver ends this owner once the store does not answer it and another VM can take over.
+func (o *Owner) handOver(ctx context.Context) error {
+	for pause.For(ctx, handOverCheck) {
+		if !o.authority.struggling() {
+			continue
+		}
+		find, cancel := context.WithTimeout(ctx, findTimeout)
+		address, ok := o.opts.Successors.Find(find, o.authority.Fence)
+		cancel()
+		if ok {
+			o.successor.Store(&address)
+			return errors.Wrapf(errHandedOver, "the store does not answer this VM, and does answer %s", address)
+		}
+		pause.For(ctx, handOverRetry)
+	}
+	return nil
+}
+
+// resign gives the authority up: to the successor that was found, or by freeing the key.
+func (o *Owner) resign(ctx context.Context) {
+	address := o.successor.Load()
+	if address == nil {
+		o.authority.release(ctx)
+		return
+	}
+	o.authority.until.Store(0)
+	elect, cancel := context.WithTimeout(context.WithoutCancel(ctx), electTimeout)
+	defer cancel()
+	if err := o.opts.Successors.Elect(elect, *address, o.authority.Fence); err != nil {
+		o.opts.Events.Record(event.HandOverFailed, *address, err) // the key's lease runs out
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,17 +71,18 @@
 
 // Options are the owner's parts and settings.
 type Options struct {
-	Store    fleet.Store
-	Workers  fleet.Workers
-	Machines fleet.Machines
-	Advice   AdviceCaller
-	Earlier  Predecessor
-	Events   event.Recorder
-	Scope    tally.Scope
-	Clock    Clock
-	Codec    Codec
-	LeaseTTL time.Duration    // of the authority
-	Dispatch dispatch.Options // without Fence
+	Store      fleet.Store
+	Workers    fleet.Workers
+	Machines   fleet.Machines
+	Advice     AdviceCaller
+	Earlier    Predecessor
+	Successors Successors
+	Events     event.Recorder
+	Scope      tally.Scope
+	Clock      Clock
+	Codec      Codec
+	LeaseTTL   time.Duration    // of the authority
+	Dispatch   dispatch.Options // without Fence
 }
 
 // Owner runs the dispatcher while the authority lasts. The dispatcher and conf belong to
@@ -91,9 +93,11 @@
 	dispatcher *dispatch.Dispatcher
 	mail       *mailbox
 	group      *errgroup.Group
-	ended      chan struct{} // closed when nothing is decided any more
+	decided    chan struct{} // closed when nothing is decided any more
+	ended      chan struct{} // closed when the authority is given up, too
 	standDown  chan struct{} // closed when a successor asks this owner to end
 	standOnce  sync.Once
+	successor  atomic.Pointer[string] // address of the VM that takes over; nil: whoever is first
 
 	revisions    map[string]int64 // of the records this owner writes, as last known
 	flushes      int              // writes that are out
@@ -117,6 +121,7 @@
 	return &Owner{
 		opts: opts, authority: authority,
 		mail:       newMailbox(opts.Clock),
+		decided:    make(chan struct{}),
 		ended:      make(chan struct{}),
 		standDown:  make(chan struct{}),
 		revisions:  map[string]int64{},
@@ -143,12 +148,14 @@
 		// Watches end a little later; a successor need not wait for them, and followers learn
 		// of the end once the key is free.
 		defer close(o.ended)
-		defer o.authority.release(ctx)
+		defer o.resign(ctx)
+		defer close(o.decided)
 		state, err := o.load(ctx)
 		if err != nil {
 			return err
 		}
 		o.adopt(state, why)
+		group.Go(func() error { return o.handOver(ctx) })
 		group.Go(func() error { o.settlePredecessor(ctx, state.recorded.Owner); return nil })
 		group.Go(func() error { o.watchIntake(ctx, state.revision); return nil })
 		group.Go(func() error { o.listWorkers(ctx); return nil })
--- a/internal/owner/predecessor.go
+++ b/internal/owner/predecessor.go
@@ -46,7 +46,7 @@
 	}
 	o.standOnce.Do(func() { close(o.standDown) })
 	select {
-	case <-o.ended:
+	case <-o.decided:
 		return true
 	case <-ctx.Done():
 		return false
