Soak: steps, gangs, room, order, budgets and run numbers are judged

The judge saw no task twice, refused, cancelled and lost ones; the issue asks for each rule. Submissions have one or two steps, some of them gangs; executors' room, the order of steps, one run number a gang, rising run numbers, the attempts and the spec are judged at each start.

--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -30,10 +30,11 @@
 	for time.Since(begun) < 10*time.Second {
 		n++
 		name := id(n)
-		site.Judge.Sent(name)
+		work := standin.OneStep("ms=1000", 12, 4500)
+		site.Judge.Sent(name, work)
 		clients.Go(func() {
 			path := standin.AdvisedQueue + name
-			status, _, err := c.http.Do(context.Background(), http.MethodPost, v.callers, path, standin.Submission("ms=1000", 12, 4500))
+			status, _, err := c.http.Do(context.Background(), http.MethodPost, v.callers, path, work.Body())
 			if status != http.StatusOK {
 				t.Errorf("submission: %d %v", status, err)
 			}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -110,8 +110,9 @@
 
 func (c *caller) submit(v *vm, id, spec string) {
 	c.t.Helper()
-	c.site.Judge.Sent(id)
-	status, answer := c.do(http.MethodPost, v, standin.QueuePrefix+id, standin.Submission(spec, 2, 1000))
+	work := standin.OneStep(spec, 2, 1000)
+	c.site.Judge.Sent(id, work)
+	status, answer := c.do(http.MethodPost, v, standin.QueuePrefix+id, work.Body())
 	if status != http.StatusOK {
 		c.t.Fatalf("submission %s: %d %s", id, status, answer)
 	}
@@ -164,7 +165,7 @@
 			return strings.Contains(c.state(vms[(i+1)%3], id(i)), "completed")
 		})
 	}
-	if status, _ := c.do(http.MethodPost, vms[0], standin.QueuePrefix+id(0), standin.Submission("ms=100", 2, 1000)); status != http.StatusOK {
+	if status, _ := c.do(http.MethodPost, vms[0], standin.QueuePrefix+id(0), standin.OneStep("ms=100", 2, 1000).Body()); status != http.StatusOK {
 		t.Fatalf("a repeated submission got %d", status)
 	}
 	if status, _ := c.do(http.MethodGet, vms[0], standin.QueuePrefix+id(99), ""); status != http.StatusGone {
@@ -226,19 +227,19 @@
 	c.submit(v, id(1), "lasts")
 	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := site.Judge.Faults(); return n == 2 })
 	site.Store.SetFaults(standin.Faults{Silent: true})
-	c.do(http.MethodPost, v, standin.QueuePrefix+id(2), standin.Submission("ms=50", 1, 1000)) // opens the breaker
-	site.Judge.Sent(id(3))
+	c.do(http.MethodPost, v, standin.QueuePrefix+id(2), standin.OneStep("ms=50", 1, 1000).Body()) // opens the breaker
+	site.Judge.Sent(id(3), standin.OneStep("ms=50", 1, 1000))
 	begun := time.Now()
-	status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(3), standin.Submission("ms=50", 1, 1000))
+	status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(3), standin.OneStep("ms=50", 1, 1000).Body())
 	if took := time.Since(begun); status != http.StatusServiceUnavailable || took > time.Second {
 		t.Fatalf("status %d after %v, want 503 at once", status, took)
 	}
 	site.Judge.Refused(id(3))
 	time.Sleep(2 * time.Second)
 	site.Store.SetFaults(standin.Faults{})
-	site.Judge.Sent(id(4))
+	site.Judge.Sent(id(4), standin.OneStep("ms=50", 1, 1000))
 	eventually(t, "a submission is taken again", 3*time.Second, func() bool {
-		status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(4), standin.Submission("ms=50", 1, 1000))
+		status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+id(4), standin.OneStep("ms=50", 1, 1000).Body())
 		return status == http.StatusOK
 	})
 	eventually(t, "and completed", 8*time.Second, func() bool { return strings.Contains(c.state(v, id(4)), "completed") })
@@ -273,18 +274,17 @@
 	site := newSite(t, 4)
 	leader, other := ownerAndFollower(t, site)
 	c := newCaller(t, site)
-	steps := make([]string, 12)
-	for i := range steps { // tasks of one submission end one after the other
-		after := ""
+	work := standin.Work{Spec: "ms=150"}
+	for i := range 12 { // tasks of one submission end one after the other
+		step := standin.Step{Tasks: 1, MilliCPU: 500, MiB: 64, Estimate: 150}
 		if i > 0 {
-			after = fmt.Sprintf(`,"after":[%d]`, i-1)
+			step.After = []int{i - 1}
 		}
-		steps[i] = fmt.Sprintf(`{"count":1,"cpu":500,"mem-mb":64,"est-runtime-ms":150%s}`, after)
+		work.Steps = append(work.Steps, step)
 	}
-	body := fmt.Sprintf(`{"spec":"ms=150","steps":[%s]}`, strings.Join(steps, ","))
 	for n := range 8 {
-		site.Judge.Sent(id(n))
-		if status, _ := c.do(http.MethodPost, other, standin.QueuePrefix+id(n), body); status != http.StatusOK {
+		site.Judge.Sent(id(n), work)
+		if status, _ := c.do(http.MethodPost, other, standin.QueuePrefix+id(n), work.Body()); status != http.StatusOK {
 			t.Fatalf("submission got %d", status)
 		}
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -45,9 +45,16 @@
 	default:
 		s.spec = fmt.Sprintf("ms=%d", 50+rng.IntN(900))
 	}
-	body := standin.Submission(s.spec, 1+rng.IntN(4), 1000*(1+rng.IntN(6)))
+	work := standin.OneStep(s.spec, 1+rng.IntN(4), 1000*(1+rng.IntN(6)))
+	if rng.IntN(3) == 0 {
+		second := work.Steps[0]
+		second.After = []int{0}
+		work.Steps = append(work.Steps, second)
+	}
+	work.Steps[0].Gang = rng.IntN(6) == 0
+	body := work.Body()
 	cancel := s.spec == "lasts" || rng.IntN(15) == 0
-	r.site.Judge.Sent(s.id)
+	r.site.Judge.Sent(s.id, work)
 	allRefused := true
 	for range tries {
 		status, _ := r.call(ctx, rng, http.MethodPost, s.path, body)
