Idle workers among many are polled seldom; a hand-over interrupts a watch that waits

A watch that is interrupted is left to end by itself. Tests: two of the load, TestHandOverInterruptsAWatchThatWaits failed first (0.70 s).

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -201,7 +201,7 @@
 			h.Deadline = w.clockNow(now) + d.opts.Lease.Milliseconds()
 			w.granted = max(w.granted, h.Deadline)
 			if len(w.ackQueue) == 0 {
-				h.Wait = HoldWait
+				h.Wait = d.holdWait(w)
 			}
 		}
 		w.holding, w.ackOut = true, h.Acknowledged
@@ -210,6 +210,30 @@
 	}
 }
 
+// holdWait is how long a worker may take to answer a hold when nothing ends. Of many workers
+// those that run nothing are asked seldom, as a poll costs as much as a start; of thousands they
+// keep no connection.
+func (d *Dispatcher) holdWait(w *worker) time.Duration {
+	switch {
+	case len(w.runs) > 0 || len(d.order) <= manyWorkers:
+		return HoldWait
+	case len(d.order) <= thousandsOfWorkers:
+		return idleHoldWait
+	}
+	return 0
+}
+
+// nextHold is when to ask a worker again that has just answered.
+func (d *Dispatcher) nextHold(now time.Duration, w *worker) time.Duration {
+	switch {
+	case len(w.ackQueue) > 0:
+		return now + unackedPoll
+	case d.holdWait(w) == 0 && w.unsentAck() == 0:
+		return now + idleHoldEvery
+	}
+	return now
+}
+
 // look asks a worker at once what runs there, while its long poll may take a while.
 func (d *Dispatcher) look(now time.Duration, w *worker) {
 	if w.looking || w.failing > 0 || now < w.lookDue {
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -358,3 +358,59 @@
 		t.Fatalf("paces %v, want the filler stopped", r.paces)
 	}
 }
+
+// Pattern: thousands of workers of which few run anything (sweep at 300 machines). A poll costs the
+// owner as much as a start, so idle workers are asked seldom, and busy ones as often as ever.
+func TestIdleWorkersAmongManyArePolledSeldom(t *testing.T) {
+	r := newRig(t, manyWorkers+10)
+	r.submit("quick", "a", tasks(3, 20))
+	r.decide()
+	r.accept(r.starts)
+	busy := map[model.WorkerID]bool{}
+	for _, s := range r.starts {
+		busy[s.To.ID] = true
+	}
+	for i := range manyWorkers + 10 {
+		r.report(wid(i))
+	}
+	r.decide()
+	for _, h := range r.holds {
+		if long := h.Hold.Wait > HoldWait; long == busy[h.To.ID] {
+			t.Fatalf("%s, busy %v, is asked for %v", h.To.ID, busy[h.To.ID], h.Hold.Wait)
+		}
+	}
+	if len(r.holds) != manyWorkers+10 {
+		t.Fatalf("%d holds", len(r.holds))
+	}
+}
+
+// Pattern: the same with thousands, where a connection to each uses up the descriptors. A start
+// brings the long poll back at once.
+func TestIdleWorkersAmongThousandsKeepNoConnection(t *testing.T) {
+	const workers = thousandsOfWorkers + 10
+	r := newRig(t, workers)
+	r.decide()
+	for _, h := range r.holds {
+		if h.Hold.Wait != 0 {
+			t.Fatalf("idle %s is asked for %v", h.To.ID, h.Hold.Wait)
+		}
+		r.report(h.To.ID)
+	}
+	r.after(time.Second)
+	r.decide()
+	if len(r.holds) != 0 {
+		t.Fatalf("%d idle workers are asked again after a second", len(r.holds))
+	}
+	r.submit("quick", "a", tasks(1, 4))
+	r.decide()
+	r.accept(r.starts)
+	r.decide()
+	if len(r.starts)+len(r.holds) == 0 || len(r.holds) != 1 || r.holds[0].Hold.Wait != HoldWait || r.holds[0].Hold.Deadline == 0 {
+		t.Fatalf("holds %v after a start", r.holds)
+	}
+	r.after(idleHoldEvery)
+	r.decide()
+	if len(r.holds) < workers-1 {
+		t.Fatalf("%d idle workers are asked after %v", len(r.holds), idleHoldEvery)
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -87,10 +87,7 @@
 	w.provenAt = max(w.provenAt, sent)
 	w.born, w.heard, w.ackSent = rep.Born, true, max(w.ackSent, w.ackOut)
 	d.takeReport(now, sent, w, rep)
-	w.holdDue = now
-	if len(w.ackQueue) > 0 {
-		w.holdDue = now + unackedPoll
-	}
+	w.holdDue = d.nextHold(now, w)
 }
 
 // takeReport takes the lists of a report. Answers overtake each other: of one that was made
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -120,15 +120,25 @@
 	return false
 }
 
-// watchOwner waits until the owner's key changes, for a while, and reports whether it did.
+// watchOwner waits until the owner's key changes, for a while, and reports whether it did. The
+// store's client ends a call at its deadline only, so a wait that is interrupted leaves it.
 func (n *Node) watchOwner(ctx context.Context, revision int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
-	defer cancel()
-	changes, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatch)
-	if err != nil {
-		pause.For(ctx, leadRetry)
+	changed := make(chan bool, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, ownerWatch+storeTimeout)
+		defer cancel()
+		changes, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatch)
+		if err != nil {
+			pause.For(ctx, leadRetry)
+		}
+		changed <- len(changes) > 0
+	}()
+	select {
+	case c := <-changed:
+		return c
+	case <-ctx.Done():
+		return false
 	}
-	return len(changes) > 0
 }
 
 func (n *Node) ownerItem(ctx context.Context) (fleet.Item, bool, error) {
--- a/internal/node/succession_test.go
+++ b/internal/node/succession_test.go
@@ -187,3 +187,25 @@
 		t.Fatalf("a lost owner is asked for %v while its key has lapsed", took)
 	}
 }
+
+// waitingStore keeps a watch for as long as it lasts, whatever its context says, as the store's
+// client does.
+type waitingStore struct{ countingStore }
+
+func (s *waitingStore) Watch(_ context.Context, _ string, _ int64, wait time.Duration) ([]fleet.Item, int64, error) {
+	time.Sleep(wait)
+	return nil, 0, nil
+}
+
+// Pattern: an owner hands over to a VM that waits for a change of its key
+// (aulaplan-sofia-grown inc-7002: 0.4 s).
+func TestHandOverInterruptsAWatchThatWaits(t *testing.T) {
+	n := &Node{opts: Options{Store: &waitingStore{}, Events: event.Discard{}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	begun := time.Now()
+	n.watchOwner(ctx, 7)
+	if took := time.Since(begun); took > ownerWatch/2 {
+		t.Fatalf("the watch holds the VM up for %v", took)
+	}
+}
