A start is not sent once the lease is not surely held

Read from the code: the authority is checked when a start is decided, and the order goes out on a goroutine of its own, which may run after the lease has ended and a successor decides. Ruled out by reading: the worker's lease (computed from its own clock), the record of workers, late writes (each under its record's revision). Change: the lease is checked again when the order goes out. The test failed first.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,6 +14,7 @@
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
+	"filbertcross/internal/verdict"
 )
 
 // Timing of the owner's loop.
@@ -241,9 +242,12 @@
 		}
 	case dispatch.StartCommand:
 		sent := o.opts.Clock()
-		_, err := limit(ctx, dispatch.OrderTimeout, func(ctx context.Context) (int64, error) {
-			return o.opts.Workers.Start(ctx, c.To, c.Start)
-		})
+		err := errNotSent
+		if o.authority.Holds(sent) { // the decision may be older than the lease
+			_, err = limit(ctx, dispatch.OrderTimeout, func(ctx context.Context) (int64, error) {
+				return o.opts.Workers.Start(ctx, c.To, c.Start)
+			})
+		}
 		return func(now time.Duration) {
 			o.startDelay.RecordDuration(now - sent)
 			d.Started(now, c.Start.RunID, c.To.ID, err)
@@ -270,6 +274,9 @@
 	return nil
 }
 
+// errNotSent is the result of a start whose decision outlived the authority.
+var errNotSent error = &fleet.CallError{Op: "start", Verdict: verdict.NotRun, Cause: errors.New("the lease is not surely held")}
+
 func limit[T any](ctx context.Context, timeout time.Duration, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- /dev/null
+++ b/internal/owner/perform_test.go
@@ -0,0 +1,43 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"filbertcross/internal/dispatch"
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// countingWorkers counts the starts that are sent.
+type countingWorkers struct {
+	fleet.Workers
+	starts int
+}
+
+func (w *countingWorkers) Start(context.Context, fleet.Target, fleet.Start) (int64, error) {
+	w.starts++
+	return 0, nil
+}
+
+// Pattern: the owner's VM has no processor time for a while after a decision (sweep at 300
+// machines: two tasks ran twice). A successor may decide by the time the order could go out.
+func TestStartIsNotSentOnceTheLeaseIsNotSurelyHeld(t *testing.T) {
+	now := time.Second
+	workers := &countingWorkers{}
+	o := &Owner{
+		opts:      Options{Workers: workers, Events: event.Discard{}, Clock: func() time.Duration { return now }},
+		authority: &Authority{},
+	}
+	o.authority.until.Store(int64(2 * time.Second))
+	o.perform(context.Background(), dispatch.StartCommand{})
+	if workers.starts != 1 {
+		t.Fatalf("%d starts are sent while the lease is held", workers.starts)
+	}
+	now = 2 * time.Second
+	o.perform(context.Background(), dispatch.StartCommand{})
+	if workers.starts != 1 {
+		t.Fatal("a start is sent although a successor may have been elected")
+	}
+}
