--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -299,11 +299,12 @@
 	return time.Duration(float64(r.task.step.def.Estimate) * float64(fullPace-r.percent) / fullPace)
 }
 
-// spares reports whether the disruption budget of the run's step lets this one end. Tasks that
-// are not at work for any reason count, and so do those whose workers are silent.
+// spares reports whether the disruption budget of the run's step lets this one end, at work or
+// not: it may be since the last report. Other tasks that are not at work for any reason count,
+// and so do those whose workers are silent.
 func (d *Dispatcher) spares(now time.Duration, r *run) bool {
 	s := r.task.step
-	if s.def.MaxUnavailable == 0 || !atWork(now, r) {
+	if s.def.MaxUnavailable == 0 {
 		return true
 	}
 	away := 0
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -301,3 +301,29 @@
 		t.Fatalf("work that does not checkpoint is stopped %v before the wave is due", early)
 	}
 }
+
+// Pattern: a wave begins while watches with a disruption budget have just started. The last report
+// tells that none is at work yet; by now they may be.
+func TestDisruptionBudgetHoldsForTasksThatHaveJustStarted(t *testing.T) {
+	r := newWaveRig(t, 4)
+	r.hear()
+	watch := tasks(4, 8)
+	watch.LongRunning, watch.MaxUnavailable, watch.MaxPerWorker = true, 1, 1
+	r.submit("quick", "watch", watch)
+	r.step()
+	r.accept(r.starts)
+	for i := range 4 {
+		rows := r.rows(wid(i))
+		for j := range rows {
+			rows[j].Percent = 50
+		}
+		r.d.Report(r.now, r.now, wid(i), false, fleet.Report{Born: 1, Clock: r.now.Milliseconds(), Running: rows})
+	}
+	r.d.SetWave(r.now, r.wall, wholeWave(4, 4), nil)
+	for range 3 {
+		r.step()
+		if len(r.stops) > 0 {
+			t.Fatalf("%d watches are stopped, none of the others is known to be at work", len(r.stops))
+		}
+	}
+}
