--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -414,3 +414,23 @@
 		t.Fatalf("%d idle workers are asked after %v", len(r.holds), idleHoldEvery)
 	}
 }
+
+// Pattern: starts and ends follow each other closely on a busy worker (hoogvlucht-sched quiet-1, a
+// fifth more looks). While ends wait to become durable a hold would return at once.
+func TestStartDoesNotHastenThePollOfABusyWorker(t *testing.T) {
+	r := newRig(t, 1)
+	r.submit("quick", "a", tasks(2, 4))
+	r.decide()
+	r.accept(r.starts)
+	first := r.starts[0]
+	r.report(first.To.ID, r.end(first, fleet.OutcomeDone))
+	r.submit("quick", "b", tasks(1, 4))
+	r.after(time.Millisecond)
+	r.decide()
+	starts := len(r.starts)
+	r.after(time.Millisecond)
+	r.decide()
+	if starts != 1 || len(r.holds) != 0 {
+		t.Fatalf("%d starts, %d holds while an end waits to become durable", starts, len(r.holds))
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -125,7 +125,9 @@
 	s.started = true
 	deadline := w.clockNow(now) + d.opts.Lease.Milliseconds()
 	w.granted = max(w.granted, deadline)
-	w.holdDue = min(w.holdDue, now)
+	if w.holdDue > now+unackedPoll { // it was idle among thousands, and has to be polled again
+		w.holdDue = now
+	}
 	d.events.Record(event.RunPlaced, w.entry.ID, r.id.Task, number, now-s.job.arrived, now-w.lastHeard, w.free().MilliCPU)
 	d.emit(StartCommand{To: w.target(), Start: fleet.Start{
 		RunID: r.id, Spec: s.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: s.advice.ticket(w.entry.ID),
