--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -19,7 +19,7 @@
 const (
 	HoldWait           = 600 * time.Millisecond   // long poll; with the order timeout the bound on how late a lost answer is noticed, when runs last about a second
 	idleHoldWait       = 1900 * time.Millisecond  // the same for an idle worker among many; the platform allows 2 s, and a lease that a start grants lasts longer
-	idleHoldEvery      = 8 * time.Second          // between holds of an idle worker among thousands, without a long poll
+	idleHoldEvery      = 4 * time.Second          // between holds of an idle worker among thousands, without a long poll
 	thousandsOfWorkers = 2000                     // a connection to each and those of the other VMs use up 4,100 descriptors at 3,000 workers
 	manyWorkers        = 500                      // from where on polls of idle workers weigh: 0.06% of a core each
 	OrderTimeout       = 270 * time.Millisecond   // of an order, and of a hold beyond its wait: round trips take about 10 ms, a lost packet is repeated after 200 ms
