--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -313,3 +313,25 @@
 		t.Fatalf("state %v, want canceled", got)
 	}
 }
+
+// A worker keeps the highest run of a task it has seen: those of a later owner have to be higher.
+func TestRunNumbersRiseFromOwnerToOwner(t *testing.T) {
+	last := int64(0)
+	for _, fence := range []int64{testFence, testFence + 1, testFence + 500} {
+		opts := testOptions()
+		opts.Fence = fence
+		r := &rig{t: t, now: time.Hour, wall: time.Unix(1_800_000_000, 0)}
+		r.d = New(r.now, opts, event.Discard{})
+		r.d.SetConfiguration(testQueues())
+		r.list(1)
+		r.record()
+		r.decide()
+		r.reportRows(wid(0), nil)
+		r.d.AddJob(r.now, &fleet.Submission{ID: "a", Queue: "quick", Service: "pool", Steps: []fleet.Step{tasks(1, 1)}}, fence+1, 0, nil)
+		r.decide()
+		if len(r.starts) != 1 || r.starts[0].Start.Run <= last {
+			t.Fatalf("fence %d: starts %v after run %d", fence, r.starts, last)
+		}
+		last = r.starts[0].Start.Run
+	}
+}
--- /dev/null
+++ b/internal/entry/handler_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// plainView has one queue and knows nothing else.
+type plainView struct{}
+
+func (plainView) Configuration() *fleet.Configuration {
+	return &fleet.Configuration{Version: 1, Queues: []fleet.Queue{{Name: "q", Host: "example.com", Prefix: "/q/"}}}
+}
+func (plainView) State(context.Context, fleet.JobID) (fleet.State, error) { return fleet.Unknown, nil }
+func (plainView) Waiting(string) (int, bool)                              { return 0, false }
+func (plainView) Stored(fleet.Write, int64)                               {}
+func (plainView) Stopping() bool                                          { return false }
+
+// 503 promises that the submission never runs. A write that was not answered may still be done.
+func TestOnlyAWriteThatDidNothingIsAnsweredAsNotRun(t *testing.T) {
+	format := Format{
+		DeadlineHeader: "Deadline-Ms", ValidID: func(string) bool { return true },
+		Submission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
+	}
+	for want, answer := range map[int]func(context.Context, int) error{
+		http.StatusServiceUnavailable: func(context.Context, int) error { return errRefused },
+		http.StatusGatewayTimeout:     func(ctx context.Context, _ int) error { <-ctx.Done(); return errLost },
+		http.StatusOK:                 func(context.Context, int) error { return nil },
+	} {
+		h := NewHandler(format, plainView{}, &store{answer: answer}, nil, event.Discard{}, tally.NoopScope)
+		for _, method := range []string{http.MethodPost, http.MethodDelete} {
+			r := httptest.NewRequest(method, "/q/a", strings.NewReader("{}"))
+			r.Header.Set("Deadline-Ms", "500")
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			if w.Code != want || want != http.StatusOK && w.Header().Get("Retry-After") == "" {
+				t.Errorf("%s: %d with Retry-After %q, want %d", method, w.Code, w.Header().Get("Retry-After"), want)
+			}
+		}
+	}
+}
