front, platform: no request is sent again by the HTTP client

Cause: http.Transport sends a request again by itself when a reused connection breaks, if its method is safe or it has an Idempotency-Key or X-Idempotency-Key header; only the first header was removed. A backend server that had read and run such a request got it a second time.

Change: an attempt that has written to one connection is aborted when the transport takes another (front). HTTP/1.1 is the only protocol of that transport. The clients of the product's platform return redirects as the response.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -21,6 +21,7 @@
 	errResponseMismatch  = errors.New("the answer is to another request")
 	errResponseTruncated = errors.New("the answer is cut")
 	errResponseTooLarge  = errors.New("the answer is larger than the limit")
+	errResendBlocked     = errors.New("the connection broke after the request was written")
 )
 
 // attempt is one transmission of a request to a backend server.
@@ -42,8 +43,17 @@
 func (c *transportCache) roundTrip(ctx context.Context, a attempt) (*ledger.Response, *failure) {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
 	var conns trackedConns
+	// http.Transport sends some requests again by itself when a reused connection breaks: those
+	// with a safe method or with one of two headers for idempotency keys.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !conns.blockWrites() {
+			abort(errResendBlocked)
+			info.Conn.(*trackedConn).discard()
+			return
+		}
 		conns.add(info.Conn.(*trackedConn))
 	}}
 	httpRequest, err := a.newHTTPRequest(httptrace.WithClientTrace(ctx, trace))
@@ -61,13 +71,11 @@
 	if !errors.Is(err, errRefused) {
 		conns.discard()
 	}
-	return nil, classifyResponseError(ctx, conns, err)
+	return nil, classifyResponseError(ctx, err)
 }
 
-// newHTTPRequest builds the request to the backend server. http.Transport may resend
-// a request by itself if it has no body or one with GetBody, and has a safe method
-// or an Idempotency-Key header. Therefore the body has no GetBody and the key is
-// sent under another name.
+// newHTTPRequest builds the request to the backend server. The caller's idempotency key
+// is sent under another name.
 func (a attempt) newHTTPRequest(ctx context.Context) (*http.Request, error) {
 	r := a.request
 	target := "http://" + a.server.Address + r.target
@@ -97,24 +105,24 @@
 	if conns.blockWrites() {
 		f.verdict = verdict.NotRun
 	}
-	if ctx.Err() != nil {
+	if timedOut(ctx) {
 		f.outcome = backend.OutcomeTimeout
 	}
 	return f
 }
 
+// timedOut reports whether the attempt's deadline has passed.
+func timedOut(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errResendBlocked)
+}
+
 // classifyResponseError classifies an attempt whose response is a refusal, belongs
-// to another request or is incomplete. A refusal is valid for the last connection
-// only: the transport may have sent the request on an earlier one that broke.
-func classifyResponseError(ctx context.Context, conns trackedConns, err error) *failure {
+// to another request or is incomplete.
+func classifyResponseError(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errRefused):
-		f := &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeRefused}
-		if earlier := conns[:len(conns)-1]; !earlier.blockWrites() {
-			f.verdict = verdict.MayHaveRun
-		}
-		return f
-	case ctx.Err() != nil:
+		return &failure{cause: err, verdict: verdict.NotRun, outcome: backend.OutcomeRefused}
+	case timedOut(ctx):
 		return &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeTimeout}
 	default:
 		return &failure{cause: err, verdict: verdict.MayHaveRun, outcome: backend.OutcomeFailed}
--- a/internal/front/tracked_conn.go
+++ b/internal/front/tracked_conn.go
@@ -60,7 +60,8 @@
 }
 
 // trackedConns are the connections that the transport took for one request: more
-// than one if the first was closed and the transport could resend the request.
+// than one if it found earlier ones closed before any byte was written. At most the
+// last was written to.
 type trackedConns []*trackedConn
 
 func (conns *trackedConns) add(c *trackedConn) {
--- a/internal/front/transport_cache.go
+++ b/internal/front/transport_cache.go
@@ -81,7 +81,10 @@
 
 func (c *transportCache) newTransport(maxIdle int) *http.Transport {
 	dialer := &net.Dialer{Timeout: c.options.DialTimeout}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true) // over HTTP/2 the transport resends requests that a server did not process
 	return &http.Transport{
+		Protocols: protocols,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/internal/platform/store_http.go
+++ b/internal/platform/store_http.go
@@ -49,7 +49,7 @@
 		MaxIdleConnsPerHost: maxIdleStoreConnections,
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 	}
-	return &HTTPStore{base: base, client: &http.Client{Transport: transport}, timeout: timeout}
+	return &HTTPStore{base: base, client: &http.Client{Transport: transport, CheckRedirect: rejectRedirect}, timeout: timeout}
 }
 
 const (
@@ -57,6 +57,10 @@
 	maxResponseBytes        = 64 << 20
 )
 
+// rejectRedirect makes a redirect the response of the call, so that no request is sent a
+// second time.
+func rejectRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Get implements Store.
 func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
 	var found StoreEntry
--- a/internal/platform/worker_http.go
+++ b/internal/platform/worker_http.go
@@ -54,7 +54,7 @@
 func NewHTTPWorkerResolver(timeout time.Duration) *HTTPWorkerResolver {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnectionsPerWorker}
 	return &HTTPWorkerResolver{
-		client:  &http.Client{Timeout: timeout, Transport: transport},
+		client:  &http.Client{Timeout: timeout, Transport: transport, CheckRedirect: rejectRedirect},
 		clients: map[string]*httpWorker{},
 	}
 }
