Known faults: reads that write, wrong verdicts and reasons, stand-ins that check less

Reading does not change the directory any more; Update drops expired reports. - api: GetBody cut a body at 64 MiB without an error; it is an error now. - server: a status query without an answer of the control loop was reported as not run, a cancellation in the same place as may have run; the query stays queued and may run, so both say may-have-run. - partition: an append with an unknown outcome was recorded as 'sealed by a newer epoch'. - command: explain without an id exited with 1; the page says 2. - ledger: event 9003 (ledger-evicted) was defined but never recorded. - standin: rebootWorker reboots the target that was reserved; PutJSON reports a status other than 2xx; the first sheet counts as accepted under the revision of the response only; a worker's throttle limit bounds the reported use. - One word each: canceled; Response for responses between processes. - node: tests print the VM's log on failure, for the entry in KNOWN-RED.txt.

--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -124,15 +124,28 @@
 	return result, err
 }
 
-// GetBody returns the undecoded response body of a GET request. It truncates a body longer
-// than maxResponseBytes without an error.
+// GetBody returns the undecoded response body of a GET request. A body longer than
+// maxResponseBytes is an error.
 func (c *Client) GetBody(ctx context.Context, path string) ([]byte, error) {
 	resp, err := c.sendRequest(ctx, http.MethodGet, path, nil, nil)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
-	return io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readAtMost(resp.Body, maxResponseBytes)
+	return body, errors.Wrap(err, "GET "+path)
+}
+
+// readAtMost reads to the end of r, or fails if there are more than limit bytes.
+func readAtMost(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.Newf("the response is longer than %d bytes", limit)
+	}
+	return body, nil
 }
 
 // requestJSON sends a request and decodes the JSON response into result, unless it is nil.
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"time"
 
 	"filbertcross/internal/platform"
@@ -42,6 +43,7 @@
 		listed[s.ID] = listing{server: s, leaving: vm.Leaving}
 	}
 	d.listed = listed
+	d.dropExpiredReports(now)
 	return newlyLeaving
 }
 
@@ -61,13 +63,17 @@
 	return newlyLeaving
 }
 
+func (d *Directory) dropExpiredReports(now time.Time) {
+	maps.DeleteFunc(d.reportedUntil, func(_ ServerID, until time.Time) bool { return !now.Before(until) })
+}
+
 // IsLeaving reports whether the server is leaving and gets no new requests.
 func (d *Directory) IsLeaving(now time.Time, id ServerID) bool {
 	return d.listed[id].leaving || now.Before(d.reportedUntil[id])
 }
 
 // LeavingServers returns the leaving servers to send to peers, each with the
-// remaining validity of its report. It drops expired reports.
+// remaining validity of its report. It does not change the directory.
 func (d *Directory) LeavingServers(now time.Time) []LeavingServer {
 	var leaving []LeavingServer
 	for id, l := range d.listed {
@@ -76,10 +82,7 @@
 		}
 	}
 	for id, until := range d.reportedUntil {
-		switch {
-		case !now.Before(until):
-			delete(d.reportedUntil, id)
-		case !d.listed[id].leaving:
+		if now.Before(until) && !d.listed[id].leaving {
 			leaving = append(leaving, LeavingServer{ID: id, Remaining: until.Sub(now)})
 		}
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -68,8 +68,10 @@
 			t.Errorf("status %d: exit code %d, want %d", status, got, want)
 		}
 	}
-	if _, err := runCommand("job", "status"); ExitCode(err) != ExitUsage {
-		t.Errorf("missing argument: exit code %d, want %d", ExitCode(err), ExitUsage)
+	for _, args := range [][]string{{"job", "status"}, {"explain"}, {"explain", "a", "b"}} {
+		if _, err := runCommand(args...); ExitCode(err) != ExitUsage {
+			t.Errorf("%v: exit code %d, want %d", args, ExitCode(err), ExitUsage)
+		}
 	}
 }
 
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -32,7 +32,7 @@
 		Action: func(_ context.Context, c *cli.Command) error {
 			id := c.Args().First()
 			if id == "" || c.Args().Len() != 1 {
-				return cli.Exit("explain requires exactly one submission ID", 2)
+				return usageError("explain requires exactly one submission ID")
 			}
 			records, err := readLog(os.Stdin)
 			if err != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -178,7 +178,7 @@
 }
 
 // Cancel cancels a submission and reports whether this changes anything. A submission that
-// is not known yet is cancelled when it is added.
+// is not known yet is canceled when it is added.
 func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID) bool {
 	j := d.jobs[id]
 	if j == nil {
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -136,7 +136,7 @@
 	}
 	draining(false)
 	if names, _ := recorded(); len(names) != 2 {
-		t.Fatalf("recorded workers %v, want both once the drain was cancelled", names)
+		t.Fatalf("recorded workers %v, want both once the drain was canceled", names)
 	}
 }
 
@@ -306,7 +306,7 @@
 	h.submit("quick", "a", tasks(1, 4))
 	h.decide()
 	if len(h.starts) != 0 {
-		t.Fatal("a cancelled submission is started")
+		t.Fatal("a canceled submission is started")
 	}
 	h.commitAll()
 	if got := h.d.State("a"); got != fleet.StateCanceled {
--- a/internal/fleet/submission.go
+++ b/internal/fleet/submission.go
@@ -44,7 +44,7 @@
 	PreferredRack  string          `cbor:"9,keyasint"`  // tasks run slower on other racks; empty: none
 	MaxPerWorker   int             `cbor:"10,keyasint"` // tasks of one occurrence on one worker; 0: unbounded
 	Speculative    bool            `cbor:"11,keyasint"` // copies of a task may run at the same time
-	LongRunning    bool            `cbor:"12,keyasint"` // runs until cancelled; restarted whatever the outcome
+	LongRunning    bool            `cbor:"12,keyasint"` // runs until canceled; restarted whatever the outcome
 	Image          string          `cbor:"13,keyasint"`
 	LatencyTarget  time.Duration   `cbor:"14,keyasint"` // of the requests that the task serves; 0: it serves none
 	Filler         bool            `cbor:"15,keyasint"` // uses idle CPU; its CPU demand is not counted
--- a/internal/ledger/host.go
+++ b/internal/ledger/host.go
@@ -267,8 +267,12 @@
 	if onDone != nil {
 		onDone(err)
 	}
+	evicted := p.table.takeEvicted()
 	p.mu.Unlock()
 	p.snapshotMu.RUnlock()
+	if evicted > 0 {
+		p.host.recorder.Record(event.LedgerEvicted, p.id, evicted)
+	}
 	p.snapshotIfDue(errors.Is(err, partition.ErrLogFull))
 	return err
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -396,3 +396,34 @@
 		t.Fatalf("%+v, %v; want the recorded response", duplicate, err)
 	}
 }
+
+// evictionRecorder adds up the evicted responses of the events.
+type evictionRecorder struct{ evicted int }
+
+func (r *evictionRecorder) Record(def *event.Definition, values ...any) {
+	if def == event.LedgerEvicted {
+		r.evicted += values[1].(int)
+	}
+}
+
+// Three responses of 40 bytes do not fit into 100 bytes: the eviction of the oldest is
+// recorded once.
+func TestEarlyEvictionIsRecorded(t *testing.T) {
+	m := newStateMachine(100)
+	recorder := &evictionRecorder{}
+	m.hosts[0].recorder = recorder
+	for _, key := range []string{"x", "y", "z"} {
+		result, err := m.router.Begin(context.Background(), BeginRequest{Branch: "b", Key: key, Deadline: m.now.Add(time.Minute)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		finish := FinishRequest{Branch: "b", Key: key, Token: result.Token, Verdict: verdict.Done, Response: &Response{Status: 200, Body: make([]byte, 40)}}
+		if err := m.router.Finish(context.Background(), finish); err != nil {
+			t.Fatal(err)
+		}
+		m.flush()
+	}
+	if recorder.evicted != 1 {
+		t.Errorf("%d evictions recorded, want 1", recorder.evicted)
+	}
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -86,6 +86,7 @@
 	keys          map[keyID]*keyState
 	responseBytes int            // total size of the recorded responses
 	recorded      []*beginRecord // keys with a recorded response, oldest first
+	evicted       int            // responses evicted early since takeEvicted
 }
 
 func newKeyTable(limits Limits) *keyTable {
@@ -180,10 +181,18 @@
 		t.recorded = t.recorded[1:]
 		if oldest := t.keys[keyID{b.Branch, b.Key}]; oldest != nil && &oldest.Begun == b {
 			t.dropResponse(oldest)
+			t.evicted++
 		}
 	}
 }
 
+// takeEvicted returns the number of responses that were evicted early since its last call.
+func (t *keyTable) takeEvicted() int {
+	n := t.evicted
+	t.evicted = 0
+	return n
+}
+
 func (t *keyTable) dropResponse(k *keyState) {
 	if k.Response != nil {
 		t.responseBytes -= k.Response.size()
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -94,7 +94,7 @@
 	OutcomeFailed                    // exited with an error
 	OutcomeLost                      // its worker is gone or its lease expired
 	OutcomePreempted                 // stopped to free capacity; work since the last checkpoint is lost
-	OutcomeCanceled                  // stopped because its job was cancelled
+	OutcomeCanceled                  // stopped because its job was canceled
 	OutcomeNotStarted                // the start command was rejected or never sent; nothing ran
 )
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"filbertcross/platform"
 	"filbertcross/platform/standin"
@@ -61,7 +63,7 @@
 	}
 	metricsPort := freePort(t)
 	v.metricsAddress = fmt.Sprintf("127.0.0.1:%d", metricsPort)
-	n, _, metrics := Build(Settings{MetricsPort: metricsPort}, settings, logr.Discard())
+	n, _, metrics := Build(Settings{MetricsPort: metricsPort}, settings, newFailureLog(t, name))
 	for _, c := range change {
 		c(&n.opts)
 		n.breaker = n.newBreaker()
@@ -80,6 +82,25 @@
 	return v
 }
 
+// newFailureLog returns a log whose lines are printed if the test fails.
+func newFailureLog(t *testing.T, name string) logr.Logger {
+	var mu sync.Mutex
+	var lines []string
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if t.Failed() {
+			t.Logf("log of VM %s:\n%s", name, strings.Join(lines, "\n"))
+		}
+	})
+	started := time.Now()
+	return funcr.New(func(_, line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines = append(lines, fmt.Sprintf("%.3f s %s", time.Since(started).Seconds(), line))
+	}, funcr.Options{})
+}
+
 func eventually(t *testing.T, what string, within time.Duration, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -217,7 +238,7 @@
 	if status, _ := c.do(http.MethodDelete, follower, standin.QueuePrefix+jobID(2), ""); status != http.StatusOK {
 		t.Fatalf("cancel got %d, want 200", status)
 	}
-	eventually(t, "cancelled", 3*time.Second, func() bool { return strings.Contains(c.state(follower, jobID(2)), "cancelled") })
+	eventually(t, "canceled", 3*time.Second, func() bool { return strings.Contains(c.state(follower, jobID(2)), "cancelled") })
 }
 
 func TestStoreOutageRejectsSubmissionsAtOnceAndKeepsTasksRunning(t *testing.T) {
--- a/internal/partition/groupcommit.go
+++ b/internal/partition/groupcommit.go
@@ -52,9 +52,9 @@
 	if token != o.appendToken || o.inFlight == nil {
 		return
 	}
-	if errors.Is(err, ErrOwnershipLost) || errors.Is(err, ErrOutcomeUnknown) {
+	if reason := endOfEpoch(err); reason != "" {
 		o.failInFlight(err)
-		o.endEpoch("the log is sealed by a newer epoch")
+		o.endEpoch(reason)
 		return
 	}
 	if err != nil {
@@ -78,6 +78,17 @@
 	o.decideAndFlush()
 }
 
+// endOfEpoch returns the reason why an append's error ends the epoch, or "" if it does not.
+func endOfEpoch(err error) string {
+	switch {
+	case errors.Is(err, ErrOutcomeUnknown):
+		return "the outcome of an append to the log is unknown"
+	case errors.Is(err, ErrOwnershipLost):
+		return "the log is sealed by a newer epoch"
+	}
+	return ""
+}
+
 // appendFailed fails the items in flight and pending, since nothing was logged. Items
 // without onFailed hold whether logged or not and stay pending.
 func (o *Owner) appendFailed(err error) {
--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -145,7 +145,7 @@
 // urgent job right after it.
 func BenchmarkCancelWave(b *testing.B) {
 	const canceledJobs = 10_000
-	var cancelling, starting time.Duration
+	var canceling, starting time.Duration
 	count := 0
 	for b.Loop() {
 		b.StopTimer()
@@ -166,11 +166,11 @@
 		if decisions := s.Decide(epoch, 100); len(decisions) == 0 {
 			b.Fatal("Decide returned no decision for the urgent job after the cancellations")
 		}
-		cancelling += canceledAt.Sub(before)
+		canceling += canceledAt.Sub(before)
 		starting += time.Since(canceledAt)
 		count++
 	}
-	b.ReportMetric(float64(cancelling.Nanoseconds())/float64(count*canceledJobs), "ns/cancel")
+	b.ReportMetric(float64(canceling.Nanoseconds())/float64(count*canceledJobs), "ns/cancel")
 	b.ReportMetric(float64(starting.Nanoseconds())/float64(count), "ns/urgent-after-wave")
 }
 
--- a/internal/schedule/decision.go
+++ b/internal/schedule/decision.go
@@ -42,7 +42,7 @@
 const (
 	ActionPlace    Action = iota // start the task on the worker
 	ActionPreempt                // checkpoint and stop the task, which is queued again
-	ActionStop                   // stop the task for good: the job was cancelled or abandoned
+	ActionStop                   // stop the task for good: the job was canceled or abandoned
 	ActionMove                   // as ActionPreempt, but prefer another worker: this one is leaving or short of memory
 	ActionThrottle               // limit the task's usage to Limit
 	ActionProbe                  // start the task on a quarantined worker as its probe
@@ -116,7 +116,7 @@
 	// Observe processes a usage report.
 	Observe(now time.Time, u Usage)
 	// Finish frees the capacity of a task's run. The task is queued again unless the outcome
-	// is done or canceled, the job was cancelled or abandoned, its retries are exhausted, or
+	// is done or canceled, the job was canceled or abandoned, its retries are exhausted, or
 	// the task started and its job is not restartable.
 	Finish(now time.Time, task model.TaskID, outcome model.Outcome)
 	// Decide returns at most limit new decisions.
--- a/internal/schedule/explain.go
+++ b/internal/schedule/explain.go
@@ -41,7 +41,7 @@
 func (s *Scheduler) explainReason(j *job) string {
 	switch {
 	case j.canceled:
-		return "cancelled"
+		return "canceled"
 	case j.abandonReason != "":
 		return j.abandonReason
 	case j.waiting == 0 && len(j.runs) > 0:
--- a/internal/schedule/finish.go
+++ b/internal/schedule/finish.go
@@ -100,7 +100,7 @@
 }
 
 // Finish frees the capacity of a task's run. The task is queued again unless the outcome is
-// done or canceled, the job was cancelled or abandoned, its retries are exhausted, or the task
+// done or canceled, the job was canceled or abandoned, its retries are exhausted, or the task
 // started and its job is not restartable.
 func (s *Scheduler) Finish(now time.Time, task model.TaskID, outcome model.Outcome) {
 	s.advance(now)
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -18,7 +18,7 @@
 const (
 	taskWaiting taskState = iota
 	taskPlaced            // holds capacity on a worker
-	taskEnded             // done, cancelled or abandoned
+	taskEnded             // done, canceled or abandoned
 )
 
 // job is a submitted job with its tasks. Waiting tasks are stored as a count, a state byte
@@ -114,7 +114,7 @@
 // ended reports whether no task waits or holds capacity.
 func (j *job) ended() bool { return j.waiting == 0 && len(j.runs) == 0 }
 
-// closed reports whether the job was cancelled or abandoned, so that none of its tasks may
+// closed reports whether the job was canceled or abandoned, so that none of its tasks may
 // be placed again.
 func (j *job) closed() bool { return j.canceled || j.abandonReason != "" }
 
--- a/internal/schedule/oracle_test.go
+++ b/internal/schedule/oracle_test.go
@@ -139,7 +139,7 @@
 		t.Fatalf("%s placed on %s while it holds capacity on %s", d.Task, d.Worker, at.Worker)
 	}
 	if h.ended[d.Task] || h.canceled[d.Job] {
-		t.Fatalf("%s placed after its task ended or its job was cancelled", d.Task)
+		t.Fatalf("%s placed after its task ended or its job was canceled", d.Task)
 	}
 	w := h.workers[d.Worker]
 	if w.Leaving || w.Unreachable {
--- a/internal/schedule/proof/cases/simulation.go
+++ b/internal/schedule/proof/cases/simulation.go
@@ -68,7 +68,7 @@
 type simJob struct {
 	arrival       *arrival
 	tasks         map[model.TaskID]*simTask
-	finishedTasks int // tasks that are done, or all tasks if the job was cancelled
+	finishedTasks int // tasks that are done, or all tasks if the job was canceled
 	failed        bool
 	doneAt        time.Time
 }
--- a/internal/schedule/proof/completion.go
+++ b/internal/schedule/proof/completion.go
@@ -16,7 +16,7 @@
 	completionDecideLimit = 1000        // decisions requested in a round
 )
 
-// RunToCompletion simulates healthy workers until every task that can run or was cancelled has
+// RunToCompletion simulates healthy workers until every task that can run or was canceled has
 // ended. It reports RuleLost if such a task has not ended after a bounded number of rounds. It
 // returns the simulated time at the end.
 func (o *Oracle) RunToCompletion(now time.Time) time.Time {
@@ -51,7 +51,7 @@
 }
 
 // runsUntilStopped reports whether the run continues until the Decider stops it: its job is
-// cancelled, or tasks of its gang are not running.
+// canceled, or tasks of its gang are not running.
 func (t *taskRecord) runsUntilStopped() bool {
 	if t.job.canceled {
 		return !t.stopRequested
@@ -70,7 +70,7 @@
 	return model.OutcomePreempted
 }
 
-// unfinishedTask returns a task that has not ended although it can run or its job was cancelled,
+// unfinishedTask returns a task that has not ended although it can run or its job was canceled,
 // or nil if there is none.
 func (o *Oracle) unfinishedTask() *taskRecord {
 	for _, t := range o.tasksInOrder {
--- a/internal/schedule/proof/oracle.go
+++ b/internal/schedule/proof/oracle.go
@@ -186,7 +186,7 @@
 	o.decider.Forget(now, id)
 }
 
-// Explain implements schedule.Decider. It checks the counts of jobs that were neither cancelled
+// Explain implements schedule.Decider. It checks the counts of jobs that were neither canceled
 // nor had a failure.
 func (o *Oracle) Explain(id model.JobID) (schedule.Explanation, bool) {
 	e, ok := o.decider.Explain(id)
--- a/internal/schedule/proof/state_machine_test.go
+++ b/internal/schedule/proof/state_machine_test.go
@@ -43,7 +43,7 @@
 }
 
 // runStateMachine runs random actions on a new Decider, then clears all faults and checks that
-// every task that can run or was cancelled ends.
+// every task that can run or was canceled ends.
 func runStateMachine(t *rapid.T, newDecider func(*rand.Rand) schedule.Decider) {
 	rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 	report := func(v *Violation) { t.Fatal(v) }
--- a/internal/schedule/proof/violation.go
+++ b/internal/schedule/proof/violation.go
@@ -14,16 +14,16 @@
 	RuleCapacity    Rule = "capacity"     // the sum granted on a worker is within its capacity
 	RuleWorker      Rule = "worker"       // tasks are placed only on listed, reachable workers that are not leaving
 	RuleOnePlace    Rule = "one place"    // a task that holds capacity is not placed again
-	RuleEnded       Rule = "ended"        // a finished, cancelled or unknown task is not placed
+	RuleEnded       Rule = "ended"        // a finished, canceled or unknown task is not placed
 	RuleRunOnce     Rule = "run once"     // a task that is not restartable is neither placed again nor preempted
 	RuleGang        Rule = "gang"         // a gang's unfinished tasks are placed together in one group
 	RuleQuota       Rule = "quota"        // the sum granted to a branch is within its quota
 	RuleBeneficiary Rule = "beneficiary"  // a preemption names an existing branch that gets the capacity
 	RuleHeld        Rule = "held"         // only a task that holds capacity is stopped, moved, preempted or throttled
-	RuleStop        Rule = "stop"         // only a cancelled, failed or oversized job or an incomplete gang is stopped
+	RuleStop        Rule = "stop"         // only a canceled, failed or oversized job or an incomplete gang is stopped
 	RuleLimit       Rule = "limit"        // Decide returns no more than its limit
 	RuleExplain     Rule = "explain"      // Explain counts each task once
-	RuleLost        Rule = "lost"         // each task that can run or was cancelled ends eventually
+	RuleLost        Rule = "lost"         // each task that can run or was canceled ends eventually
 	RuleRemovedHeld Rule = "removed held" // the caller removes only workers on which no task holds capacity
 )
 
--- a/internal/schedule/review.go
+++ b/internal/schedule/review.go
@@ -31,7 +31,7 @@
 	switch j := r.job; {
 	case r.stop == stopCanceled:
 	case j.canceled:
-		s.stopRun(r, stopCanceled, ActionStop, "the job was cancelled")
+		s.stopRun(r, stopCanceled, ActionStop, "the job was canceled")
 	case r.stop != stopNone:
 	case j.Kind == model.KindGang && j.abandonReason != "":
 		s.stopRun(r, stopCanceled, ActionStop, j.abandonReason)
--- a/internal/schedule/withdraw.go
+++ b/internal/schedule/withdraw.go
@@ -11,7 +11,7 @@
 // it over.
 type Withdrawer interface {
 	// Withdraw removes a job without tasks that hold capacity; a job with such tasks is only
-	// cancelled. A removed job may be submitted again.
+	// canceled. A removed job may be submitted again.
 	Withdraw(now time.Time, job model.JobID)
 }
 
--- a/internal/server/assigner.go
+++ b/internal/server/assigner.go
@@ -159,8 +159,8 @@
 	a.layout, a.layoutLoaded = newLayout, true
 }
 
-// layoutReply is a VM's reply to methodLayout.
-type layoutReply struct {
+// layoutResponse is a VM's response to methodLayout.
+type layoutResponse struct {
 	Layout partition.Layout `json:"layout"`
 	Known  bool             `json:"known"`
 }
@@ -173,7 +173,7 @@
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, a.settings.StoreTimeout)
-		var reply layoutReply
+		var reply layoutResponse
 		err := a.caller.Call(bounded, m.Address, methodLayout, struct{}{}, &reply)
 		cancel()
 		if err == nil && reply.Known {
--- a/internal/server/handover.go
+++ b/internal/server/handover.go
@@ -37,17 +37,17 @@
 	Job partition.HandedOverJob `json:"job"`
 }
 
-// jobReply is the state of a job in one partition.
-type jobReply struct {
+// jobResponse is the state of a job in one partition.
+type jobResponse struct {
 	Job          api.Job           `json:"job"`
 	HandedTo     model.PartitionID `json:"handed_to,omitempty"`    // next partition to query; empty: none
 	Acknowledged bool              `json:"acknowledged,omitempty"` // HandedTo has stored the job durably
 	NeverFits    string            `json:"never_fits,omitempty"`   // why a submission was rejected; empty: accepted
 }
 
-// cancelReply names the partition to send the cancel to next; if HandedTo is empty, the
+// cancelResponse names the partition to send the cancel to next; if HandedTo is empty, the
 // job is canceled.
-type cancelReply struct {
+type cancelResponse struct {
 	HandedTo     model.PartitionID `json:"handed_to,omitempty"`
 	Acknowledged bool              `json:"acknowledged,omitempty"`
 }
@@ -113,15 +113,15 @@
 }
 
 // statusAt requests the job's status from the owner of one partition.
-func (j *jobService) statusAt(ctx context.Context, id model.JobID, at model.PartitionID) (jobReply, error) {
+func (j *jobService) statusAt(ctx context.Context, id model.JobID, at model.PartitionID) (jobResponse, error) {
 	return callOwner(ctx, j, at, methodJobStatus, jobRequest{id, at}, j.statusLocal)
 }
 
 // statusFollowingHandovers requests the job's status from the partition, then from those
 // that the job was handed over to in turn. If the next partition does not know the job
 // and has not acknowledged it, the previous partition's status is returned.
-func (j *jobService) statusFollowingHandovers(ctx context.Context, id model.JobID, at model.PartitionID) (jobReply, error) {
-	var last jobReply
+func (j *jobService) statusFollowingHandovers(ctx context.Context, id model.JobID, at model.PartitionID) (jobResponse, error) {
+	var last jobResponse
 	for hop := range maxHandovers + 1 {
 		reply, err := j.statusAt(ctx, id, at)
 		if hop > 0 && isUnknownJob(err) && !last.Acknowledged {
@@ -138,7 +138,7 @@
 // cancelAt cancels the job in the partition, or in the one that it was handed over to. If
 // a handover is still in flight, the error asks the client to retry.
 func (j *jobService) cancelAt(ctx context.Context, id model.JobID, at model.PartitionID) error {
-	var last cancelReply
+	var last cancelResponse
 	for hop := range maxHandovers + 1 {
 		reply, err := callOwner(ctx, j, at, methodCancelJob, jobRequest{id, at}, j.cancelLocal)
 		if hop > 0 && isUnknownJob(err) && !last.Acknowledged {
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -106,13 +106,13 @@
 // submitToHome submits the job to its home partition. A job without an idempotency key
 // that a partition reports as never fitting is submitted to other partitions, up to
 // maxHomePartitions; a key has a single home.
-func (j *jobService) submitToHome(ctx context.Context, layout partition.Layout, job model.Job) (jobReply, error) {
+func (j *jobService) submitToHome(ctx context.Context, layout partition.Layout, job model.Job) (jobResponse, error) {
 	var tried []model.PartitionID
-	var reply jobReply
+	var reply jobResponse
 	for len(tried) < maxHomePartitions {
 		home, found := j.homePartition(layout, job, tried)
 		if !found && len(tried) == 0 {
-			return jobReply{}, temporarilyUnavailable(verdict.NotRun, jobRetryAfter, "no partition of workers has an owner yet")
+			return jobResponse{}, temporarilyUnavailable(verdict.NotRun, jobRetryAfter, "no partition of workers has an owner yet")
 		}
 		if !found {
 			break
--- a/internal/server/jobs_local.go
+++ b/internal/server/jobs_local.go
@@ -34,7 +34,7 @@
 		return true
 	})
 	if err != nil {
-		return partition.Reply{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.MayHaveRun}
+		return partition.Reply{}, loopError(err)
 	}
 	if !owned {
 		return partition.Reply{}, errNotOwner
@@ -47,34 +47,40 @@
 	}
 }
 
-func (j *jobService) submitLocal(ctx context.Context, job model.Job) (jobReply, error) {
+// loopError returns the error of a query that the control loop did not answer in time. The
+// query stays in the loop's queue and may still run.
+func loopError(err error) *peer.Error {
+	return &peer.Error{Code: peer.CodeTimeout, Message: "the control loop did not answer: " + err.Error(), Verdict: verdict.MayHaveRun}
+}
+
+func (j *jobService) submitLocal(ctx context.Context, job model.Job) (jobResponse, error) {
 	home, ok := partition.JobPartition(job.ID)
 	if !ok {
-		return jobReply{}, &peer.Error{Code: peer.CodeInvalid, Message: "the job's id names no partition", Verdict: verdict.NotRun}
+		return jobResponse{}, &peer.Error{Code: peer.CodeInvalid, Message: "the job's id names no partition", Verdict: verdict.NotRun}
 	}
 	reply, err := j.callLocalOwner(ctx, home, func(o *partition.Owner, now time.Time, token partition.Token) { o.Submit(now, token, job) })
 	if err != nil {
-		return jobReply{}, err
+		return jobResponse{}, err
 	}
 	switch reply.Status.Code {
 	case schedule.NeverFits:
-		return jobReply{NeverFits: cmp.Or(reply.Status.Reason, "it never fits")}, nil
+		return jobResponse{NeverFits: cmp.Or(reply.Status.Reason, "it never fits")}, nil
 	case schedule.Invalid:
-		return jobReply{}, &peer.Error{Code: codeJobRejected, Message: reply.Status.Reason, Verdict: verdict.NotRun}
+		return jobResponse{}, &peer.Error{Code: codeJobRejected, Message: reply.Status.Reason, Verdict: verdict.NotRun}
 	}
 	return j.statusLocal(ctx, jobRequest{reply.Job, home})
 }
 
-func (j *jobService) cancelLocal(ctx context.Context, m jobRequest) (cancelReply, error) {
+func (j *jobService) cancelLocal(ctx context.Context, m jobRequest) (cancelResponse, error) {
 	reply, err := j.callLocalOwner(ctx, m.Partition, func(o *partition.Owner, now time.Time, token partition.Token) { o.Cancel(now, token, m.Job) })
 	if !errors.Is(reply.Err, partition.ErrHandedOver) {
-		return cancelReply{}, err
+		return cancelResponse{}, err
 	}
 	status, err := j.statusLocal(ctx, m)
-	return cancelReply{HandedTo: status.HandedTo, Acknowledged: status.Acknowledged}, err
+	return cancelResponse{HandedTo: status.HandedTo, Acknowledged: status.Acknowledged}, err
 }
 
-func (j *jobService) statusLocal(ctx context.Context, m jobRequest) (jobReply, error) {
+func (j *jobService) statusLocal(ctx context.Context, m jobRequest) (jobResponse, error) {
 	type result struct {
 		owned, found bool
 		status       partition.JobStatus
@@ -90,13 +96,13 @@
 	})
 	switch {
 	case err != nil:
-		return jobReply{}, &peer.Error{Code: peer.CodeTimeout, Message: err.Error(), Verdict: verdict.NotRun}
+		return jobResponse{}, loopError(err)
 	case !r.owned:
-		return jobReply{}, errNotOwner
+		return jobResponse{}, errNotOwner
 	case !r.found:
-		return jobReply{}, partitionError(errors.Wrapf(partition.ErrUnknownJob, "%s", m.Job))
+		return jobResponse{}, partitionError(errors.Wrapf(partition.ErrUnknownJob, "%s", m.Job))
 	}
-	return jobReply{Job: apiJob(r.status), HandedTo: r.status.HandedTo, Acknowledged: r.status.Acknowledged}, nil
+	return jobResponse{Job: apiJob(r.status), HandedTo: r.status.HandedTo, Acknowledged: r.status.Acknowledged}, nil
 }
 
 func (j *jobService) listLocal(ctx context.Context, branch model.BranchID) ([]api.Job, error) {
--- a/internal/server/providers.go
+++ b/internal/server/providers.go
@@ -169,9 +169,9 @@
 // this VM's layout.
 func provideAssigner(s config.Settings, store platform.Store, view membership.View, caller peer.Caller, server *peer.Server, host partitionHost, recorder event.Recorder) *assigner {
 	a := newAssigner(s, store, view, caller, host, recorder)
-	handle(server, methodLayout, func(context.Context, struct{}) (layoutReply, error) {
+	handle(server, methodLayout, func(context.Context, struct{}) (layoutResponse, error) {
 		layout, known := a.Layout()
-		return layoutReply{Layout: layout, Known: known}, nil
+		return layoutResponse{Layout: layout, Known: known}, nil
 	})
 	return a
 }
--- a/internal/server/sheets.go
+++ b/internal/server/sheets.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return api.SheetResult{}, applyError(err)
 	}
-	return acceptedReply(result.Revision, result.Changes, report), nil
+	return acceptedResult(result.Revision, result.Changes, report), nil
 }
 
 // diff compares a sheet with the active configuration.
@@ -42,7 +42,7 @@
 	if c := s.rollout.Source().Active(); c != nil {
 		revision = c.Revision
 	}
-	return acceptedReply(revision, sheet.Diff(s.activeSheet(), parsed), report), nil
+	return acceptedResult(revision, sheet.Diff(s.activeSheet(), parsed), report), nil
 }
 
 // activeSheet returns the active configuration as a sheet; empty if there is none.
@@ -54,7 +54,7 @@
 	return sheet.Sheet{Branches: c.Branches, Workloads: c.Workloads}
 }
 
-func acceptedReply(revision int64, changes sheet.Changes, report sheet.Report) api.SheetResult {
+func acceptedResult(revision int64, changes sheet.Changes, report sheet.Report) api.SheetResult {
 	reply := api.SheetResult{Revision: revision, Changes: []string{}}
 	for _, change := range changes {
 		reply.Changes = append(reply.Changes, change.String())
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -27,7 +27,7 @@
 	id, path   string
 	spec       string
 	acceptedAt time.Time
-	cancelled  bool
+	canceled   bool
 }
 
 // submit generates submission n and sends it until it is accepted; it cancels some of them
@@ -85,7 +85,7 @@
 	for ctx.Err() == nil {
 		status, _ := r.sendRequest(ctx, rng, http.MethodDelete, s.path, "")
 		if status == http.StatusOK || status == http.StatusGone {
-			s.cancelled = true
+			s.canceled = true
 			time.AfterFunc(maxCancelDelay, func() { r.platform.Checker.RecordCancellation(s.id) })
 			return
 		}
@@ -129,8 +129,8 @@
 		r.platform.Checker.AddViolation("LOST: %s is reported as failed, but its tasks do not fail", s.id)
 	case final == "completed" && strings.HasPrefix(s.spec, "fail"):
 		r.platform.Checker.AddViolation("MIXED: %s is reported as completed, but its tasks fail", s.id)
-	case final == "cancelled" && !s.cancelled:
-		r.platform.Checker.AddViolation("LOST: %s is reported as cancelled, but no caller cancelled it", s.id)
+	case final == "cancelled" && !s.canceled:
+		r.platform.Checker.AddViolation("LOST: %s is reported as canceled, but no caller canceled it", s.id)
 	}
 	return true
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -279,7 +279,7 @@
 	return json.NewDecoder(resp.Body).Decode(into)
 }
 
-// PutJSON sends a PUT request with a JSON body. It does not check the response's status.
+// PutJSON sends a PUT request with a JSON body. It returns an error for every status but 2xx.
 func PutJSON(url string, body any) error {
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -293,5 +293,9 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return errors.Newf("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
 }
--- a/internal/standin/prove/faults.go
+++ b/internal/standin/prove/faults.go
@@ -293,11 +293,8 @@
 	return counts.Ran, err == nil
 }
 
-func (f *faultInjector) rebootWorker(context.Context, string) {
-	f.mu.Lock()
-	address := randomWorker(f)
-	f.mu.Unlock()
-	if err := cluster.PutJSON("http://"+address+"/reboot", struct{}{}); err != nil {
+func (f *faultInjector) rebootWorker(_ context.Context, target string) {
+	if err := cluster.PutJSON("http://"+target+"/reboot", struct{}{}); err != nil {
 		f.checks.RecordFailure("a worker accepts a reboot", err.Error())
 	}
 }
--- a/internal/standin/prove/session.go
+++ b/internal/standin/prove/session.go
@@ -61,10 +61,12 @@
 	}
 	s.load = cluster.NewLoad(urls)
 	err = cluster.WaitFor(ctx, "the first sheet to be accepted", func() bool {
-		_, err := s.cluster.VMs[0].Client().ApplySheet(ctx, 0, csv, "")
+		accepted, err := s.cluster.VMs[0].Client().ApplySheet(ctx, 0, csv, "")
+		if err == nil {
+			s.recordAccepted(accepted.Revision, string(csv))
+		}
 		return err == nil
 	})
-	s.acceptedSheets[1] = string(csv)
 	s.load.WatchReadiness(context.WithoutCancel(ctx))
 	if err != nil {
 		return err
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -227,7 +227,7 @@
 
 func (w *Worker) taskReport(ref platform.TaskRef, t *taskState) platform.TaskReport {
 	runtime := w.totalRuntime(t)
-	used := t.start.Size
+	used := limitedUse(t.start.Size, t.throttleLimit)
 	if runtime < w.opts.ReportLag {
 		used = model.Resources{}
 	}
@@ -243,6 +243,13 @@
 	}
 }
 
+// limitedUse returns the usage of a task of the given size under its throttle limit, which
+// applies to processor time only.
+func limitedUse(size, limit model.Resources) model.Resources {
+	size.MilliCPU = min(size.MilliCPU, limit.MilliCPU)
+	return size
+}
+
 // totalRuntime includes the run time before the checkpoint that the task resumed from.
 func (w *Worker) totalRuntime(t *taskState) time.Duration {
 	end := w.runs[t.runIndex].Until
