dispatch: pack accelerator workers, so that whole workers stay free for gangs

Tasks were placed by processor and memory only, worst fit, so that tasks of one accelerator and gang members with 2 or 4 were spread over all 98 workers and no worker stayed whole.

Change: on workers with accelerators the score is best fit by the dominant share of processor, memory and accelerators; on others it is worst fit as before.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -82,11 +82,9 @@
 	return s.def.MaxPerWorker == 0 || s.runsPerWorker[w.entry.ID] < s.def.MaxPerWorker
 }
 
-// score rates a worker for a task, lower being better: the resulting utilization plus
-// penalties. t is nil for a gang member.
+// score rates a worker for a task, lower being better. t is nil for a gang member.
 func (d *Dispatcher) score(s *step, t *task, w *worker, extra model.Resources) float64 {
-	used := w.used.Add(extra).Add(reservedCapacity(s.def))
-	score := max(utilization(used.MilliCPU, w.entry.Capacity.MilliCPU), utilization(used.MemoryMiB, w.entry.Capacity.MemoryMiB))
+	score := packingScore(w.entry.Capacity, w.used.Add(extra).Add(reservedCapacity(s.def)))
 	if rack := s.def.PreferredRack; rack != "" && !slices.Contains(w.entry.Labels, rack) {
 		score += penaltyRemoteRack
 	}
@@ -105,6 +103,23 @@
 	return score
 }
 
+// packingScore rates a worker by its use after a placement, from 0 to 1. Work is spread over
+// workers without accelerators, and packed onto those that have some, so that whole workers stay
+// free for the tasks that need all accelerators of one.
+func packingScore(capacity, used model.Resources) float64 {
+	share := dominantShare(capacity, used)
+	if capacity.Accelerators > 0 {
+		return 1 - share
+	}
+	return share
+}
+
+// dominantShare returns the largest share of a resource that is used.
+func dominantShare(capacity, used model.Resources) float64 {
+	return max(utilization(used.MilliCPU, capacity.MilliCPU), utilization(used.MemoryMiB, capacity.MemoryMiB),
+		utilization(used.Accelerators, capacity.Accelerators))
+}
+
 func utilization(used, capacity int64) float64 {
 	if capacity <= 0 {
 		return 0
