dispatch: reserve workers for a waiting gang; backfill and preempt under the reservation

Its tickets were renewed worker by worker: as soon as one member fitted somewhere, one worker was named in an advice call, and the tickets of the others had expired meanwhile.

Change: a gang that does not fit reserves the workers on which all its members will fit the earliest, by the remaining time of the runs there. The reservations are set anew in each placement pass, in placement order. Steps behind the gang may use a reserved worker only for what fits beside, ends before the gang can start, or can be preempted for it. Once stopping checkpointing runs of less urgent queues makes room for all members, they are stopped. Tickets of all reserved workers are renewed in one call, when the gang can start within its latency. Event gang-waiting records the choice.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -65,6 +65,31 @@
 		return
 	}
 	s.adviceDue = now + placementRetryInterval
+	candidates := d.adviceCandidates(now, s)
+	if len(candidates) == 0 {
+		return
+	}
+	candidates = candidates[:min(len(candidates), maxAdviceWorkers)]
+	ids := make([]model.WorkerID, len(candidates))
+	for i, w := range candidates {
+		ids[i] = w.entry.ID
+	}
+	latency := policy.Latency(len(ids))
+	if latency > shortAdviceCall && d.adviceSlots-d.adviceInFlight <= d.adviceSlots/reservedSlotDivisor {
+		return
+	}
+	a.inFlight = true
+	d.adviceInFlight++
+	d.emit(AdviseCommand{Step: s.id, Workers: ids})
+}
+
+// adviceCandidates returns the workers to name in an advice call for the step, the best first;
+// none if no call is needed now.
+func (d *Dispatcher) adviceCandidates(now time.Duration, s *step) []*worker {
+	if s.def.Gang && s.reservation != nil {
+		return d.ticketsToRenew(now, s)
+	}
+	a := &s.advice
 	var candidates []*worker
 	usable := 0
 	for _, w := range d.workerList {
@@ -83,22 +108,34 @@
 			candidates = append(candidates, w)
 		}
 	}
-	if usable > 0 || len(candidates) == 0 {
-		return
+	if usable > 0 {
+		return nil
 	}
 	slices.SortStableFunc(candidates, func(x, y *worker) int { return cmp.Compare(y.free().MilliCPU, x.free().MilliCPU) })
-	candidates = candidates[:min(len(candidates), maxAdviceWorkers)]
-	ids := make([]model.WorkerID, len(candidates))
-	for i, w := range candidates {
-		ids[i] = w.entry.ID
+	return candidates
+}
+
+// ticketsToRenew returns the workers reserved for a gang whose tickets will have expired when
+// the gang can start, if that is no later than an advice call made now would be answered.
+func (d *Dispatcher) ticketsToRenew(now time.Duration, s *step) []*worker {
+	r := s.reservation
+	latency := s.job.queue.Advice.Latency(len(r.members)) + adviceLead
+	startsAt := max(r.readyAt, now+latency)
+	if r.readyAt > now+latency {
+		return nil
 	}
-	latency := policy.BaseLatency + time.Duration(len(ids))*policy.LatencyPerWorker
-	if latency > shortAdviceCall && d.adviceSlots-d.adviceInFlight <= d.adviceSlots/reservedSlotDivisor {
-		return
+	var expiring []*worker
+	covered := true
+	for _, w := range r.workers() {
+		covered = covered && s.advice.hasTicket(now+d.opts.StopTimeout, w.entry.ID)
+		if !s.advice.hasTicket(startsAt+d.opts.StopTimeout, w.entry.ID) {
+			expiring = append(expiring, w)
+		}
 	}
-	a.inFlight = true
-	d.adviceInFlight++
-	d.emit(AdviseCommand{Step: s.id, Workers: ids})
+	if covered {
+		return nil
+	}
+	return expiring
 }
 
 // HandleAdvice processes the response to an AdviseCommand. requested are the workers in the call;
@@ -134,7 +171,7 @@
 // latency of an advice call.
 func (d *Dispatcher) readySoon(now time.Duration, s *step) bool {
 	policy := s.job.queue.Advice
-	latency := policy.BaseLatency + time.Duration(min(len(d.workerList), maxAdviceWorkers))*policy.LatencyPerWorker + adviceLead
+	latency := policy.Latency(min(len(d.workerList), maxAdviceWorkers)) + adviceLead
 	for _, a := range s.def.After {
 		for _, t := range s.job.steps[s.id.Occurrence][a].tasks {
 			switch {
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -46,6 +46,7 @@
 	}
 	steps := d.readySteps(now)
 	d.requestAdviceForSteps(now, steps)
+	d.clearReservations()
 	var unplaced []*step
 	d.stepsUnplaced = false
 	for _, s := range steps {
@@ -56,6 +57,9 @@
 		if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || now >= s.retryDue) {
 			d.placeStep(now, s, candidates)
 		}
+		if s.def.Gang && s.waiting > 0 {
+			d.reserve(now, s)
+		}
 		d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
 		if s.waiting > 0 && (s.tryAllWorkers || now >= s.retryDue) {
 			s.retryDue = now + placementRetryInterval
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,9 +25,10 @@
 	activeJobs    []*job // jobs without a final state, in order of arrival
 	finalJobs     []*job // jobs with a final state, in order of completion
 	runs          map[fleet.RunID]*run
-	runList       []*run    // in order of start; the sweep drops removed runs
-	unsettledRuns []*run    // runs whose start or stop has an unknown outcome
-	freedWorkers  []*worker // workers with freed capacity since the last placement pass
+	runList       []*run         // in order of start; the sweep drops removed runs
+	unsettledRuns []*run         // runs whose start or stop has an unknown outcome
+	freedWorkers  []*worker      // workers with freed capacity since the last placement pass
+	reservations  []*reservation // of the last placement pass
 	passDue       time.Duration
 	stepsUnplaced bool // steps found no worker in the last placement pass
 	sweepDue      time.Duration
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -28,6 +28,7 @@
 	if chosen == nil {
 		return
 	}
+	s.reservation = nil
 	checkpoint := ""
 	for _, t := range s.tasks {
 		if t.checkpoint != "" {
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -59,3 +59,176 @@
 		t.Fatalf("%d members of the gang start on the three whole workers, want 3", got)
 	}
 }
+
+// gangHarness returns a harness with two accelerator workers that are full of single tasks
+// without checkpoints, and the starts of these tasks.
+func gangHarness(t *testing.T) (*harness, []StartCommand) {
+	t.Helper()
+	h := newAcceleratorHarness(t, 2)
+	h.submit("rebuild", "singles", acceleratorTasks(16, 11, 1, 3*time.Second))
+	h.decide()
+	starts := h.starts
+	if len(starts) != 16 {
+		t.Fatalf("%d single tasks start, want 16", len(starts))
+	}
+	h.acceptStarts(starts)
+	h.reportAll()
+	return h, starts
+}
+
+func (h *harness) reportAll() {
+	for _, w := range h.d.workerList {
+		h.report(w.entry.ID)
+	}
+}
+
+// end reports that the run of a start is done.
+func (h *harness) end(s StartCommand) {
+	h.progress++
+	h.report(s.To.ID, h.runResult(s, fleet.OutcomeDone))
+}
+
+// decideAfter advances the clock and decides.
+func (h *harness) decideAfter(d time.Duration) {
+	h.advance(d)
+	h.decide()
+}
+
+// A wide gang waits on busy workers while less urgent single tasks keep arriving
+// (salnorte-fc-grown scale-1). The capacity that the ending tasks free is kept for the gang.
+func TestWideGangOnBusyWorkersIsNotStarvedBySingleTasks(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("quick", "gang", acceleratorGang(2, 62, 8, 4*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	for i, s := range starts {
+		h.submit("rebuild", fleet.JobID("late"+string(rune('a'+i))), acceleratorTasks(1, 11, 1, 20*time.Second))
+		h.end(s)
+		h.decideAfter(100 * time.Millisecond)
+		if got := len(h.starts) - startsOf(h.starts, "gang"); got != 0 {
+			t.Fatalf("%d single tasks take capacity reserved for the gang after the end of task %d", got, i)
+		}
+		if i < len(starts)-1 && len(h.starts) != 0 {
+			t.Fatalf("the gang starts with %d tasks left", len(starts)-1-i)
+		}
+	}
+	if got := startsOf(h.starts, "gang"); got != 2 {
+		t.Fatalf("%d members of the gang start after the workers are free, want 2", got)
+	}
+}
+
+// A worker is reserved for a gang that still waits for another worker. Short tasks run there
+// meanwhile, long ones do not.
+func TestShortTasksRunUnderTheReservation(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("quick", "gang", acceleratorGang(2, 62, 8, 4*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	for _, s := range starts {
+		if s.To.ID == workerID(0) {
+			h.end(s)
+		}
+	}
+	h.submit("rebuild", "long", acceleratorTasks(1, 11, 1, 10*time.Second))
+	h.submit("rebuild", "short", acceleratorTasks(1, 11, 1, time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	if startsOf(h.starts, "short") != 1 || startsOf(h.starts, "long") != 0 {
+		t.Fatalf("starts %v, want only the short task under the reservation", h.starts)
+	}
+}
+
+// Checkpointing tasks of a less urgent queue fill the workers when a gang arrives
+// (salnorte-fc-grown, burst of gangs). They are stopped for it, on all its workers at once.
+func TestCheckpointingTasksAreStoppedForAGang(t *testing.T) {
+	h := newAcceleratorHarness(t, 2)
+	singles := acceleratorTasks(16, 11, 1, 20*time.Second)
+	singles.Checkpointing = true
+	h.submit("rebuild", "singles", singles)
+	h.decide()
+	starts := h.starts
+	h.acceptStarts(starts)
+	h.reportAll()
+	h.submit("quick", "gang", acceleratorGang(2, 62, 4, 4*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	if len(h.stops) == 0 {
+		h.decideAfter(time.Millisecond)
+	}
+	if len(h.stops) != 8 {
+		t.Fatalf("%d runs are stopped for a gang of 2 members with 4 accelerators, want 8", len(h.stops))
+	}
+	stopped := map[fleet.RunID]bool{}
+	for _, s := range h.stops {
+		stopped[s.Run] = true
+	}
+	for _, s := range starts {
+		if stopped[s.Start.RunID] {
+			h.report(s.To.ID, h.runResult(s, fleet.OutcomeStopped))
+		}
+	}
+	h.decideAfter(100 * time.Millisecond)
+	if got := startsOf(h.starts, "gang"); got != 2 {
+		t.Fatalf("%d members of the gang start after the stops, want 2", got)
+	}
+}
+
+// Two gangs arrive that each need all workers. The second does not take the capacity that the
+// first waits for, and starts after it.
+func TestTwoGangsThatNeedTheSameWorkersStartOneAfterTheOther(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("quick", "first", acceleratorGang(2, 62, 8, 2*time.Second))
+	h.advance(time.Millisecond)
+	h.submit("quick", "second", acceleratorGang(2, 62, 8, 3*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	for _, s := range starts {
+		h.end(s)
+		h.decideAfter(100 * time.Millisecond)
+	}
+	if len(h.starts) != 2 || startsOf(h.starts, "first") != 2 {
+		t.Fatalf("starts %v, want the two members of the first gang", h.starts)
+	}
+	first := h.starts
+	h.acceptStarts(first)
+	for _, s := range first {
+		h.end(s)
+	}
+	h.decideAfter(100 * time.Millisecond)
+	if startsOf(h.starts, "second") != 2 {
+		t.Fatalf("starts %v, want the two members of the second gang", h.starts)
+	}
+}
+
+// The tickets of a waiting gang have expired. They are renewed in one call for all reserved
+// workers when the gang can start soon, not worker by worker.
+func TestWaitingGangRenewsTheTicketsOfAllReservedWorkersAtOnce(t *testing.T) {
+	h, starts := gangHarness(t)
+	gang := acceleratorGang(2, 62, 8, 4*time.Second)
+	h.submit("advised", "gang", gang)
+	h.decideAfter(100 * time.Millisecond)
+	if len(h.adviceCalls) != 1 {
+		t.Fatalf("%d advice calls, want 1", len(h.adviceCalls))
+	}
+	tickets := map[model.WorkerID]string{workerID(0): "t0", workerID(1): "t1"}
+	call := h.adviceCalls[0]
+	h.d.HandleAdvice(h.now, call.Step, call.Workers, tickets, time.Second, nil)
+	h.decideAfter(100 * time.Millisecond)
+	for range 20 { // until the reserved workers are estimated to be free
+		h.decideAfter(100 * time.Millisecond)
+		if len(h.adviceCalls) != 0 && h.now < time.Hour+2700*time.Millisecond {
+			t.Fatalf("tickets are renewed %v after the singles' start, long before the gang can start", h.now-time.Hour)
+		}
+	}
+	var renewed []AdviseCommand
+	for i := range 20 {
+		if i < len(starts) {
+			h.end(starts[i])
+		}
+		h.decideAfter(50 * time.Millisecond)
+		renewed = append(renewed, h.adviceCalls...)
+	}
+	if len(renewed) != 1 || len(renewed[0].Workers) != 2 {
+		t.Fatalf("advice calls %v, want one that names both reserved workers", renewed)
+	}
+	h.d.HandleAdvice(h.now, renewed[0].Step, renewed[0].Workers, tickets, time.Second, nil)
+	h.decideAfter(time.Millisecond)
+	if got := startsOf(h.starts, "gang"); got != 2 {
+		t.Fatalf("%d members of the gang start with the new tickets, want 2", got)
+	}
+}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -23,6 +23,7 @@
 	paces         []PaceCommand
 	adviceCalls   []AdviseCommand
 	resultNumbers map[model.WorkerID]int64
+	progress      int // percent that runs have made beyond the 10 of a first report
 }
 
 const (
@@ -131,7 +132,7 @@
 	var statuses []fleet.RunStatus
 	for _, run := range h.d.RunsAt(id) {
 		if !ended[run] {
-			statuses = append(statuses, fleet.RunStatus{RunID: run, Percent: 10})
+			statuses = append(statuses, fleet.RunStatus{RunID: run, Percent: 10 + h.progress})
 		}
 	}
 	return statuses
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -49,6 +49,9 @@
 	hasDelayedTask bool          // a waiting task has notBefore in the future
 	retryDue       time.Duration // time of the next attempt to preempt or to place a gang
 	adviceDue      time.Duration // time of the next check whether advice is needed
+	reservation    *reservation  // of a gang that waits for capacity
+	reserveDue     time.Duration // time of the next choice of workers to reserve
+	waitRecorded   bool          // an event says that the gang waits
 }
 
 // job is a submission and its progress.
@@ -159,7 +162,7 @@
 		}
 		ends[i] = start + s.Estimate
 		if q.Advice != nil {
-			ends[i] += q.Advice.BaseLatency + objectiveAdviceWorkers*q.Advice.LatencyPerWorker
+			ends[i] += q.Advice.Latency(objectiveAdviceWorkers)
 		}
 		longest = max(longest, ends[i])
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -66,7 +66,7 @@
 func (d *Dispatcher) feasible(now time.Duration, s *step, w *worker, extra model.Resources) bool {
 	return w.placeable(now) && d.satisfiesConstraints(s, w) &&
 		reservedCapacity(s.def).FitsIn(w.free().Sub(extra)) &&
-		(!w.probing || len(w.runs) == 0) &&
+		(!w.probing || len(w.runs) == 0) && !d.blockedByReservation(now, s, w, extra) &&
 		(s.job.queue.Advice == nil || s.advice.hasTicket(now, w.entry.ID))
 }
 
@@ -133,6 +133,7 @@
 	r := &run{
 		id: fleet.RunID{Task: t.id(), Run: number}, task: t, worker: w, demand: reservedCapacity(s.def),
 		startSentAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPace,
+		backfilled: w.reservedFor != nil && w.reservedFor.step != s,
 	}
 	d.addRun(r)
 	t.runs = append(t.runs, r)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -32,6 +32,10 @@
 		if budget <= 0 {
 			return
 		}
+		if s.waiting > 0 && s.def.Gang && lateness(now, s.job) == 0 {
+			budget -= d.preemptForGang(now, s, budget)
+			continue
+		}
 		if s.waiting == 0 || s.def.Gang || s.def.LongRunning || s.def.Filler || lateness(now, s.job) > 0 {
 			continue
 		}
@@ -42,15 +46,19 @@
 			}
 			promised[w] = promised[w].Add(reservedCapacity(s.def))
 			for _, v := range victims {
-				v.preempted = true
 				budget--
-				d.events.Record(event.RunPreempted, w.entry.ID, v.id.Task, v.id.Run, s.id)
-				d.requestStop(now, v, "preempted by a more urgent step")
+				d.preemptRun(now, v, s)
 			}
 		}
 	}
 }
 
+func (d *Dispatcher) preemptRun(now time.Duration, v *run, s *step) {
+	v.preempted = true
+	d.events.Record(event.RunPreempted, v.worker.entry.ID, v.id.Task, v.id.Run, s.id)
+	d.requestStop(now, v, "preempted by a more urgent step")
+}
+
 // victims returns the worker on which the fewest runs must be stopped to fit a task of the
 // step, and these runs. There are none if enough capacity is already being freed; the worker is
 // nil if preemption does not help. promised is capacity claimed earlier in this pass.
@@ -62,6 +70,9 @@
 		if !w.placeable(now) || w.probing || !d.satisfiesConstraints(s, w) || s.job.queue.Advice != nil && !s.advice.hasTicket(now+d.opts.StopTimeout, w.entry.ID) {
 			continue
 		}
+		if d.blockedByReservation(now, s, w, promised[w]) {
+			continue
+		}
 		capacity := w.free().Add(w.stoppingDemand).Sub(promised[w])
 		if demand.FitsIn(capacity) {
 			return nil, w
@@ -86,12 +97,9 @@
 func (d *Dispatcher) preemptibleRuns(now time.Duration, s *step, w *worker) []*run {
 	var list []*run
 	for _, r := range w.runs {
-		other := r.task.step
-		if r.phase != runRunning || other.job.queue.Priority <= s.job.queue.Priority || !other.def.Checkpointing ||
-			other.def.Gang || other.def.LongRunning || other.def.Filler || !toleratesPreemption(now, r) {
-			continue
+		if d.preemptibleFor(now, s, r) {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(b.demand.MilliCPU, a.demand.MilliCPU), compareRuns(a.id, b.id))
@@ -99,6 +107,18 @@
 	return list
 }
 
+// preemptibleFor reports whether the step may preempt the run.
+func (d *Dispatcher) preemptibleFor(now time.Duration, s *step, r *run) bool {
+	return r.phase == runRunning && yieldsTo(s, r.task.step) && (r.backfilled || toleratesPreemption(now, r))
+}
+
+// yieldsTo reports whether runs of other lose no work when s preempts them and are of a less
+// urgent queue.
+func yieldsTo(s, other *step) bool {
+	return other.job.queue.Priority > s.job.queue.Priority && other.def.Checkpointing &&
+		!other.def.Gang && !other.def.LongRunning && !other.def.Filler
+}
+
 // toleratesPreemption reports whether the run's submission can still meet its objective after
 // an interruption, or is too late to have value.
 func toleratesPreemption(now time.Duration, r *run) bool {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -54,6 +54,8 @@
 	drainEnd            time.Duration // a draining worker remains at least until then
 	consecutiveStalls   int           // stalled runs since the last completed one
 
+	reservedFor *reservation // of the most urgent gang that chose the worker; nil: none
+
 	vacating           bool  // its machine is about to be maintained
 	retired            bool  // its machine was taken down, which ends this incarnation
 	retiredIncarnation int64 // that incarnation, as registered
@@ -100,6 +102,7 @@
 	stopReason      string
 	removed         bool // it no longer holds capacity
 	preempted       bool // stopped for a more urgent step
+	backfilled      bool // started on a worker that is reserved for a gang
 	copied          bool // a speculative copy was started
 }
 
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -32,6 +32,11 @@
 	TicketValidity   time.Duration
 }
 
+// Latency returns the time that the service takes for a request that names n workers.
+func (p *AdvicePolicy) Latency(n int) time.Duration {
+	return p.BaseLatency + time.Duration(n)*p.LatencyPerWorker
+}
+
 // MatchQueue returns the queue of host with the longest prefix that matches path.
 func (c *Configuration) MatchQueue(host, path string) (Queue, bool) {
 	best := -1
