node: an owner that is told to stop keeps the workers' leases until a successor can be elected

It gave up ownership at once; nobody could be elected until the store was back and the VMs had power again, 5 s later.

Change: a stopping owner resigns once the store answers it, at the latest at the end of the grace time. Test: TestOwnerStoppedDuringStoreOutageKeepsTasksRunning, 4 starts instead of 2 before.

--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -202,8 +202,16 @@
 	n.resign, n.electedAt = resign, time.Now()
 }
 
-// resignOwnership gives up ownership if this VM has it.
-func (n *Node) resignOwnership() {
+// resignOwnership gives up ownership if this VM has it. While the store does not answer, no
+// successor can be elected, so this VM keeps renewing the leases of the workers until the
+// deadline.
+func (n *Node) resignOwnership(deadline time.Time) {
+	for n.currentOwner.Load() != nil && time.Now().Before(deadline) {
+		if _, _, err := n.ownerItem(context.Background()); err == nil {
+			break
+		}
+		time.Sleep(electionRetryDelay)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.resign != nil {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -210,3 +210,23 @@
 		t.Fatalf("the watch blocked the VM for %v", took)
 	}
 }
+
+// The owner is told to stop while the store is down (salnorte-fc-grown trouble-2, roll_term and
+// platform_down). No successor can be elected, so it keeps the leases of the workers renewed
+// until the store is back; the running tasks survive.
+func TestOwnerStoppedDuringStoreOutageKeepsTasksRunning(t *testing.T) {
+	testPlatform := newTestPlatform(t, 2)
+	owner, follower := ownerAndFollower(t, testPlatform, func(o *Options) { o.ShutdownGrace = 6 * time.Second })
+	c := newTestCaller(t, testPlatform)
+	c.submit(follower, jobID(1), "lasts")
+	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := testPlatform.Checker.Violations(); return n == 2 })
+	testPlatform.Store.SetFaults(standin.Faults{Unresponsive: true})
+	owner.stop()
+	time.Sleep(4 * time.Second) // longer than the leases of the workers
+	testPlatform.Store.SetFaults(standin.Faults{})
+	eventually(t, "the follower is the owner", 4*time.Second, func() bool { return follower.node.currentOwner.Load() != nil })
+	time.Sleep(time.Second)
+	if _, starts := testPlatform.Checker.Violations(); starts != 2 {
+		t.Fatalf("%d starts, want 2: the tasks must keep running", starts)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,15 +157,20 @@
 	start := time.Now()
 	n.opts.Events.Record(event.NodeStopping, n.opts.ShutdownGrace)
 	n.stopping.Store(true)
-	n.resignOwnership()
+	deadline := start.Add(n.opts.ShutdownGrace - exitReserve)
+	resigned := make(chan struct{})
+	go func() {
+		defer close(resigned)
+		n.resignOwnership(deadline)
+	}()
 	time.Sleep(min(balancerNoticeTime, n.opts.ShutdownGrace/2))
 	for _, l := range listeners {
 		_ = l.Close()
 	}
-	deadline := start.Add(n.opts.ShutdownGrace - exitReserve)
 	for n.openConnections.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(connectionCheckInterval)
 	}
+	<-resigned
 	for _, s := range servers {
 		_ = s.Close() // closes the connections still open at the end of the grace time
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -163,9 +163,9 @@
 
 // ownerAndFollower starts two VMs and waits until one is the owner and the other has a
 // configuration.
-func ownerAndFollower(t *testing.T, testPlatform *standin.Platform) (owner, follower *testVM) {
+func ownerAndFollower(t *testing.T, testPlatform *standin.Platform, change ...func(*Options)) (owner, follower *testVM) {
 	t.Helper()
-	owner, follower = startVM(t, testPlatform, "a"), startVM(t, testPlatform, "b")
+	owner, follower = startVM(t, testPlatform, "a", change...), startVM(t, testPlatform, "b", change...)
 	eventually(t, "an owner", 5*time.Second, func() bool { return owner.node.currentOwner.Load() != nil || follower.node.currentOwner.Load() != nil })
 	if follower.node.currentOwner.Load() != nil {
 		owner, follower = follower, owner
