node: an owner without the store looks for its successor among the largest followers

It queried five random followers of 29; in a third of the cases none of the five large VMs is among them.

Change: the owner knows the election delay of each follower from its polls. It queries the five with the shortest and three others.

--- a/internal/node/advisors.go
+++ b/internal/node/advisors.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +36,7 @@
 type advisorVM struct {
 	busy          bool
 	lastSeen      time.Time
+	electionDelay time.Duration // shorter for larger VMs
 	cooldownUntil time.Time
 }
 
@@ -44,8 +48,8 @@
 // calls every second.
 const followerTimeout = 3 * time.Second
 
-// recordFollower records a call of the follower with the peer address.
-func (a *advisorPool) recordFollower(address string) {
+// recordFollower records a call of the follower with the peer address and its election delay.
+func (a *advisorPool) recordFollower(address string, electionDelay time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	vm := a.vms[address]
@@ -53,7 +57,18 @@
 		vm = &advisorVM{}
 		a.vms[address] = vm
 	}
-	vm.lastSeen = time.Now()
+	vm.lastSeen, vm.electionDelay = time.Now(), electionDelay
+}
+
+// followersByElectionDelay returns the peer addresses of the current followers, the shortest
+// delay first and in random order among equals.
+func (a *advisorPool) followersByElectionDelay() []string {
+	list := a.followers()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slices.SortStableFunc(list, func(x, y string) int { return cmp.Compare(a.vms[x].electionDelay, a.vms[y].electionDelay) })
+	return list
 }
 
 // followers returns the peer addresses of the current followers.
--- a/internal/node/advisors_test.go
+++ b/internal/node/advisors_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +41,7 @@
 	c := &fakePeers{calls: map[string]int{}}
 	a := newAdvisorPool(c, c)
 	for _, address := range []string{"small", "x-large", "y-large"} {
-		a.recordFollower(address)
+		a.recordFollower(address, 0)
 	}
 	failures := 0
 	var group sync.WaitGroup
@@ -61,3 +63,28 @@
 		t.Fatalf("%d slots, want 3: the other two VMs and this VM", a.Slots())
 	}
 }
+
+// An owner that the store does not answer looks for a successor among 30 VMs, five of which are
+// large. All large ones are queried: a small one took over 4 s to take over 350 workers
+// (salnorte-fc-grown trouble-1).
+func TestLargestFollowersAreQueriedAsSuccessors(t *testing.T) {
+	for range 20 {
+		a := newAdvisorPool(nil, nil)
+		for i := range 29 {
+			delay := 800 * time.Millisecond
+			if i%6 == 0 {
+				delay = 100 * time.Millisecond
+			}
+			a.recordFollower(fmt.Sprintf("vm%02d", i), delay)
+		}
+		candidates := takeoverCandidates(a.followersByElectionDelay())
+		if len(candidates) != largeTakeoverCandidates+otherTakeoverCandidates {
+			t.Fatalf("candidates %v, want 8", candidates)
+		}
+		for i := 0; i < 29; i += 6 {
+			if large := fmt.Sprintf("vm%02d", i); !slices.Contains(candidates, large) {
+				t.Fatalf("candidates %v lack the large VM %s", candidates, large)
+			}
+		}
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -35,12 +35,11 @@
 	return reply, nil
 }
 
-// FindSuccessor implements owner.SuccessorClient. It queries a few random followers and returns
-// the one with the shortest election delay, that is the largest.
+// FindSuccessor implements owner.SuccessorClient. Of the followers that can take over it returns
+// the one with the shortest election delay, that is the largest. It queries the largest ones and
+// a few others, as the store may not answer the former.
 func (n *Node) FindSuccessor(ctx context.Context, fence int64) (string, bool) {
-	peers := n.advisors.followers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(len(peers), maxTakeoverCandidates)]
+	peers := takeoverCandidates(n.advisors.followersByElectionDelay())
 	type candidate struct {
 		address  string
 		response takeoverCheckResponse
@@ -71,8 +70,19 @@
 	return best.address, true
 }
 
-// maxTakeoverCandidates is the number of VMs queried at once whether they could take over.
-const maxTakeoverCandidates = 5
+// Numbers of VMs queried at once whether they could take over.
+const (
+	largeTakeoverCandidates = 5 // with the shortest election delays
+	otherTakeoverCandidates = 3 // random
+)
+
+// takeoverCandidates selects the VMs to query from followers, which are sorted by election delay.
+func takeoverCandidates(followers []string) []string {
+	n := min(len(followers), largeTakeoverCandidates)
+	large, others := followers[:n], followers[n:]
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(large, others[:min(len(others), otherTakeoverCandidates)]...)
+}
 
 // RequestTakeover implements owner.SuccessorClient.
 func (n *Node) RequestTakeover(ctx context.Context, address string, fence int64) error {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return attachResponse{}, err
 	}
-	n.advisors.recordFollower(r.Address)
+	n.advisors.recordFollower(r.Address, r.ElectionDelay)
 	n.resignToLargerVM(r.ElectionDelay)
 	_, _, changed := n.configurations.snapshot()
 	if n.opts.Owner.Clock()-time.Duration(n.configConfirmedAt.Load()) > configMaxAge {
