dispatch: a reservation never holds up lasting tasks, nor capacity that the gang cannot use

A step that a reservation had blocked was tried again only when capacity was freed, not when the reservation ended.

Change: long-running tasks ignore reservations; a reservation ends when its gang has fitted for 2 s without starting; workers that are no longer reserved are tried in the next pass. Tests for each, which failed before.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -46,7 +46,7 @@
 	}
 	steps := d.readySteps(now)
 	d.requestAdviceForSteps(now, steps)
-	d.clearReservations()
+	cleared := d.clearReservations()
 	var unplaced []*step
 	d.stepsUnplaced = false
 	for _, s := range steps {
@@ -67,6 +67,7 @@
 		}
 		s.tryAllWorkers = s.waiting > 0 && s.hasDelayedTask
 	}
+	d.markUnreserved(cleared)
 	d.preempt(now, unplaced)
 }
 
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -232,3 +232,45 @@
 		t.Fatalf("%d members of the gang start with the new tickets, want 2", got)
 	}
 }
+
+// A gang waits for busy workers when a long-running task of a less urgent queue has to be
+// restarted. The reservation does not hold it up.
+func TestLongRunningTaskIgnoresTheReservation(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("quick", "gang", acceleratorGang(2, 62, 8, 4*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	watcher := acceleratorTasks(1, 11, 1, time.Second)
+	watcher.LongRunning = true
+	h.submit("rebuild", "watcher", watcher)
+	h.end(starts[0])
+	h.decideAfter(100 * time.Millisecond)
+	if startsOf(h.starts, "watcher") != 1 {
+		t.Fatalf("starts %v, want the long-running task", h.starts)
+	}
+}
+
+// All members of a gang fit, but the advice service does not answer. After a while other tasks
+// may use the reserved workers.
+func TestGangWithoutAdviceDoesNotHoldWorkers(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("advised", "gang", acceleratorGang(2, 62, 8, 4*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	call := h.adviceCalls[0]
+	tickets := map[model.WorkerID]string{workerID(0): "t0", workerID(1): "t1"}
+	h.d.HandleAdvice(h.now, call.Step, call.Workers, tickets, 200*time.Millisecond, nil)
+	h.decideAfter(100 * time.Millisecond)
+	for _, s := range starts {
+		h.end(s)
+	}
+	h.submit("rebuild", "single", acceleratorTasks(1, 11, 1, 20*time.Second))
+	waited := time.Duration(0)
+	for ; waited < 5*time.Second; waited += 100 * time.Millisecond {
+		h.decideAfter(100 * time.Millisecond)
+		if startsOf(h.starts, "single") == 1 {
+			break
+		}
+	}
+	if waited < time.Second || waited > 3*time.Second {
+		t.Fatalf("the single task starts after %v, want it after the gang could have started for 2 s", waited)
+	}
+}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -16,6 +16,7 @@
 	reservationInterval = 200 * time.Millisecond // between two choices of workers for a waiting gang
 	reservationGain     = 500 * time.Millisecond // a new choice replaces the current one only if it is ready this much earlier
 	minBackfillTime     = time.Second            // below this a run that is to be preempted for the gang is not started
+	maxReadyTime        = 2 * time.Second        // a gang that fits for longer does not start for another reason, such as failing advice calls, and holds no workers
 	neverFree           = time.Duration(math.MaxInt64)
 )
 
@@ -28,6 +29,8 @@
 	step    *step
 	members map[*worker]int // members to start on each worker
 	readyAt time.Duration   // estimate of when all members fit
+	fitsAt  time.Duration   // since when all members fit; 0: not now
+	expired bool            // the gang has fitted for longer than maxReadyTime
 }
 
 // demand returns the capacity that the members on the worker need.
@@ -42,14 +45,29 @@
 	return slices.SortedFunc(maps.Keys(r.members), func(a, b *worker) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
 }
 
-// clearReservations removes all reservations, before a placement pass sets them anew.
-func (d *Dispatcher) clearReservations() {
-	for _, r := range d.reservations {
+// clearReservations removes all reservations, before a placement pass sets them anew, and
+// returns them.
+func (d *Dispatcher) clearReservations() []*reservation {
+	cleared := d.reservations
+	for _, r := range cleared {
 		for w := range r.members {
 			w.reservedFor = nil
 		}
 	}
-	d.reservations = d.reservations[:0]
+	d.reservations = nil
+	return cleared
+}
+
+// markUnreserved marks the workers that are no longer reserved as having freed capacity, so that
+// the next pass tries them for the steps that the reservation blocked.
+func (d *Dispatcher) markUnreserved(cleared []*reservation) {
+	for _, r := range cleared {
+		for _, w := range r.workers() {
+			if w.reservedFor == nil {
+				d.markFreed(w)
+			}
+		}
+	}
 }
 
 // reserve reserves workers for a gang that could not be placed.
@@ -72,12 +90,27 @@
 	if s.reservation == nil {
 		return
 	}
+	s.reservation.updateFitsAt(now)
+	if s.reservation.expired {
+		return
+	}
 	d.reservations = append(d.reservations, s.reservation)
 	for w := range s.reservation.members {
 		w.reservedFor = s.reservation
 	}
 }
 
+// updateFitsAt is called with readyAt up to date.
+func (r *reservation) updateFitsAt(now time.Duration) {
+	switch {
+	case r.readyAt > now:
+		r.fitsAt = 0
+	case r.fitsAt == 0:
+		r.fitsAt = now
+	}
+	r.expired = r.fitsAt != 0 && now-r.fitsAt > maxReadyTime
+}
+
 // recordReservation records a change of the workers reserved for a gang.
 func (d *Dispatcher) recordReservation(now time.Duration, s *step, r *reservation) {
 	if r == nil && s.reservation == nil && s.waitRecorded {
@@ -240,15 +273,16 @@
 
 // blockedByReservation reports whether a task of the step on the worker could delay the more
 // urgent gang for which the worker is reserved. extra is capacity claimed there in addition.
+// Long-running tasks are never blocked: they must be restarted within seconds.
 func (d *Dispatcher) blockedByReservation(now time.Duration, s *step, w *worker, extra model.Resources) bool {
 	r := w.reservedFor
-	if r == nil || r.step == s || d.compareSteps(now, s, r.step) < 0 {
+	if r == nil || r.step == s || s.def.LongRunning || d.compareSteps(now, s, r.step) < 0 {
 		return false
 	}
 	if reservedCapacity(s.def).FitsIn(w.free().Sub(extra).Sub(r.demand(w))) {
 		return false
 	}
-	if s.def.LongRunning || s.def.Gang {
+	if s.def.Gang {
 		return true
 	}
 	endsBefore := now+s.def.Estimate <= r.readyAt
