owner: the timeout of commands to workers follows the delay of their responses

Responses took longer than the fixed 270 ms; 4,626 of 6,631 starts were given up while they were under way, each connection was closed and dialled anew, uncertain runs were stopped and copied, workers were taken for silent, and the load on the link rose further. TWICE: the worker had answered a renewal with the end of a run in it, the owner had given up on that response 270 ms later, the lease expired, the task was started elsewhere and its end was listed again afterwards.

Change: the timeout is the smoothed delay of answered commands plus four deviations, as for TCP's retransmission timer, at least the 270 ms of before and at most 1 s. Workers that do not answer do not count, so a partition does not raise it.

Ruled out: waiting longer than the lease for workers that are still listed.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -114,6 +114,7 @@
 	leaseLostAt      time.Duration
 	startLatency     tally.Histogram
 	renewalLatency   tally.Histogram
+	commandTimeout   commandTimeout
 	invalidRevisions sync.Map // revision of each invalid entry, by key
 }
 
@@ -235,7 +236,7 @@
 	switch c := c.(type) {
 	case dispatch.RenewCommand:
 		sent := o.opts.Clock()
-		report, err := withTimeout(ctx, c.Renew.Wait+dispatch.CommandTimeout, func(ctx context.Context) (fleet.Report, error) {
+		report, err := sendCommand(ctx, o, c.Renew.Wait, func(ctx context.Context) (fleet.Report, error) {
 			return o.opts.Workers.RenewLease(ctx, c.To, c.Renew)
 		})
 		return func(now time.Duration) {
@@ -253,7 +254,7 @@
 		sent := o.opts.Clock()
 		err := errLeaseNotHeld
 		if o.ownership.HeldAt(sent) { // the lease may have expired since the decision
-			_, err = withTimeout(ctx, dispatch.CommandTimeout, func(ctx context.Context) (int64, error) {
+			_, err = sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
 				return o.opts.Workers.StartRun(ctx, c.To, c.Start)
 			})
 		}
@@ -262,12 +263,12 @@
 			d.HandleStartResponse(now, c.Start.RunID, c.To.ID, err)
 		}
 	case dispatch.StopCommand:
-		_, err := withTimeout(ctx, dispatch.CommandTimeout, func(ctx context.Context) (int64, error) {
+		_, err := sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
 			return o.opts.Workers.StopRun(ctx, c.To, c.Run, c.Fence)
 		})
 		return func(now time.Duration) { d.HandleStopResponse(now, c.Run, c.To.ID, err) }
 	case dispatch.PaceCommand:
-		_, err := withTimeout(ctx, dispatch.CommandTimeout, func(ctx context.Context) (int64, error) {
+		_, err := sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
 			return o.opts.Workers.SetPace(ctx, c.To, c.Pace)
 		})
 		return func(now time.Duration) { d.HandlePaceResponse(now, c.Pace.RunID, c.Pace.Percent, err) }
@@ -287,6 +288,17 @@
 // since the decision.
 var errLeaseNotHeld error = &fleet.CallError{Op: "start", Verdict: verdict.NotRun, Cause: errors.New("the owner lease may have expired")}
 
+// sendCommand makes the call of a command to a worker, whose response may take as long as the
+// long poll of length wait and the command timeout.
+func sendCommand[T any](ctx context.Context, o *Owner, wait time.Duration, call func(context.Context) (T, error)) (T, error) {
+	sent := o.opts.Clock()
+	result, err := withTimeout(ctx, wait+o.commandTimeout.current(), call)
+	if err == nil {
+		o.commandTimeout.observe(o.opts.Clock()-sent, wait)
+	}
+	return result, err
+}
+
 func withTimeout[T any](ctx context.Context, timeout time.Duration, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
