dispatch: reserve workers for wide tasks, too, and ask about unknown workers before waiting

A task that needs a whole worker, of which advice allows 1 to 5, lost each freed accelerator to tasks that need one, as the gangs did. And a step with a reservation asked only about reserved workers, although others that no call had named may be free (a service with more workers than one call names).

Change: independent tasks that need at least 0.4 of a worker with accelerators reserve the workers on which they fit first and start one by one. A step that would wait longer than an advice call takes asks about free workers that it does not know yet. Event gang-waiting is capacity-waiting.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -86,8 +86,11 @@
 // adviceCandidates returns the workers to name in an advice call for the step, the best first;
 // none if no call is needed now.
 func (d *Dispatcher) adviceCandidates(now time.Duration, s *step) []*worker {
-	if s.def.Gang && s.reservation != nil {
-		return d.ticketsToRenew(now, s)
+	if s.reservation != nil {
+		if renew := d.ticketsToRenew(now, s); len(renew) > 0 || s.reservation.readyAt <= now+renewalLatency(s) {
+			return renew
+		}
+		return d.unknownWorkers(now, s)
 	}
 	a := &s.advice
 	var candidates []*worker
@@ -115,20 +118,36 @@
 	return candidates
 }
 
-// ticketsToRenew returns the workers reserved for a gang whose tickets will have expired when
-// the gang can start, if that is no later than an advice call made now would be answered.
+// renewalLatency returns how long an advice call that names the reserved workers takes.
+func renewalLatency(s *step) time.Duration {
+	return s.job.queue.Advice.Latency(len(s.reservation.members)) + adviceLead
+}
+
+// unknownWorkers returns workers with room for a task of the step that no advice call has named.
+func (d *Dispatcher) unknownWorkers(now time.Duration, s *step) []*worker {
+	var unknown []*worker
+	for _, w := range d.workerList {
+		_, known := s.advice.allowed[w.entry.ID]
+		if !known && w.placeable(now) && d.satisfiesConstraints(s, w) && reservedCapacity(s.def).FitsIn(w.free()) {
+			unknown = append(unknown, w)
+		}
+	}
+	return unknown
+}
+
+// ticketsToRenew returns the reserved workers that the step can use before an advice call made now
+// would be answered, and whose tickets will have expired then.
 func (d *Dispatcher) ticketsToRenew(now time.Duration, s *step) []*worker {
 	r := s.reservation
-	latency := s.job.queue.Advice.Latency(len(r.members)) + adviceLead
-	startsAt := max(r.readyAt, now+latency)
-	if r.readyAt > now+latency {
-		return nil
-	}
+	answeredAt := now + renewalLatency(s)
 	var expiring []*worker
 	covered := true
 	for _, w := range r.workers() {
+		if r.startAt(w) > answeredAt {
+			continue
+		}
 		covered = covered && s.advice.hasTicket(now+d.opts.StopTimeout, w.entry.ID)
-		if !s.advice.hasTicket(startsAt+d.opts.StopTimeout, w.entry.ID) {
+		if !s.advice.hasTicket(answeredAt+d.opts.StopTimeout, w.entry.ID) {
 			expiring = append(expiring, w)
 		}
 	}
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -57,7 +57,7 @@
 		if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || now >= s.retryDue) {
 			d.placeStep(now, s, candidates)
 		}
-		if s.def.Gang && s.waiting > 0 {
+		if s.waiting > 0 && s.reservesCapacity() {
 			d.reserve(now, s)
 		}
 		d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -42,6 +42,7 @@
 			return
 		}
 		s.job.nextRun++
+		s.reservation = nil
 		d.startRun(now, t, w, d.opts.Fence*runsPerFence+s.job.nextRun)
 	}
 }
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -11,28 +11,42 @@
 	"filbertcross/internal/model"
 )
 
-// Reservations of waiting gangs.
+// Reservations of waiting gangs and wide tasks.
 const (
-	reservationInterval = 200 * time.Millisecond // between two choices of workers for a waiting gang
+	wideShare           = 0.4                    // of a worker with accelerators; tasks that need more are wide
+	reservationInterval = 200 * time.Millisecond // between two choices of workers for a waiting step
 	reservationGain     = 500 * time.Millisecond // a new choice replaces the current one only if it is ready this much earlier
-	minBackfillTime     = time.Second            // below this a run that is to be preempted for the gang is not started
-	maxReadyTime        = 2 * time.Second        // a gang that fits for longer does not start for another reason, such as failing advice calls, and holds no workers
+	minBackfillTime     = time.Second            // below this a run that is to be preempted soon is not started
+	maxReadyTime        = 2 * time.Second        // a step that fits for longer does not start for another reason, such as failing advice calls, and holds no workers
 	neverFree           = time.Duration(math.MaxInt64)
 )
 
-// reservation holds workers for a gang that waits for capacity. Without it, tasks that need
-// less would take each piece of capacity that is freed, and the gang would never fit. Steps
-// behind the gang in placement order may use the workers only if that does not delay it. The
-// reservations are set anew in every placement pass, in placement order, so a worker is
-// reserved for the most urgent gang that chose it.
+// reservation holds workers for a step that waits for capacity: a gang, which starts when all its
+// members fit, or wide tasks, each of which starts when it fits. Without it, tasks that need less
+// would take each piece of capacity that is freed. Steps behind this one in placement order may
+// use the workers only if that does not delay it. The reservations are set anew in every
+// placement pass, in placement order, so a worker is reserved for the most urgent step that chose
+// it.
 type reservation struct {
 	step    *step
-	members map[*worker]int // members to start on each worker
-	readyAt time.Duration   // estimate of when all members fit
-	fitsAt  time.Duration   // since when all members fit; 0: not now
-	expired bool            // the gang has fitted for longer than maxReadyTime
+	members map[*worker]int           // tasks to start on each worker
+	freeAt  map[*worker]time.Duration // estimate of when they fit there
+	readyAt time.Duration             // estimate of when the step can start a task: for a gang the latest of freeAt, otherwise the earliest
+	fitsAt  time.Duration             // since when that is the case; 0: not now
+	expired bool                      // fitsAt is longer ago than maxReadyTime
 }
 
+// startAt returns when the step is estimated to use the worker.
+func (r *reservation) startAt(w *worker) time.Duration {
+	if r.step.def.Gang {
+		return r.readyAt
+	}
+	return r.freeAt[w]
+}
+
+// reservesCapacity reports whether workers are reserved for the step while it waits.
+func (s *step) reservesCapacity() bool { return s.def.Gang || s.def.Demand.Accelerators > 0 }
+
 // demand returns the capacity that the members on the worker need.
 func (r *reservation) demand(w *worker) model.Resources {
 	size := reservedCapacity(r.step.def)
@@ -70,9 +84,9 @@
 	}
 }
 
-// reserve reserves workers for a gang that could not be placed.
+// reserve reserves workers for a step with tasks that could not be placed.
 func (d *Dispatcher) reserve(now time.Duration, s *step) {
-	if s.waiting < len(s.tasks) {
+	if s.def.Gang && s.waiting < len(s.tasks) {
 		s.reservation = nil
 		return
 	}
@@ -80,11 +94,12 @@
 	if !valid || now >= s.reserveDue {
 		s.reserveDue = now + reservationInterval
 		next := d.chooseReservation(now, s)
-		if !valid || next != nil && next.readyAt+reservationGain < d.readyAt(now, s.reservation) {
+		if valid {
+			d.updateEstimates(now, s.reservation)
+		}
+		if !valid || next != nil && next.readyAt+reservationGain < s.reservation.readyAt {
 			d.recordReservation(now, s, next)
 			s.reservation = next
-		} else {
-			s.reservation.readyAt = d.readyAt(now, s.reservation)
 		}
 	}
 	if s.reservation == nil {
@@ -111,7 +126,7 @@
 	r.expired = r.fitsAt != 0 && now-r.fitsAt > maxReadyTime
 }
 
-// recordReservation records a change of the workers reserved for a gang.
+// recordReservation records a change of the workers reserved for a step.
 func (d *Dispatcher) recordReservation(now time.Duration, s *step, r *reservation) {
 	if r == nil && s.reservation == nil && s.waitRecorded {
 		return
@@ -127,11 +142,11 @@
 	if r != nil {
 		reserved, readyIn = len(r.members), r.readyAt-now
 	}
-	d.events.Record(event.GangWaiting, s.id, len(s.tasks), eligible, reserved, readyIn)
+	d.events.Record(event.CapacityWaiting, s.id, s.waiting, eligible, reserved, readyIn)
 }
 
-// reservable reports whether all workers of the reservation can still run the gang and none is
-// reserved for a more urgent one.
+// reservable reports whether all workers of the reservation can still run the step's tasks and
+// none is reserved for a more urgent step.
 func (d *Dispatcher) reservable(now time.Duration, r *reservation) bool {
 	for w := range r.members {
 		if w.reservedFor != nil || !d.mayRunMember(now, r.step, w) {
@@ -141,14 +156,14 @@
 	return true
 }
 
-// mayRunMember reports whether the worker could run a member of the gang if nothing else ran there.
+// mayRunMember reports whether the worker could run a task of the step if nothing else ran there.
 func (d *Dispatcher) mayRunMember(now time.Duration, s *step, w *worker) bool {
 	return w.placeable(now) && !w.probing && d.satisfiesConstraints(s, w) && reservedCapacity(s.def).FitsIn(w.entry.Capacity) &&
 		(s.job.queue.Advice == nil || s.advice.allowed[w.entry.ID])
 }
 
-// chooseReservation returns the workers on which all members of the gang will fit the earliest,
-// or nil if there are too few. A gang that runs slower across racks gets workers of one rack if
+// chooseReservation returns the workers on which the step's tasks will fit the earliest, or nil if
+// there are too few for a gang or none for wide tasks. A gang that runs slower across racks gets workers of one rack if
 // waiting for them takes no longer than its estimated run time.
 func (d *Dispatcher) chooseReservation(now time.Duration, s *step) *reservation {
 	best := d.chooseInRack(now, s, "")
@@ -167,7 +182,7 @@
 	return best
 }
 
-// memberSlot is the capacity for one member on a worker and when it is estimated to be free.
+// memberSlot is the capacity for one task on a worker and when it is estimated to be free.
 type memberSlot struct {
 	worker *worker
 	at     time.Duration
@@ -181,43 +196,54 @@
 		if rack != "" && w.rack() != rack || w.reservedFor != nil || !d.mayRunMember(now, s, w) {
 			continue
 		}
+		if !s.def.Gang && dominantShare(w.entry.Capacity, reservedCapacity(s.def)) < wideShare {
+			continue
+		}
 		used := dominantShare(w.entry.Capacity, w.used)
 		for _, at := range d.memberTimes(now, s, w) {
 			slots = append(slots, memberSlot{w, at, used})
 		}
 	}
-	if len(slots) < len(s.tasks) {
+	if len(slots) == 0 || s.def.Gang && len(slots) < len(s.tasks) {
 		return nil
 	}
 	slices.SortStableFunc(slots, func(a, b memberSlot) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(b.used, a.used))
 	})
-	r := &reservation{step: s, members: map[*worker]int{}}
-	for _, slot := range slots[:len(s.tasks)] {
+	r := &reservation{step: s, members: map[*worker]int{}, freeAt: map[*worker]time.Duration{}}
+	for _, slot := range slots[:min(len(slots), s.waiting)] {
 		r.members[slot.worker]++
-		r.readyAt = max(r.readyAt, slot.at)
+		r.freeAt[slot.worker] = slot.at
 	}
+	r.updateReadyAt()
 	return r
 }
 
-// readyAt returns the current estimate of when all members of a reservation fit.
-func (d *Dispatcher) readyAt(now time.Duration, r *reservation) time.Duration {
-	ready := now
+// updateEstimates updates when the tasks of a reservation fit on its workers.
+func (d *Dispatcher) updateEstimates(now time.Duration, r *reservation) {
 	for w, n := range r.members {
-		times := d.memberTimes(now, r.step, w)
-		if len(times) < n {
-			return neverFree
+		r.freeAt[w] = neverFree
+		if times := d.memberTimes(now, r.step, w); len(times) >= n {
+			r.freeAt[w] = times[n-1]
 		}
-		ready = max(ready, times[n-1])
 	}
-	return ready
+	r.updateReadyAt()
+}
+
+func (r *reservation) updateReadyAt() {
+	times := slices.Collect(maps.Values(r.freeAt))
+	if r.step.def.Gang {
+		r.readyAt = slices.Max(times)
+	} else {
+		r.readyAt = slices.Min(times)
+	}
 }
 
-// memberTimes returns, in ascending order, the estimated times at which one more member of the
-// gang fits on the worker. Runs that the gang may preempt end within the stop timeout.
+// memberTimes returns, in ascending order, the estimated times at which one more task of the step
+// fits on the worker. Runs that the step may preempt end within the stop timeout.
 func (d *Dispatcher) memberTimes(now time.Duration, s *step, w *worker) []time.Duration {
 	size := reservedCapacity(s.def)
-	limit := len(s.tasks)
+	limit := s.waiting
 	if s.def.MaxPerWorker > 0 {
 		limit = min(limit, s.def.MaxPerWorker)
 	}
@@ -253,7 +279,7 @@
 	at  time.Duration
 }
 
-// estimatedEnd estimates when a run frees its capacity for the gang s.
+// estimatedEnd estimates when a run frees its capacity for the step s.
 func (d *Dispatcher) estimatedEnd(now time.Duration, s *step, r *run) time.Duration {
 	def := r.task.step.def
 	switch {
@@ -272,7 +298,7 @@
 }
 
 // blockedByReservation reports whether a task of the step on the worker could delay the more
-// urgent gang for which the worker is reserved. extra is capacity claimed there in addition.
+// urgent step for which the worker is reserved. extra is capacity claimed there in addition.
 // Long-running tasks are never blocked: they must be restarted within seconds.
 func (d *Dispatcher) blockedByReservation(now time.Duration, s *step, w *worker, extra model.Resources) bool {
 	r := w.reservedFor
@@ -285,8 +311,8 @@
 	if s.def.Gang {
 		return true
 	}
-	endsBefore := now+s.def.Estimate <= r.readyAt
-	preemptible := yieldsTo(r.step, s) && now+minBackfillTime <= r.readyAt
+	endsBefore := now+s.def.Estimate <= r.startAt(w)
+	preemptible := yieldsTo(r.step, s) && now+minBackfillTime <= r.startAt(w)
 	return !endsBefore && !preemptible
 }
 
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -106,10 +106,10 @@
 		Summary: "A second run of a task was started because the first one may be lost or stuck.",
 		Action:  "Nothing.",
 		Keys:    []string{"worker", "task", "run", "age", "percent"}})
-	GangWaiting = Define(Definition{ID: 2123, Name: "gang-waiting", Level: Info,
-		Summary: "A gang does not fit now. Workers are reserved for it, unless too few are eligible.",
-		Action:  "If ready_in stays high, look at the runs on its workers. If reserved is 0, compare eligible, the workers that may run a member, with members: advice, labels, drains or back-offs leave too few.",
-		Keys:    []string{"step", "members", "eligible", "reserved", "ready_in"}})
+	CapacityWaiting = Define(Definition{ID: 2123, Name: "capacity-waiting", Level: Info,
+		Summary: "A gang, or tasks that need a large part of a worker, do not fit now. Workers are reserved for them, unless too few are eligible.",
+		Action:  "If ready_in stays high, look at the runs on its workers. If reserved is 0, compare eligible, the workers that may run a task of the step, with tasks: advice, labels, drains or back-offs leave too few.",
+		Keys:    []string{"step", "tasks", "eligible", "reserved", "ready_in"}})
 	RunPreempted = Define(Definition{ID: 2122, Name: "run-preempted", Level: Info,
 		Summary: "A run that supports checkpoints is stopped to free capacity for a more urgent step.",
 		Action:  "If it happens all the time, the cluster is too small for its urgent queues.",
