dispatch: a reservation ends for want of advice only, not when runs overrun their estimates

Cause (found in reading the code): a run past its estimate counted as ended, so a gang whose workers were still busy seemed to fit, and its reservation expired after 2 s. The limit is meant for a step that fits and does not start. Change: fitting is judged by the free capacity, not by estimates. Test: TestReservationOutlastsRunsThatOverrunTheirEstimates, failed before.

--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -328,3 +328,21 @@
 	}
 	t.Fatal("the free workers are not named while the gang waits for busy ones")
 }
+
+// The runs on the reserved workers take longer than declared. The reservation outlasts them.
+func TestReservationOutlastsRunsThatOverrunTheirEstimates(t *testing.T) {
+	h, starts := gangHarness(t)
+	h.submit("quick", "gang", acceleratorGang(2, 62, 8, 10*time.Second))
+	h.decideAfter(100 * time.Millisecond)
+	h.progress = 90 // all runs report 100 percent from now on
+	for range 60 {
+		h.reportAll()
+		h.decideAfter(100 * time.Millisecond)
+	}
+	h.submit("rebuild", "single", acceleratorTasks(1, 11, 1, 20*time.Second))
+	h.report(starts[0].To.ID, h.runResult(starts[0], fleet.OutcomeDone))
+	h.decideAfter(100 * time.Millisecond)
+	if len(h.starts) != 0 {
+		t.Fatalf("starts %v, want none: the capacity is reserved for the gang", h.starts)
+	}
+}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -32,7 +32,7 @@
 	members map[*worker]int           // tasks to start on each worker
 	freeAt  map[*worker]time.Duration // estimate of when they fit there
 	readyAt time.Duration             // estimate of when the step can start a task: for a gang the latest of freeAt, otherwise the earliest
-	fitsAt  time.Duration             // since when that is the case; 0: not now
+	fitsAt  time.Duration             // since when it could start a task, but for its tickets; 0: not now
 	expired bool                      // fitsAt is longer ago than maxReadyTime
 }
 
@@ -115,10 +115,28 @@
 	}
 }
 
-// updateFitsAt is called with readyAt up to date.
+// fits reports whether a gang fits on its workers, or a wide task on one of them. It does not use
+// the estimates: runs may take longer.
+func (r *reservation) fits() bool {
+	if r.step.def.Gang {
+		for w := range r.members {
+			if !r.demand(w).FitsIn(w.free()) {
+				return false
+			}
+		}
+		return true
+	}
+	for w := range r.members {
+		if reservedCapacity(r.step.def).FitsIn(w.free()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *reservation) updateFitsAt(now time.Duration) {
 	switch {
-	case r.readyAt > now:
+	case !r.fits():
 		r.fitsAt = 0
 	case r.fitsAt == 0:
 		r.fitsAt = now
@@ -163,8 +181,8 @@
 }
 
 // chooseReservation returns the workers on which the step's tasks will fit the earliest, or nil if
-// there are too few for a gang or none for wide tasks. A gang that runs slower across racks gets workers of one rack if
-// waiting for them takes no longer than its estimated run time.
+// there are too few for a gang or none for wide tasks. A gang that runs slower across racks gets
+// workers of one rack if waiting for them takes no longer than its estimated run time.
 func (d *Dispatcher) chooseReservation(now time.Duration, s *step) *reservation {
 	best := d.chooseInRack(now, s, "")
 	if !s.def.SameRack || best == nil {
