--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// requestAdvice sends an advice call for the step if no worker with free capacity has a valid
-// ticket and there are workers to name in the call.
+// requestAdvice sends an advice call for the step if it needs tickets and there are workers to name
+// in the call.
 func (d *Dispatcher) requestAdvice(now time.Duration, s *step) {
 	a := &s.advice
 	policy := s.job.queue.Advice
@@ -86,12 +86,19 @@
 // adviceCandidates returns the workers to name in an advice call for the step, the best first;
 // none if no call is needed now.
 func (d *Dispatcher) adviceCandidates(now time.Duration, s *step) []*worker {
-	if s.reservation != nil {
-		if renew := d.ticketsToRenew(now, s); len(renew) > 0 || s.reservation.readyAt <= now+renewalLatency(s) {
-			return renew
-		}
-		return d.unknownWorkers(now, s)
+	if s.reservation == nil {
+		return d.unreservedCandidates(now, s)
+	}
+	if renew := d.ticketsToRenew(now, s); len(renew) > 0 || s.reservation.readyAt <= now+ticketLatency(s) {
+		return renew
 	}
+	return d.unknownWorkers(now, s)
+}
+
+// unreservedCandidates returns the workers to name for a step without reserved workers: those that
+// no call has named and those that have room but no valid ticket. There are none if a worker with
+// room has a valid ticket.
+func (d *Dispatcher) unreservedCandidates(now time.Duration, s *step) []*worker {
 	a := &s.advice
 	var candidates []*worker
 	usable := 0
@@ -118,8 +125,8 @@
 	return candidates
 }
 
-// renewalLatency returns how long an advice call that names the reserved workers takes.
-func renewalLatency(s *step) time.Duration {
+// ticketLatency returns how long an advice call that names all reserved workers takes.
+func ticketLatency(s *step) time.Duration {
 	return s.job.queue.Advice.Latency(len(s.reservation.members)) + adviceLead
 }
 
@@ -139,7 +146,7 @@
 // would be answered, and whose tickets will have expired then.
 func (d *Dispatcher) ticketsToRenew(now time.Duration, s *step) []*worker {
 	r := s.reservation
-	answeredAt := now + renewalLatency(s)
+	answeredAt := now + ticketLatency(s)
 	var expiring []*worker
 	covered := true
 	for _, w := range r.workers() {
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -35,9 +35,10 @@
 	return out
 }
 
-// placeWaiting places waiting tasks. A step that found no worker is retried only on workers
-// with freed capacity, and requests advice or preempts at most every placementRetryInterval.
-// The cost of a pass thus depends on what changed, not on the number of waiting steps.
+// placeWaiting places waiting tasks and reserves workers for gangs and wide tasks that do not fit.
+// A step that found no worker is retried only on workers with freed capacity, and requests advice
+// or preempts at most every placementRetryInterval. The cost of a pass thus depends on what
+// changed, not on the number of waiting steps.
 func (d *Dispatcher) placeWaiting(now time.Duration) {
 	freed := d.freedWorkers
 	d.freedWorkers = nil
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -6,7 +6,8 @@
 //
 // A task is processed as follows. AddJob queues it. Decide requests placement advice if
 // the queue requires it, selects a worker (placement.go), reserves capacity there and emits a
-// StartCommand. HandleStartResponse or HandleReport confirms the run or discards it. The
+// StartCommand. While a gang or a wide task does not fit, workers are reserved for it
+// (reservation.go). HandleStartResponse or HandleReport confirms the run or discards it. The
 // result in a later report frees the capacity. NextBatch and HandleBatchResult make the
 // job's progress durable before the result is acknowledged to the worker.
 //
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -19,7 +19,8 @@
 )
 
 // preempt frees capacity for the most urgent unplaced steps by stopping checkpointing runs of
-// less urgent queues, which lose no work. Capacity that is already being freed counts first.
+// less urgent queues, which lose no work; for a gang only if all its members fit then. Capacity
+// that is already being freed counts first.
 func (d *Dispatcher) preempt(now time.Duration, steps []*step) {
 	budget := max(minPreemptions, len(d.workerList)/workersPerPreemption)
 	for _, r := range d.unsettledRuns {
@@ -53,6 +54,7 @@
 	}
 }
 
+// preemptRun stops a run for a step of a more urgent queue.
 func (d *Dispatcher) preemptRun(now time.Duration, v *run, s *step) {
 	v.preempted = true
 	d.events.Record(event.RunPreempted, v.worker.entry.ID, v.id.Task, v.id.Run, s.id)
