--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -14,12 +13,14 @@
 func newAcceleratorHarness(t *testing.T, workers int) *harness {
 	t.Helper()
 	h := newHarness(t, workers)
-	h.listWorkers(workers, func(_ int, e *fleet.WorkerEntry) {
-		e.Capacity = model.Resources{MilliCPU: 128_000, MemoryMiB: 524_288, Accelerators: 8}
-	})
+	h.listWorkers(workers, makeAcceleratorWorker)
 	return h
 }
 
+func makeAcceleratorWorker(_ int, e *fleet.WorkerEntry) {
+	e.Capacity = model.Resources{MilliCPU: 128_000, MemoryMiB: 524_288, Accelerators: 8}
+}
+
 // acceleratorTasks is a step of n tasks with the given cores and accelerators each.
 func acceleratorTasks(n int, cpu, accelerators int64, estimate time.Duration) fleet.Step {
 	return fleet.Step{Tasks: n, Demand: model.Resources{MilliCPU: cpu * 1000, MemoryMiB: 1024, Accelerators: accelerators}, Estimate: estimate}
@@ -299,34 +300,31 @@
 	}
 }
 
-// A gang waits for the workers that the first advice call allowed, while others that no call has
-// named are free. They are named before the gang goes on waiting.
-func TestUnknownFreeWorkersAreNamedBeforeWaiting(t *testing.T) {
-	h := newAcceleratorHarness(t, maxAdviceWorkers+20)
-	h.submit("rebuild", "singles", acceleratorTasks(8*maxAdviceWorkers, 11, 1, 30*time.Second))
-	h.decide()
-	h.acceptStarts(h.starts)
-	h.reportAll()
-	busy := map[model.WorkerID]string{}
-	for _, w := range h.d.workerList {
-		if len(w.runs) > 0 {
-			busy[w.entry.ID] = "t"
-		}
-	}
+// Workers are added while a gang waits for busy ones (scale_out, release). They are named in an
+// advice call at once, although the gang has reserved others.
+func TestAddedWorkersAreNamedWhileAGangWaits(t *testing.T) {
+	h, _ := gangHarness(t)
 	h.submit("advised", "gang", acceleratorGang(2, 62, 8, 4*time.Second))
 	h.decideAfter(100 * time.Millisecond)
 	call := h.adviceCalls[0]
-	h.d.HandleAdvice(h.now, call.Step, slices.Collect(maps.Keys(busy)), busy, time.Second, nil)
+	tickets := map[model.WorkerID]string{workerID(0): "t0", workerID(1): "t1"}
+	h.d.HandleAdvice(h.now, call.Step, call.Workers, tickets, time.Second, nil)
+	h.decideAfter(100 * time.Millisecond)
+	h.listWorkers(4, makeAcceleratorWorker)
+	h.commitAll()
+	h.decide()
+	h.report(workerID(2))
+	h.report(workerID(3))
 	for range 3 {
 		h.decideAfter(100 * time.Millisecond)
-		for _, c := range h.adviceCalls {
-			if len(c.Workers) != 20 || slices.ContainsFunc(c.Workers, func(id model.WorkerID) bool { return busy[id] != "" }) {
-				t.Fatalf("%d workers are named, want the 20 free ones", len(c.Workers))
-			}
-			return
+		if len(h.adviceCalls) > 0 {
+			break
 		}
 	}
-	t.Fatal("the free workers are not named while the gang waits for busy ones")
+	want := []model.WorkerID{workerID(2), workerID(3)}
+	if len(h.adviceCalls) != 1 || !slices.Equal(h.adviceCalls[0].Workers, want) {
+		t.Fatalf("advice calls %v, want one that names the added workers", h.adviceCalls)
+	}
 }
 
 // The runs on the reserved workers take longer than declared. The reservation outlasts them.
