node: failed reads of the operators' configuration are recorded, and the active version is a metric

Change: events 1210 and 1211 record the first failure of a series of reads from one source, with the time that it took, and its end; counters configuration_reads and configuration_read_failures by source; gauges configuration_version and configuration_size_bytes. No logic changes.

--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -246,6 +246,14 @@
 		Summary: "The operators' configuration cannot be parsed; the previous one stays active.",
 		Action:  "Correct the configuration.",
 		Keys:    []string{"source", "error"}})
+	OperatorConfigurationReadFailed = Define(Definition{ID: 1210, Name: "operator-configuration-read-failed", Level: Warn,
+		Summary: "A read of the operators' configuration failed and is repeated; recorded once for a series of failures of one source.",
+		Action:  "Compare the time that it took with the size of the configuration and the VM's link; check the source.",
+		Keys:    []string{"source", "in_force", "took", "error"}})
+	OperatorConfigurationReadRecovered = Define(Definition{ID: 1211, Name: "operator-configuration-read-answered", Level: Info,
+		Summary: "A read of the operators' configuration succeeded after a series of failures of the source.",
+		Action:  "Nothing.",
+		Keys:    []string{"source", "in_force", "failures", "lasted"}})
 	CampaignFailed = Define(Definition{ID: 1208, Name: "campaign-failed", Level: Info,
 		Summary: "This VM tried to become the owner and failed.",
 		Action:  "Nothing if another VM became the owner.",
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -265,7 +265,10 @@
 	if n.currentOwnerAddress() != address {
 		request.Configuration = -1 // the first poll of an owner returns at once
 	}
-	if err := n.opts.PeerClient.Call(ctx, address, methodAttach, request, &reply); err != nil {
+	start := time.Now()
+	err := n.opts.PeerClient.Call(ctx, address, methodAttach, request, &reply)
+	n.ownerReads.observe(start, n.configurations.version(), err)
+	if err != nil {
 		return reply, err
 	}
 	if len(reply.Configuration) > 0 {
@@ -375,7 +378,9 @@
 			return n.opts.Store.Watch(ctx, prefix, after, configWatchTime)
 		}
 	}
+	start := time.Now()
 	items, next, err := read(ctx, prefix)
+	n.storeReads.observe(start, n.configurations.version(), err)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/election_test.go
+++ b/internal/node/election_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
@@ -45,7 +47,8 @@
 	}
 	store := &countingStore{}
 	n := &Node{opts: Options{Store: store, PeerClient: cachedRefusalCaller{}, Events: event.Discard{}, PeerAddress: "127.0.0.1:1",
-		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{})}
+		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{}, tally.NoopScope),
+		storeReads: newReadSeries(sourceStore, event.Discard{}, tally.NoopScope), ownerReads: newReadSeries(sourceOwner, event.Discard{}, tally.NoopScope)}
 	item := func() fleet.Item {
 		txn, err := owner.ElectionTxn(owner.Record{Address: l.Addr().String()}, 0, 0)
 		if err != nil {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
@@ -147,7 +149,8 @@
 	store := &countingStore{}
 	caller := &loadingOwnerCaller{loadingReplies: 3}
 	n := &Node{opts: Options{Store: store, PeerClient: caller, Events: event.Discard{}, PeerAddress: "127.0.0.1:1",
-		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{})}
+		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{}, tally.NoopScope),
+		storeReads: newReadSeries(sourceStore, event.Discard{}, tally.NoopScope), ownerReads: newReadSeries(sourceOwner, event.Discard{}, tally.NoopScope)}
 	txn, err := owner.ElectionTxn(owner.Record{Address: "127.0.0.1:9"}, 0, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -177,7 +180,8 @@
 // next owner): a call to it hangs although its key has already expired.
 func TestFollowerOfLostOwnerDetectsKeyExpiry(t *testing.T) {
 	n := &Node{opts: Options{Store: &changingStore{}, PeerClient: hangingCaller{}, Events: event.Discard{}, PeerAddress: "127.0.0.1:1",
-		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{}), lostOwnerRevision: 7}
+		Owner: owner.Options{Clock: bootClock}}, configurations: newConfigurationCache(nil, event.Discard{}, tally.NoopScope),
+		storeReads: newReadSeries(sourceStore, event.Discard{}, tally.NoopScope), ownerReads: newReadSeries(sourceOwner, event.Discard{}, tally.NoopScope), lostOwnerRevision: 7}
 	txn, err := owner.ElectionTxn(owner.Record{Address: "127.0.0.1:9"}, 0, 0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	opts              Options
 	started           time.Duration // clock reading at New
 	configurations    *configurationCache
+	storeReads        *readSeries // of the configuration
+	ownerReads        *readSeries
 	advisors          *advisorPool
 	breaker           *entry.CircuitBreaker // for writes of callers of this VM, and for writes relayed for other VMs
 	stopping          atomic.Bool
@@ -81,7 +83,9 @@
 
 // New returns a node. It registers the handlers of the calls between VMs at opts.PeerServer.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events)}
+	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
+	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
+	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
 	n.advisors = newAdvisorPool(opts.PeerClient, opts.AdviceClient)
 	n.opts.Owner.Advice = n.advisors
 	n.opts.Owner.PreviousOwner = n
