platform: a response that is arriving is read to its end, however large it is

Cause: the deadline of a store call limited the complete response. A configuration of 0.9 to 1 MB needs 0.9 to 1.1 s at 10 Mbit/s, the deadline was 0.8 s, and the next try began at the first byte. So no try could succeed, and the tries filled the link for as long as the version was newer. Class: a fixed deadline on a transfer whose size somebody else chooses, with retries from the start.

Ruled out: processor time of small VMs (0 to 4%), invalid or older versions (no event).

Why it works: a try that makes progress is never given up, so its time follows from size and link.

--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -39,8 +39,27 @@
 // store's API sets this limit.
 const MaxTxnEntries = 32
 
+type responseTimeoutKey struct{}
+
+// WithResponseTimeout returns a context that limits how long a call waits for the first byte of each
+// response. In contrast to a deadline it limits neither the number of the pages of a list nor the
+// time that a response of any size takes to arrive.
+func WithResponseTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, responseTimeoutKey{}, d)
+}
+
+// ResponseTimeout returns the duration set by WithResponseTimeout, or defaultTimeout.
+func ResponseTimeout(ctx context.Context, defaultTimeout time.Duration) time.Duration {
+	if d, ok := ctx.Value(responseTimeoutKey{}).(time.Duration); ok {
+		return d
+	}
+	return defaultTimeout
+}
+
 // Store is the platform's metadata store. Errors are *CallError unless stated otherwise; the
-// verdict tells whether a write may have taken effect. Safe for concurrent use.
+// verdict tells whether a write may have taken effect. The deadline of a context limits the wait for
+// the first byte of a response; a response that is arriving is read to its end unless it stalls.
+// Safe for concurrent use.
 type Store interface {
 	// Get returns the item, whether the key exists, and the store's revision.
 	Get(ctx context.Context, key string) (Item, bool, int64, error)
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -369,8 +369,7 @@
 // readConfiguration waits for a change of the operators' entries after a revision, or lists them
 // if after is 0. It applies them and returns the revision to continue after.
 func (n *Node) readConfiguration(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, configWatchTimeout)
-	defer cancel()
+	ctx = fleet.WithResponseTimeout(ctx, configWatchTimeout)
 	prefix := n.opts.Owner.Codec.OperatorPrefix
 	read := n.opts.Store.List
 	if after > 0 {
