owner: the stored state is loaded however long it takes, and a failed part is read again alone

What callers would see: with a larger stored state or a slower link no VM could take up the work of a lost owner; submissions would be accepted and never run.

Loading had 3 s for all parts together, and a failure of any part began them all anew. The lists of workers and, after a compaction, of submissions had one deadline for all their pages.

Change: each page has a limit for its first byte only, and a part that fails is read again while the others continue.

--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -51,3 +52,27 @@
 	_, starts := testPlatform.Checker.Violations()
 	t.Logf("%d submissions, %d starts, all completed after %v", n, starts, time.Since(start))
 }
+
+// Guards against an owner that never takes up its work because the stored state takes longer to load
+// than a fixed time, and each try begins anew.
+func TestOwnerBehindSlowLinkLoadsLargeState(t *testing.T) {
+	const (
+		submissions   = 550   // more than one page of the store
+		specBytes     = 3900  // of each submission; together about 3 MB as the store sends them
+		linkRate      = 600e3 // bytes per second
+		recoveryBound = 12 * time.Second
+	)
+	testPlatform := newTestPlatform(t, 0)
+	first := startVM(t, testPlatform, "a")
+	eventually(t, "an owner", 5*time.Second, func() bool { return first.node.currentOwner.Load() != nil })
+	events := &eventRecorder{recorded: map[string]string{}}
+	second := startVM(t, testPlatform, "b", newSlowLink(t, linkRate).attachTo(testPlatform), func(o *Options) { o.Events, o.Owner.Events = events, events })
+	eventually(t, "a follower", 5*time.Second, func() bool { _, ok := events.get("owner-found"); return ok && second.node.Configuration() != nil })
+	c := newTestCaller(t, testPlatform)
+	spec := "ms=100 " + strings.Repeat("x", specBytes)
+	for n := range submissions {
+		c.submit(first, jobID(n), spec)
+	}
+	first.stop()
+	eventually(t, "the new owner has loaded the state", recoveryBound, func() bool { _, ok := events.get("owner-elected"); return ok })
+}
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -37,8 +37,7 @@
 }
 
 func (o *Owner) readIntakeChanges(ctx context.Context, after int64) ([]fleet.Item, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
+	ctx = fleet.WithResponseTimeout(ctx, watchTimeout)
 	items, next, err := o.opts.Store.Watch(ctx, intakePrefix, after, watchWait)
 	if errors.Is(err, fleet.ErrCompacted) {
 		return o.opts.Store.List(ctx, intakePrefix)
@@ -53,7 +52,7 @@
 	failing := false
 	known := map[string]fleet.WorkerEntry{}
 	for pause.For(ctx, workerListInterval(len(known))) {
-		entries, err := withTimeout(ctx, listTimeout, o.readWorkers)
+		entries, err := o.readWorkers(fleet.WithResponseTimeout(ctx, listResponseTimeout))
 		now := o.opts.Clock()
 		if err != nil {
 			if !failing && ctx.Err() == nil {
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -28,53 +28,69 @@
 	waveProgress      map[int64]*dispatch.WaveProgress // by wave number
 }
 
-// load reads the stored state and retries until ctx is done.
+// load reads all parts of the stored state concurrently. A part that fails is read again until ctx is
+// done; the others continue, so that the time does not depend on a large state arriving without a
+// single failure. The order of the parts does not matter: nothing writes progress at this time, and
+// the watch returns submissions that are stored meanwhile.
 func (o *Owner) load(ctx context.Context) (storedState, error) {
-	for {
-		state, err := withTimeout(ctx, loadTimeout, o.loadOnce)
-		if err == nil {
-			return state, nil
-		}
-		o.opts.Events.Record(event.StoreCallFailed, "load", err)
-		if !pause.For(ctx, loadRetryDelay) {
-			return storedState{}, ctx.Err()
-		}
-	}
-}
-
-// loadOnce reads all parts concurrently. Their order does not matter: nothing writes progress
-// at this time, and the watch returns submissions that are stored meanwhile.
-func (o *Owner) loadOnce(ctx context.Context) (storedState, error) {
 	state := storedState{progress: map[fleet.JobID]*dispatch.Progress{}, progressRevisions: map[string]int64{}, waveProgress: map[int64]*dispatch.WaveProgress{}}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) {
+	group, ctx := errgroup.WithContext(fleet.WithResponseTimeout(ctx, loadResponseTimeout))
+	loadPart := func(name string, read func(context.Context) error) {
+		group.Go(func() error { return o.retryRead(ctx, "load "+name, read) })
+	}
+	loadPart("submissions", func(ctx context.Context) (err error) {
 		state.intake, state.intakeRevision, err = o.opts.Store.List(ctx, intakePrefix)
 		return err
 	})
-	group.Go(func() error { return o.loadProgress(ctx, &state) })
-	group.Go(func() error {
-		record, found, _, err := o.opts.Store.Get(ctx, workersKey)
-		if err != nil || !found {
-			return err
-		}
-		state.workersRevision = record.Revision
-		if err := cbor.Unmarshal(record.Value, &state.workersRecord); err != nil {
-			o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
-		}
-		return nil
-	})
-	group.Go(func() (err error) {
+	loadPart("progress", func(ctx context.Context) error { return o.loadProgress(ctx, &state) })
+	loadPart("recorded workers", func(ctx context.Context) error { return o.loadWorkersRecord(ctx, &state) })
+	loadPart("workers", func(ctx context.Context) (err error) {
 		state.workers, err = o.readWorkers(ctx)
 		return err
 	})
-	group.Go(func() (err error) {
+	loadPart("configuration", func(ctx context.Context) (err error) {
 		state.configuration, err = o.opts.Configuration.RefreshConfiguration(ctx)
 		return err
 	})
-	group.Go(func() error { return o.loadWaves(ctx, &state) })
+	loadPart("waves", func(ctx context.Context) (err error) {
+		state.waves, err = o.readWaves(ctx)
+		return err
+	})
 	return state, group.Wait()
 }
 
+// retryRead repeats a read until it succeeds or ctx is done, and records the first failure and the
+// end of a series.
+func (o *Owner) retryRead(ctx context.Context, name string, read func(context.Context) error) error {
+	for failures := 0; ; failures++ {
+		err := read(ctx)
+		if err == nil {
+			if failures > 0 {
+				o.opts.Events.Record(event.StoreCallRecovered, name)
+			}
+			return nil
+		}
+		if failures == 0 && ctx.Err() == nil {
+			o.opts.Events.Record(event.StoreCallFailed, name, err)
+		}
+		if !pause.For(ctx, loadRetryDelay) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (o *Owner) loadWorkersRecord(ctx context.Context, state *storedState) error {
+	record, found, _, err := o.opts.Store.Get(ctx, workersKey)
+	if err != nil || !found {
+		return err
+	}
+	state.workersRevision = record.Revision
+	if err := cbor.Unmarshal(record.Value, &state.workersRecord); err != nil {
+		o.opts.Events.Record(event.StoredEntryInvalid, workersKey, err)
+	}
+	return nil
+}
+
 func (o *Owner) loadProgress(ctx context.Context, state *storedState) error {
 	items, _, err := o.opts.Store.List(ctx, progressPrefix)
 	if err != nil {
@@ -99,18 +115,19 @@
 	return nil
 }
 
-// loadWaves reads the maintenance waves.
-func (o *Owner) loadWaves(ctx context.Context, state *storedState) error {
+// readWaves reads the operators' maintenance waves.
+func (o *Owner) readWaves(ctx context.Context) ([]fleet.MaintenanceWave, error) {
 	items, _, err := o.opts.Store.List(ctx, o.opts.Codec.WavePrefix)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	var waves []fleet.MaintenanceWave
 	for _, item := range items {
 		if wave, ok := o.readWave(item); ok {
-			state.waves = append(state.waves, wave)
+			waves = append(waves, wave)
 		}
 	}
-	return nil
+	return waves, nil
 }
 
 func (o *Owner) readWave(item fleet.Item) (fleet.MaintenanceWave, bool) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,11 +29,11 @@
 	mailboxSize          = 4096 // messages
 	maxMessagesPerPass   = 512  // handled before the next decision
 	loadRetryDelay       = 100 * time.Millisecond
-	loadTimeout          = 3 * time.Second
-	listInterval         = 500 * time.Millisecond // between reads of the worker entries; a draining worker must be noticed within 2 s
-	largeListInterval    = time.Second            // for more than largeWorkerCount workers, still below the 2 s bound
+	loadResponseTimeout  = 1500 * time.Millisecond // of each page of the stored state
+	listInterval         = 500 * time.Millisecond  // between reads of the worker entries; a draining worker must be noticed within 2 s
+	largeListInterval    = time.Second             // for more than largeWorkerCount workers, still below the 2 s bound
 	largeWorkerCount     = 500
-	listTimeout          = 1500 * time.Millisecond
+	listResponseTimeout  = 1500 * time.Millisecond // of each page of the worker entries
 	outageSettleTime     = 2200 * time.Millisecond // after a store outage, live workers are listed again within about 2 s
 	watchWait            = 700 * time.Millisecond  // long poll; watchTimeout bounds how late a watch without responses is noticed
 	watchTimeout         = watchWait + 700*time.Millisecond
