node: reads of the configuration have one limit for the first byte, and a lost chunk is repeated before the store is read

A chunk's time limit (0.7 s) was longer than the time after which a transfer counts as stalled (0.6 s), so one lost message made the VM read the whole configuration from the store.

Change: 0.8 s for the first byte of any read, 2 s while a new owner loads; 0.4 s for a chunk, and a transfer is stalled after two of them.

--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -11,9 +11,9 @@
 
 // Timing of the transfer of the configuration from the owner.
 const (
-	chunkTimeout         = 700 * time.Millisecond // of one chunk, whose size is reduced after a timeout
+	chunkTimeout         = 400 * time.Millisecond // of one chunk, whose size is reduced after a timeout
 	chunkRetryDelay      = 30 * time.Millisecond
-	transferStallTimeout = 600 * time.Millisecond // without a chunk, after which this VM reads the store
+	transferStallTimeout = 2 * chunkTimeout // without a chunk, after which this VM reads the store
 )
 
 // configurationTransfer is the state of the transfer of the configuration from the owner that this
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -21,8 +21,8 @@
 	// the 2 s in which a change must become active.
 	configMaxAge          = 900 * time.Millisecond
 	configWatchTime       = 500 * time.Millisecond
-	configResponseTimeout = 300 * time.Millisecond // of a response, beyond the time of the long poll
-	configConfirmTime     = time.Millisecond       // shortest long poll
+	configConfirmTime     = time.Millisecond                       // shortest long poll
+	configResponseTimeout = configWatchTime + 300*time.Millisecond // of the first byte of a response
 )
 
 // watchConfiguration watches the configuration in the store while this VM is the owner, or has no
@@ -124,11 +124,12 @@
 // readOperatorEntries lists the operators' entries, or watches the changes after a revision other
 // than 0, and returns the revision to continue after.
 func (n *Node) readOperatorEntries(ctx context.Context, after int64, wait time.Duration) ([]fleet.Item, int64, error) {
+	ctx = fleet.WithResponseTimeout(ctx, fleet.ResponseTimeout(ctx, configResponseTimeout))
 	prefix := n.opts.Owner.Codec.OperatorPrefix
 	if after == 0 {
-		return n.opts.Store.List(fleet.WithResponseTimeout(ctx, configWatchTime+configResponseTimeout), prefix)
+		return n.opts.Store.List(ctx, prefix)
 	}
-	return n.opts.Store.Watch(fleet.WithResponseTimeout(ctx, wait+configResponseTimeout), prefix, after, wait)
+	return n.opts.Store.Watch(ctx, prefix, after, wait)
 }
 
 // advanceOperatorRevision records the revision up to which this VM has the configuration.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,9 +29,9 @@
 	mailboxSize          = 4096 // messages
 	maxMessagesPerPass   = 512  // handled before the next decision
 	loadRetryDelay       = 100 * time.Millisecond
-	loadResponseTimeout  = 1500 * time.Millisecond // of each page of the stored state
-	listInterval         = 500 * time.Millisecond  // between reads of the worker entries; a draining worker must be noticed within 2 s
-	largeListInterval    = time.Second             // for more than largeWorkerCount workers, still below the 2 s bound
+	loadResponseTimeout  = 2 * time.Second        // of each page of the stored state
+	listInterval         = 500 * time.Millisecond // between reads of the worker entries; a draining worker must be noticed within 2 s
+	largeListInterval    = time.Second            // for more than largeWorkerCount workers, still below the 2 s bound
 	largeWorkerCount     = 500
 	listResponseTimeout  = 1500 * time.Millisecond // of each page of the worker entries
 	outageSettleTime     = 2200 * time.Millisecond // after a store outage, live workers are listed again within about 2 s
