soak: configurations up to the store's limit over links of 10 Mbit/s, checked at every VM

Change: the fault "configuration" writes 0 to 4,000 unused queues, the responses of the store to each VM are limited to 10 Mbit/s, and at the end every VM must serve the last queue of the newest version and no queue beyond it. Ports are held until all are chosen.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -114,7 +114,8 @@
 	}},
 	{"configuration", func(r *soakRun, _ *rand.Rand, _ time.Duration) string {
 		r.version += 3
-		r.platform.PutConfiguration(r.version)
-		return fmt.Sprint("version ", r.version)
+		r.unusedQueues = int(r.version*queuesPerVersion) % maxUnusedQueues
+		r.platform.PutConfigurationWithQueues(r.version, r.unusedQueues)
+		return fmt.Sprint("version ", r.version, " queues ", r.unusedQueues)
 	}},
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -134,3 +134,32 @@
 	}
 	return true
 }
+
+// checkConfigurations checks that every VM serves the last queue of the newest configuration and not
+// the first one that it does not have.
+func (r *soakRun) checkConfigurations(ctx context.Context) {
+	for _, v := range r.vms {
+		var last, absent int
+		for deadline := time.Now().Add(configurationTime); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+			last = r.queueStatus(ctx, v, max(r.unusedQueues-1, 0))
+			absent = r.queueStatus(ctx, v, r.unusedQueues)
+			if (last == http.StatusOK || r.unusedQueues == 0) && absent == http.StatusNotFound {
+				break
+			}
+		}
+		if last != http.StatusOK && r.unusedQueues > 0 || absent != http.StatusNotFound {
+			r.platform.Checker.AddViolation("CONFIG: %s responds with %d and %d for the last queue of version %d and for one that it does not have", v.name, last, absent, r.version)
+		}
+	}
+}
+
+// queueStatus returns the status of the response of a VM to a query of an unused queue's length.
+func (r *soakRun) queueStatus(ctx context.Context, v *vm, queue int) int {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, _, err := r.client.Do(ctx, http.MethodGet, v.callerAddress, standin.UnusedQueuePrefix(queue), "")
+	if err != nil {
+		return 0
+	}
+	return status
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 )
 
 // ProxyMode is how a proxy forwards data.
@@ -34,6 +36,7 @@
 	listener net.Listener
 	target   string
 	mode     atomic.Int32
+	limiter  *rate.Limiter // of the responses; nil: no limit
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -50,6 +53,15 @@
 	return p, nil
 }
 
+// limitResponses limits the rate of the responses of all connections together. It must be called
+// before the first connection.
+func (p *Proxy) limitResponses(bytesPerSecond int) {
+	p.limiter = rate.NewLimiter(rate.Limit(bytesPerSecond), forwardChunk)
+}
+
+// forwardChunk is the largest number of bytes forwarded at once.
+const forwardChunk = 32 << 10
+
 // Address returns the host and port on which the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -118,7 +130,7 @@
 func (p *Proxy) forward(to, from net.Conn, stallMode ProxyMode) {
 	defer to.Close()
 	defer from.Close()
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, forwardChunk)
 	for {
 		n, err := from.Read(buffer)
 		for {
@@ -131,6 +143,9 @@
 			}
 			time.Sleep(modePollInterval)
 		}
+		if n > 0 && p.limiter != nil && stallMode == StallResponses {
+			_ = p.limiter.WaitN(context.Background(), n) // fails only for more than forwardChunk bytes
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -9,5 +9,7 @@
 	6:   "as seed 3",
 	19:  "after overlapping crashes of a worker its runs were lost at the second restart (bug in the stand-in)",
 	28:  "as seed 2; with a duration of 10 s, a crashed worker responded to a lease renewal and then accepted a start whose deadline was on its previous clock (bug in the stand-in)",
+	241: "a configuration of 1 MB never became active, as reading it took longer than the deadline of one call",
+	243: "two listeners of a VM had the same port (bug in the harness)",
 	104: "a delayed acknowledgement of one incarnation was executed by the next",
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,14 @@
 	meanFaultInterval = 1200 * time.Millisecond // shorter than meanFaultDuration, so that several faults overlap
 	meanFaultDuration = 4 * time.Second
 	settleTimeout     = 40 * time.Second // after the last fault, until every accepted submission must have its final state
+	configurationTime = 6 * time.Second  // after the last fault, until the newest configuration must be active at every VM
+)
+
+// Sizes of configurations, and the link of a VM.
+const (
+	maxUnusedQueues  = 4000           // about the largest value of the store
+	queuesPerVersion = 949            // successive versions grow and shrink
+	slowLinkRate     = 10_000_000 / 8 // bytes per second from the store, as of a small VM
 )
 
 // soakRun is the state of one soak.
@@ -40,7 +48,9 @@
 	vms      []*vm
 	proxies  []*Proxy // one in front of each worker
 	client   standin.Client
-	version  int64
+	version  int64 // of the newest configuration; like unusedQueues, read only after the last fault
+	// unusedQueues is the number of queues of that configuration that receive no submissions.
+	unusedQueues int
 }
 
 // Run runs one soak and returns the violations found. The error reports a soak that could not
@@ -76,12 +86,14 @@
 		if err != nil {
 			return nil, err
 		}
+		v.storeProxy.limitResponses(slowLinkRate)
 		r.vms = append(r.vms, v)
 		running.Go(func() { v.keepRunning(processes) })
 	}
 	time.Sleep(2 * time.Second)
 	accepted := r.runLoadAndFaults(ctx)
 	r.awaitFinalStates(ctx, accepted)
+	r.checkConfigurations(ctx)
 	for _, v := range r.vms {
 		if v.unexpectedExits > 0 {
 			platform.Checker.AddViolation("%s exited unexpectedly %d times, see %s", v.name, v.unexpectedExits, v.logFile.Name())
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -32,14 +32,18 @@
 	exitRequested   bool      // SIGKILL or SIGTERM was sent to the current process
 }
 
-// freePort returns a free port of a loopback address that only this soak uses.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, errors.Wrap(err, "find a free port")
+// freePorts returns n different free ports of a loopback address that only this soak uses.
+func freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer l.Close() // only after all are chosen, so that no port is chosen twice
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // newVM writes the settings file of VM i, with the address of a new proxy to the store. Each
@@ -47,14 +51,10 @@
 func newVM(p *standin.Platform, binary, dir string, seed uint64, i int) (*vm, error) {
 	v := &vm{name: fmt.Sprintf("vm-%d", i), binary: binary}
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+seed>>8&0x7f, seed&0xff, 1+i)
-	ports := make([]int, 4)
-	for k := range ports {
-		var err error
-		if ports[k], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	if v.storeProxy, err = NewProxy(p.StoreAddress); err != nil {
 		return nil, err
 	}
