--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -153,3 +153,29 @@
 		}
 	})
 }
+
+// BenchmarkTransfer measures the bytes and the processor time of the transfer of a document of about
+// 1 MB: complete, and relative to a version that differs in one line or has a third of the lines less.
+func BenchmarkTransfer(b *testing.B) {
+	newest := testDocument(2, 5500)
+	for _, test := range []struct {
+		name string
+		base []byte
+	}{{"complete", nil}, {"one line changed", testDocument(1, 5500)}, {"a third added", testDocument(1, 3700)}} {
+		b.Run(test.name, func(b *testing.B) {
+			var size int
+			for b.Loop() {
+				encoded, err := encode(newest, test.base)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := decode(encoded, test.base); err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(len(newest)), "document-bytes")
+			b.ReportMetric(float64(size), "sent-bytes")
+		})
+	}
+}
