node: a configuration that a follower cannot parse is fetched once, and an owner always learns of a new one

A follower that cannot parse the announced version, for example one of an earlier release, fetched it again at once without end. A configuration that arrived by transfer while this VM was being elected was not passed to the new owner.

Change: a version that arrived and could not be parsed is not wanted again; every source activates through one function, which passes the configuration to the owner.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -1,8 +1,18 @@
 package node
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/peer"
+	"filbertcross/internal/transfer"
 )
 
 // Values of the platform's larger deployments.
@@ -80,3 +90,37 @@
 		t.Fatalf("%d bytes received; want less than half of the configuration, which is %d", got, largeConfigurationBytes)
 	}
 }
+
+// chunkServer responds to requests for chunks like an owner with a configuration.
+type chunkServer struct {
+	sender transfer.Sender
+	calls  atomic.Int32
+}
+
+func (s *chunkServer) Call(_ context.Context, _ string, _ peer.Method, params, result any) error {
+	s.calls.Add(1)
+	chunk, err := s.sender.Chunk(params.(transfer.Request))
+	*result.(*transfer.Chunk) = chunk
+	return err
+}
+
+// Guards against a follower that fetches a configuration that it cannot parse over and over.
+func TestInvalidConfigurationIsFetchedOnce(t *testing.T) {
+	server := &chunkServer{}
+	server.sender.Add(7, []byte("not a configuration"))
+	invalid := func([]byte) (*fleet.Configuration, error) { return nil, errors.New("invalid") }
+	n := &Node{
+		opts:           Options{PeerClient: server, Events: event.Discard{}},
+		configurations: newConfigurationCache(invalid, event.Discard{}, tally.NoopScope),
+		ownerReads:     newReadSeries(sourceOwner, event.Discard{}, tally.NoopScope),
+	}
+	n.transfer.announce(7)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for range 3 {
+		n.fetchConfiguration(ctx, "owner")
+	}
+	if got := server.calls.Load(); ctx.Err() != nil || got != 1 {
+		t.Fatalf("%d calls, context %v; want 1 call", got, ctx.Err())
+	}
+}
--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -24,6 +24,7 @@
 
 	mu         sync.Mutex
 	version    int64     // announced by the owner; 0: none
+	rejected   int64     // version that arrived and could not be parsed; 0: none
 	progressAt time.Time // when the newest announcement or the last chunk arrived
 }
 
@@ -50,6 +51,19 @@
 	return t.version
 }
 
+// wanted reports whether the announced version is newer than the active one and not known to be invalid.
+func (t *configurationTransfer) wanted(active int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version > active && t.version != t.rejected
+}
+
+func (t *configurationTransfer) reject(version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rejected = version
+}
+
 func (t *configurationTransfer) recordProgress() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,7 +81,7 @@
 // starts the transfer of a newer version.
 func (n *Node) applyAnnouncement(ctx context.Context, address string, reply attachResponse) {
 	if len(reply.Configuration) > 0 {
-		n.configurations.update(reply.Configuration, address)
+		n.activateConfiguration(ctx, reply.Configuration, address)
 	}
 	if reply.ConfigurationVersion <= n.configurations.version() {
 		n.advanceOperatorRevision(reply.OperatorRevision)
@@ -82,7 +96,7 @@
 // series of changes does not keep a slow link from completing any.
 func (n *Node) fetchConfiguration(ctx context.Context, address string) {
 	t := &n.transfer
-	for ctx.Err() == nil && n.configurations.version() < t.announced() && t.running.TryLock() {
+	for ctx.Err() == nil && t.wanted(n.configurations.version()) && t.running.TryLock() {
 		n.fetchAnnounced(ctx, address, t)
 		t.running.Unlock()
 	}
@@ -93,7 +107,7 @@
 func (n *Node) fetchAnnounced(ctx context.Context, address string, t *configurationTransfer) {
 	for ctx.Err() == nil {
 		active, raw := n.configurations.activeBytes()
-		if active >= t.announced() {
+		if !t.wanted(active) {
 			t.receiver = nil
 			return
 		}
@@ -124,8 +138,12 @@
 	if err == nil {
 		n.transfer.recordProgress()
 	}
-	if version != 0 && n.configurations.update(raw, address) {
+	switch {
+	case version == 0:
+	case n.activateConfiguration(ctx, raw, address):
 		n.supersedeConfigurationRead()
+	case n.configurations.version() < version:
+		n.transfer.reject(version)
 	}
 	n.ownerReads.observe(start, n.configurations.version(), err)
 	return err
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -151,7 +151,7 @@
 	codec := n.opts.Owner.Codec
 	switch {
 	case item.Key == codec.ConfigKey:
-		n.applyConfiguration(ctx, item.Value)
+		n.activateConfiguration(ctx, item.Value, sourceStore)
 	case strings.HasPrefix(item.Key, codec.WavePrefix):
 		if o := n.currentOwner.Load(); o != nil {
 			o.SetWave(ctx, item)
@@ -159,11 +159,14 @@
 	}
 }
 
-func (n *Node) applyConfiguration(ctx context.Context, raw []byte) {
-	if !n.configurations.update(raw, "store") {
-		return
+// activateConfiguration activates a configuration from a source if it is valid and newer, and passes
+// it to the owner if this VM is the owner. It reports whether it did.
+func (n *Node) activateConfiguration(ctx context.Context, raw []byte, source string) bool {
+	if !n.configurations.update(raw, source) {
+		return false
 	}
 	if o := n.currentOwner.Load(); o != nil {
 		o.SetConfiguration(ctx, n.Configuration())
 	}
+	return true
 }
