transfer: the size of chunks follows the time that they take

The size doubled after each success and halved after each timeout, so on a slow link every second request timed out, after its bytes had crossed the link.

Change: the next chunk is expected to take 0.1 s, a quarter of the time limit of a request, within half to twice the last size; the first one has 16 KiB instead of 32.

Measured: TestChunksFitSlowLinks fails on the parent (27 s at 20 kB/s where the link needs 8 s, 111 s where it needs 32 s) and passes now.

--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -134,7 +134,7 @@
 		}
 		return err
 	}
-	version, raw, err := receiver.Accept(chunk)
+	version, raw, err := receiver.Accept(chunk, time.Since(start))
 	if err == nil {
 		n.transfer.recordProgress()
 	}
--- a/internal/transfer/receiver.go
+++ b/internal/transfer/receiver.go
@@ -1,15 +1,19 @@
 package transfer
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 )
 
-// Sizes of the requested chunks in bytes. The size follows the link: it is halved after a failed
-// request and doubled after a successful one, so that even a very slow link makes progress.
+// Sizes of the requested chunks in bytes. The size follows the link: the next chunk is expected to
+// take chunkTime, but has half to twice the size of the last one, and half after a failed request. So
+// even a very slow link makes progress, and a chunk stays well within the time limit of its request.
 const (
-	initialChunkBytes = 32 << 10
+	initialChunkBytes = 16 << 10
 	minChunkBytes     = 1 << 10
 	maxChunkBytes     = 64 << 10
+	chunkTime         = 100 * time.Millisecond
 )
 
 // Receiver assembles one version of a document from chunks. It is not safe for concurrent use.
@@ -47,10 +51,11 @@
 // RequestFailed reports that a request got no response in time.
 func (r *Receiver) RequestFailed() { r.chunkBytes = max(r.chunkBytes/2, minChunkBytes) }
 
-// Accept adds the response to the last request. When the version is complete it returns its number
-// and the document, otherwise 0. After an error the transfer starts again.
-func (r *Receiver) Accept(c Chunk) (int64, []byte, error) {
-	r.chunkBytes = min(2*r.chunkBytes, maxChunkBytes)
+// Accept adds the response to the last request, which took the given time. When the version is
+// complete it returns its number and the document, otherwise 0. After an error the transfer starts
+// again.
+func (r *Receiver) Accept(c Chunk, took time.Duration) (int64, []byte, error) {
+	r.adaptChunkBytes(len(c.Data), took)
 	if c.Offset == 0 {
 		r.partial, r.current = nil, c
 	}
@@ -66,6 +71,12 @@
 	return r.complete()
 }
 
+func (r *Receiver) adaptChunkBytes(received int, took time.Duration) {
+	next := int(float64(received) * float64(chunkTime) / float64(max(took, time.Millisecond)))
+	next = min(max(next, r.chunkBytes/2), 2*r.chunkBytes)
+	r.chunkBytes = min(max(next, minChunkBytes), maxChunkBytes)
+}
+
 // complete decodes the complete encoding.
 func (r *Receiver) complete() (int64, []byte, error) {
 	defer r.reset()
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -30,7 +31,7 @@
 			t.Fatal(err)
 		}
 		sent += len(chunk.Data)
-		version, document, err := receiver.Accept(chunk)
+		version, document, err := receiver.Accept(chunk, time.Millisecond)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -77,7 +78,7 @@
 			receiver.RequestFailed() // the response is lost
 			continue
 		}
-		got, document, err := receiver.Accept(chunk)
+		got, document, err := receiver.Accept(chunk, time.Millisecond)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -93,6 +94,43 @@
 	}
 }
 
+// Guards against chunk sizes that alternate between success and timeout, so that most of the time of
+// a slow link is lost.
+func TestChunksFitSlowLinks(t *testing.T) {
+	const (
+		timeout, roundTrip = 400 * time.Millisecond, 10 * time.Millisecond
+		firstChunkTime     = 7 * time.Second // the first sizes are chosen without knowledge of the link: 32 KiB at 5 kB/s
+	)
+	document := testDocument(1, 8000)
+	for _, rate := range []float64{5e3, 20e3, 60e3, 90e3, 120e3, 300e3, 1e6} { // bytes per second
+		var sender Sender
+		sender.Add(1, document)
+		receiver := NewReceiver(0, nil)
+		var elapsed time.Duration
+		size := 0
+		for version := int64(0); version == 0; {
+			chunk, err := sender.Chunk(receiver.Request())
+			if err != nil {
+				t.Fatal(err)
+			}
+			size = chunk.Size
+			took := roundTrip + time.Duration(float64(len(chunk.Data))/rate*float64(time.Second))
+			elapsed += took // the link carries a late response, too
+			if took > timeout {
+				receiver.RequestFailed()
+				continue
+			}
+			if version, _, err = receiver.Accept(chunk, took); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ideal := time.Duration(float64(size) / rate * float64(time.Second))
+		if elapsed > 3*ideal/2+firstChunkTime {
+			t.Errorf("%.0f bytes/s: %v, while the link needs %v", rate, elapsed, ideal)
+		}
+	}
+}
+
 // TestReceiverGetsExactDocuments compares a receiver with the sender's newest version under lost
 // responses, damaged chunks, new versions, and senders that start anew without the base.
 func TestReceiverGetsExactDocuments(t *testing.T) {
@@ -119,7 +157,7 @@
 					chunk.Offset++
 				}
 			}
-			got, document, err := receiver.Accept(chunk)
+			got, document, err := receiver.Accept(chunk, time.Millisecond)
 			if err != nil || got == 0 {
 				return
 			}
