node: a configuration that has arrived is not read from the store, too, while it is parsed

The owner dated a read that returned entries by its start, up to 0.5 s and the transfer before its end, so followers could take its state for old when a large configuration had just arrived.

Change: a version that has arrived is neither stalled nor fetched again, also if it is invalid. A read counts from its end, and one that was superseded not at all.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -124,3 +124,18 @@
 		t.Fatalf("%d calls, context %v; want 1 call", got, ctx.Err())
 	}
 }
+
+// Guards against a follower that reads the configuration from the store, too, while it parses the one
+// that has arrived.
+func TestTransferIsNotStalledOnceTheConfigurationHasArrived(t *testing.T) {
+	var transfer configurationTransfer
+	transfer.announce(7)
+	transfer.progressAt = time.Now().Add(-2 * transferStallTimeout)
+	if !transfer.stalled(5) {
+		t.Fatal("a transfer without chunks does not count as stalled")
+	}
+	transfer.recordArrival(7)
+	if transfer.stalled(5) {
+		t.Fatal("a version that has arrived counts as stalled")
+	}
+}
--- a/internal/node/configuration_transfer.go
+++ b/internal/node/configuration_transfer.go
@@ -24,7 +24,7 @@
 
 	mu         sync.Mutex
 	version    int64     // announced by the owner; 0: none
-	rejected   int64     // version that arrived and could not be parsed; 0: none
+	arrived    int64     // last version that arrived, which is being activated, active, or invalid; 0: none
 	progressAt time.Time // when the newest announcement or the last chunk arrived
 }
 
@@ -51,17 +51,22 @@
 	return t.version
 }
 
-// wanted reports whether the announced version is newer than the active one and not known to be invalid.
+// wanted reports whether a version newer than the active one is announced and has not arrived.
 func (t *configurationTransfer) wanted(active int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version > active && t.version != t.rejected
+	return t.isWanted(active)
 }
 
-func (t *configurationTransfer) reject(version int64) {
+// isWanted is wanted; the caller holds mu.
+func (t *configurationTransfer) isWanted(active int64) bool {
+	return t.version > max(active, t.arrived)
+}
+
+func (t *configurationTransfer) recordArrival(version int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rejected = version
+	t.arrived = version
 }
 
 func (t *configurationTransfer) recordProgress() {
@@ -70,11 +75,11 @@
 	t.progressAt = time.Now()
 }
 
-// stalled reports whether a version newer than the active one has been announced and does not arrive.
+// stalled reports whether a version is wanted and does not arrive.
 func (t *configurationTransfer) stalled(active int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version > active && time.Since(t.progressAt) > transferStallTimeout
+	return t.isWanted(active) && time.Since(t.progressAt) > transferStallTimeout
 }
 
 // applyAnnouncement applies what the owner's response to a poll says about the configuration, and
@@ -138,12 +143,11 @@
 	if err == nil {
 		n.transfer.recordProgress()
 	}
-	switch {
-	case version == 0:
-	case n.activateConfiguration(ctx, raw, address):
-		n.supersedeConfigurationRead()
-	case n.configurations.version() < version:
-		n.transfer.reject(version)
+	if version != 0 {
+		n.transfer.recordArrival(version)
+		if n.activateConfiguration(ctx, raw, address) {
+			n.supersedeConfigurationRead()
+		}
 	}
 	n.ownerReads.observe(start, n.configurations.version(), err)
 	return err
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +47,9 @@
 			case r.changed:
 				wait = configConfirmTime // the response may have taken long to arrive
 			}
+			if r.err == nil {
+				n.confirmConfiguration()
+			}
 		case <-n.configReadSuperseded:
 			wait = configConfirmTime
 		case <-ctx.Done():
@@ -88,6 +90,7 @@
 	if _, err := n.readConfiguration(ctx, configConfirmTime); err != nil {
 		return nil, err
 	}
+	n.confirmConfiguration()
 	return n.Configuration(), nil
 }
 
@@ -95,7 +98,7 @@
 // which this VM has them, and applies them. Without such a revision it lists all entries. It reports
 // whether there were any.
 func (n *Node) readConfiguration(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	start, startReading := time.Now(), n.opts.Owner.Clock()
+	start := time.Now()
 	items, next, err := n.readOperatorEntries(ctx, n.operatorRevision.Load(), wait)
 	if errors.Is(err, fleet.ErrCompacted) {
 		items, next, err = n.readOperatorEntries(ctx, 0, wait)
@@ -110,11 +113,6 @@
 		}
 	}
 	n.advanceOperatorRevision(next)
-	confirmed := startReading
-	if len(items) == 0 {
-		confirmed = n.opts.Owner.Clock() // a response without entries is short and has just been sent
-	}
-	advance(&n.configConfirmedAt, int64(confirmed))
 	if n.configurations.version() == 0 {
 		pause.For(ctx, electionRetryDelay)
 	}
@@ -132,14 +130,15 @@
 	return n.opts.Store.Watch(ctx, prefix, after, wait)
 }
 
-// advanceOperatorRevision records the revision up to which this VM has the configuration.
-func (n *Node) advanceOperatorRevision(revision int64) { advance(&n.operatorRevision, revision) }
+// confirmConfiguration records that a read of the store has just ended. A read that was superseded
+// confirms nothing, as its response may be old.
+func (n *Node) confirmConfiguration() { n.configConfirmedAt.Store(int64(n.opts.Owner.Clock())) }
 
-// advance sets v to value unless v is greater already.
-func advance(v *atomic.Int64, value int64) {
+// advanceOperatorRevision records the revision of the store up to which this VM has the configuration.
+func (n *Node) advanceOperatorRevision(revision int64) {
 	for {
-		current := v.Load()
-		if value <= current || v.CompareAndSwap(current, value) {
+		current := n.operatorRevision.Load()
+		if revision <= current || n.operatorRevision.CompareAndSwap(current, revision) {
 			return
 		}
 	}
