node: a superseded read of the store applies no entries older than those of a later read

A read that is no longer waited for still applies what it returns. The configuration is protected by its version, but a maintenance wave could be replaced by an older state of itself.

Change: entries up to the revision that this VM has already applied are skipped.

Measured: TestSupersededReadAppliesNothing fails on the parent and passes now.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -139,3 +139,32 @@
 		t.Fatal("a version that has arrived counts as stalled")
 	}
 }
+
+// supersedingStore lets the VM apply later entries while a watch is in progress.
+type supersedingStore struct {
+	fleet.Store
+	node *Node
+}
+
+func (s supersedingStore) Watch(context.Context, string, int64, time.Duration) ([]fleet.Item, int64, error) {
+	s.node.advanceOperatorRevision(9)
+	return []fleet.Item{{Key: "op/config", Value: []byte("older"), Revision: 5}}, 6, nil
+}
+
+// Guards against a read that ends late and applies entries over later ones.
+func TestSupersededReadAppliesNothing(t *testing.T) {
+	parsed := 0
+	parse := func([]byte) (*fleet.Configuration, error) {
+		parsed++
+		return &fleet.Configuration{Version: 1}, nil
+	}
+	n := &Node{
+		configurations: newConfigurationCache(parse, event.Discard{}, tally.NoopScope),
+		storeReads:     newReadSeries(sourceStore, event.Discard{}, tally.NoopScope),
+	}
+	n.opts.Store, n.opts.Owner.Codec.ConfigKey = supersedingStore{node: n}, "op/config"
+	n.advanceOperatorRevision(4)
+	if _, err := n.readConfiguration(context.Background(), configWatchTime); err != nil || parsed != 0 || n.operatorRevision.Load() != 9 {
+		t.Fatalf("error %v, %d entries applied, revision %d; want none applied and revision 9", err, parsed, n.operatorRevision.Load())
+	}
+}
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -107,8 +107,9 @@
 	if err != nil {
 		return false, err
 	}
+	applied := n.operatorRevision.Load() // a read that was superseded may end after a later one
 	for _, item := range items {
-		if !item.Deleted {
+		if !item.Deleted && item.Revision > applied {
 			n.applyOperatorEntry(ctx, item)
 		}
 	}
