node: the owner reads each configuration once

What callers would see: a large configuration active at a VM behind a slow link after twice the time that the link needs.

Cause: made an election supersede the read in progress.

Change: only a transfer that has arrived supersedes a read, and a signal from before a read is dropped.

--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -168,3 +168,20 @@
 		t.Fatalf("error %v, %d entries applied, revision %d; want none applied and revision 9", err, parsed, n.operatorRevision.Load())
 	}
 }
+
+// Guards against an owner that receives a configuration twice, over two reads at the same time.
+func TestOwnerReadsEachConfigurationOnce(t *testing.T) {
+	testPlatform := newTestPlatform(t, 1)
+	link := newSlowLink(t, slowLinkRate)
+	owner := startVM(t, testPlatform, "a", link.attachTo(testPlatform))
+	eventually(t, "an owner with a configuration", configurationStartBound, func() bool {
+		return owner.node.currentOwner.Load() != nil && owner.node.configurations.version() == 1
+	})
+	before := link.received.Load()
+	testPlatform.PutConfigurationWithQueues(5, largeConfigurationQueues)
+	eventually(t, "the large configuration is active", configurationApplyBound, func() bool { return owner.node.configurations.version() == 5 })
+	time.Sleep(2 * configWatchTime)
+	if got := link.received.Load() - before; got > 2*largeConfigurationBytes {
+		t.Fatalf("%d bytes received; want one copy of the configuration, which is %d before encoding", got, largeConfigurationBytes)
+	}
+}
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -33,6 +33,10 @@
 			pause.For(ctx, attachedCheckInterval)
 			continue
 		}
+		select {
+		case <-n.configReadSuperseded: // an earlier read, which has ended
+		default:
+		}
 		read := make(chan configurationRead, 1)
 		go func(wait time.Duration) {
 			changed, err := n.readConfiguration(ctx, wait)
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -184,7 +184,6 @@
 	o := owner.New(n.opts.Owner, ownership)
 	n.detach()
 	n.currentOwner.Store(o)
-	n.supersedeConfigurationRead()
 	defer n.sender.Clear()
 	defer n.currentOwner.Store(nil)
 	if conf := n.Configuration(); conf != nil {
