--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -40,7 +40,9 @@
 		return
 	}
 	for _, s := range ready {
-		d.requestAdvice(now, s)
+		if d.quotaAllows(now, s, s.startableTogether()) {
+			d.requestAdvice(now, s)
+		}
 	}
 	for _, j := range d.activeJobs {
 		if j.queue.Advice == nil || !d.eligible(j) {
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -46,30 +46,79 @@
 		w.inFreedList = false
 	}
 	steps := d.readySteps(now)
+	d.startPass(steps)
+	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
 	d.requestAdviceForSteps(now, steps)
 	cleared := d.clearReservations()
-	var unplaced []*step
+	p := &placementPass{d: d, now: now, freed: freed}
 	d.stepsUnplaced = false
-	for _, s := range steps {
-		candidates := freed
-		if s.tryAllWorkers {
-			candidates = d.workerList
-		}
-		if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || now >= s.retryDue) {
-			d.placeStep(now, s, candidates)
+	for len(steps) > 0 {
+		n := 1
+		for n < len(steps) && d.compareClasses(now, steps[0], steps[n]) == 0 {
+			n++
 		}
-		if s.waiting > 0 && s.reservesCapacity() {
-			d.reserve(now, s)
+		p.placeClass(steps[:n])
+		steps = steps[n:]
+	}
+	d.markUnreserved(cleared)
+	d.preempt(now, p.unplaced)
+}
+
+// placementPass is one pass over the ready steps.
+type placementPass struct {
+	d        *Dispatcher
+	now      time.Duration
+	freed    []*worker // since the last pass
+	unplaced []*step   // that found no worker, and are due for another attempt to get one
+}
+
+// placeClass places steps of one class: first up to the shares of their accounts, then what is left
+// of the capacity.
+func (p *placementPass) placeClass(steps []*step) {
+	var aboveShare []*step
+	for _, s := range steps {
+		if p.d.hasShareLeft(s.job.account) {
+			p.placeStep(s, true)
 		}
-		d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
-		if s.waiting > 0 && (s.tryAllWorkers || now >= s.retryDue) {
-			s.retryDue = now + placementRetryInterval
-			unplaced = append(unplaced, s)
+		if s.waiting > 0 && !p.d.hasShareLeft(s.job.account) {
+			aboveShare = append(aboveShare, s)
+		} else {
+			p.finishStep(s)
 		}
-		s.tryAllWorkers = s.waiting > 0 && s.hasDelayedTask
 	}
-	d.markUnreserved(cleared)
-	d.preempt(now, unplaced)
+	for _, s := range aboveShare {
+		p.placeStep(s, false)
+		p.finishStep(s)
+	}
+}
+
+// placeStep places what it can of a step, within the share of its account if withinShare is set.
+func (p *placementPass) placeStep(s *step, withinShare bool) {
+	candidates := p.freed
+	if s.tryAllWorkers {
+		candidates = p.d.workerList
+	}
+	if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || p.now >= s.retryDue) {
+		p.d.placeStep(p.now, s, candidates, withinShare)
+	}
+}
+
+// finishStep reserves capacity for what is left of a step, and determines when to try it again.
+func (p *placementPass) finishStep(s *step) {
+	d := p.d
+	if s.waiting > 0 && !d.quotaAllows(p.now, s, s.startableTogether()) {
+		s.tryAllWorkers = true // which capacity is freed until the quota allows it is not recorded
+		return
+	}
+	if s.waiting > 0 && s.reservesCapacity() {
+		d.reserve(p.now, s)
+	}
+	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
+	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
+		s.retryDue = p.now + placementRetryInterval
+		p.unplaced = append(p.unplaced, s)
+	}
+	s.tryAllWorkers = s.waiting > 0 && s.hasDelayedTask
 }
 
 // markFreed records that a worker may have more free capacity than at the last pass.
@@ -262,7 +311,7 @@
 	}
 }
 
-// readySteps returns the steps with tasks to place, the most urgent first.
+// readySteps returns the steps with tasks to place.
 func (d *Dispatcher) readySteps(now time.Duration) []*step {
 	var list []*step
 	for _, j := range d.activeJobs {
@@ -277,6 +326,5 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *step) int { return d.compareSteps(now, a, b) })
 	return list
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,8 +19,12 @@
 	inheritedLeaseEnd time.Duration
 	config            *fleet.Configuration
 
-	workers       map[model.WorkerID]*worker
-	workerList    []*worker // in order of first appearance, so that decisions are reproducible
+	workers    map[model.WorkerID]*worker
+	workerList []*worker           // in order of first appearance, so that decisions are reproducible
+	accounts   map[string]*account // with submissions, by name
+	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
+	unknownUsage  model.Resources
+	capacity      model.Resources // of the cluster at the last pass
 	jobs          map[fleet.JobID]*job
 	activeJobs    []*job // jobs without a final state, in order of arrival
 	finalJobs     []*job // jobs with a final state, in order of completion
@@ -32,10 +36,10 @@
 	passDue       time.Duration
 	stepsUnplaced bool // steps found no worker in the last placement pass
 	sweepDue      time.Duration
-	earlyCancels  map[fleet.JobID]bool // cancellations of submissions that have not arrived yet
+	earlyCancels  map[earlyCancel]bool // cancellations of submissions that have not arrived yet
 
 	dirtyJobs         []*job
-	removals          []fleet.JobID
+	removals          []removal
 	waves             []*wave
 	dirtyWaves        []*wave
 	workerListDirty   bool
@@ -57,8 +61,8 @@
 func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, events: events, startedAt: now, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
-		workers: map[model.WorkerID]*worker{}, jobs: map[fleet.JobID]*job{},
-		runs: map[fleet.RunID]*run{}, earlyCancels: map[fleet.JobID]bool{}, adviceSlots: 1,
+		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, jobs: map[fleet.JobID]*job{},
+		runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
 		workerListDirty: true,
 	}
 }
@@ -69,6 +73,9 @@
 		return
 	}
 	d.config = c
+	for _, a := range d.accounts {
+		d.applyAccountConfiguration(a)
+	}
 	for _, j := range d.activeJobs {
 		d.setQueue(j)
 		j.retryOnAllWorkers()
@@ -159,6 +166,9 @@
 	j.steps = make([][]*step, max(sub.Occurrences, 1))
 	d.jobs[sub.ID] = j
 	d.setQueue(j)
+	if j.account = d.accountOf(sub); j.account != nil {
+		j.beyondRate = !j.account.rate.admit(j.arrivedAt)
+	}
 	if !sub.HasSchedule() {
 		j.createSteps(0)
 	}
@@ -171,23 +181,34 @@
 		return true
 	}
 	d.activeJobs = append(d.activeJobs, j)
-	if d.earlyCancels[sub.ID] {
-		d.Cancel(now, sub.ID)
+	if d.earlyCancels[earlyCancel{sub.ID, sub.Account}] {
+		d.Cancel(now, sub.ID, sub.Account)
 	}
 	d.finishIfComplete(now, j)
 	return true
 }
 
-// Cancel cancels a submission and reports whether this changes anything. A submission that
-// is not known yet is canceled when it is added.
-func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID) bool {
+// earlyCancel is a cancellation by an account of a submission that has not arrived yet.
+type earlyCancel struct {
+	id      fleet.JobID
+	account string
+}
+
+// Cancel cancels a submission of the account, empty for none, and reports whether this changes
+// anything. A submission that is not known yet is canceled when it is added. The cancellation of
+// another account's submission has no effect.
+func (d *Dispatcher) Cancel(now time.Duration, id fleet.JobID, account string) bool {
+	key := earlyCancel{id, account}
 	j := d.jobs[id]
 	if j == nil {
-		isNew := !d.earlyCancels[id]
-		d.earlyCancels[id] = true
+		isNew := !d.earlyCancels[key]
+		d.earlyCancels[key] = true
 		return isNew
 	}
-	delete(d.earlyCancels, id)
+	delete(d.earlyCancels, key)
+	if j.sub.Account != "" && j.sub.Account != account {
+		return false
+	}
 	if j.closed() {
 		return false
 	}
@@ -222,20 +243,22 @@
 	}
 }
 
-// State returns the state of a submission as reported to callers. A final state is reported
+// Status returns the status of a submission as reported to callers. A final state is reported
 // only once it is durable: until then a new owner could learn it only from the workers'
 // results, and the workers may have left.
-func (d *Dispatcher) State(id fleet.JobID) fleet.State {
+func (d *Dispatcher) Status(id fleet.JobID) fleet.Status {
 	j := d.jobs[id]
+	if j == nil {
+		return fleet.Status{}
+	}
+	status := fleet.Status{State: fleet.StatePending, Account: j.sub.Account}
 	switch {
-	case j == nil:
-		return fleet.StateUnknown
 	case j.durableState.Final():
-		return j.durableState
+		status.State = j.durableState
 	case j.started || j.state.Final():
-		return fleet.StateRunning
+		status.State = fleet.StateRunning
 	}
-	return fleet.StatePending
+	return status
 }
 
 // QueueLengths returns, for each queue, the number of accepted submissions without a
@@ -260,6 +283,9 @@
 	r.phase, r.stopReason = runStopping, reason
 	r.stopDue = now
 	r.worker.stoppingDemand = r.worker.stoppingDemand.Add(r.demand)
+	if a := r.task.step.job.account; a != nil {
+		a.stopping = a.stopping.Add(r.task.step.def.Demand)
+	}
 }
 
 // addUnsettled adds a run to those that sendStops processes.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -72,6 +72,8 @@
 	inDirtyList    bool  // in Dispatcher.dirtyJobs
 	writing        bool  // in a batch in flight
 	queue          fleet.Queue
+	account        *account      // nil: the submission belongs to none
+	beyondRate     bool          // it arrived beyond its account's rate
 	objective      time.Duration // from arrival
 }
 
--- a/internal/dispatch/lost_response_test.go
+++ b/internal/dispatch/lost_response_test.go
@@ -39,7 +39,7 @@
 		t.Fatal("the task is started again after its completion")
 	}
 	h.commitAll()
-	if got := h.d.State("a"); got != fleet.StateCompleted {
+	if got := h.d.Status("a").State; got != fleet.StateCompleted {
 		t.Fatalf("state %v, want completed", got)
 	}
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertcross/internal/event"
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 )
@@ -19,9 +20,13 @@
 	penaltySharing     = 16.0 // a filler task slows down serving tasks on the same worker
 )
 
-// placeStep starts as many of the step's waiting tasks as fit on the candidates.
-func (d *Dispatcher) placeStep(now time.Duration, s *step, candidates []*worker) {
+// placeStep starts as many of the step's waiting tasks as fit on the candidates and its account's
+// quota, and as its account's share if withinShare is set.
+func (d *Dispatcher) placeStep(now time.Duration, s *step, candidates []*worker, withinShare bool) {
 	s.hasDelayedTask = false
+	if !d.quotaAllows(now, s, s.startableTogether()) {
+		return
+	}
 	if s.def.Gang {
 		d.placeGang(now, s)
 		return
@@ -37,6 +42,9 @@
 			s.hasDelayedTask = true
 			continue
 		}
+		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
+			return
+		}
 		w := d.bestWorker(now, s, t, candidates)
 		if w == nil {
 			return
@@ -108,26 +116,13 @@
 // workers without accelerators, and packed onto those that have some, so that whole workers stay
 // free for the tasks that need all accelerators of one.
 func packingScore(capacity, used model.Resources) float64 {
-	share := dominantShare(capacity, used)
+	share := fairshare.DominantShare(used, capacity)
 	if capacity.Accelerators > 0 {
 		return 1 - share
 	}
 	return share
 }
 
-// dominantShare returns the largest share of a resource that is used.
-func dominantShare(capacity, used model.Resources) float64 {
-	return max(utilization(used.MilliCPU, capacity.MilliCPU), utilization(used.MemoryMiB, capacity.MemoryMiB),
-		utilization(used.Accelerators, capacity.Accelerators))
-}
-
-func utilization(used, capacity int64) float64 {
-	if capacity <= 0 {
-		return 0
-	}
-	return float64(used) / float64(capacity)
-}
-
 // startRun reserves the capacity of a new run on the worker and emits its start command.
 func (d *Dispatcher) startRun(now time.Duration, t *task, w *worker, number int64) {
 	s := t.step
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -12,6 +12,7 @@
 // Limits of preemption.
 const (
 	preemptionSlack = 2 * time.Second // a victim keeps at least this much time beyond its remaining run time
+	maxShareReturn  = 2 * time.Second // after which a waiting account gets its share back from runs of the same priority that save their work
 	minPreemptions  = 16              // minimum limit of concurrent preemptions
 	// workersPerPreemption is the number of workers per concurrent preemption above that minimum. A
 	// stop takes up to a second, and a burst needs several tasks per worker.
@@ -111,14 +112,35 @@
 
 // preemptibleFor reports whether the step may preempt the run.
 func (d *Dispatcher) preemptibleFor(now time.Duration, s *step, r *run) bool {
-	return r.phase == runRunning && yieldsTo(s, r.task.step) && (r.backfilled || toleratesPreemption(now, r))
+	if r.phase != runRunning || !r.task.step.savesWork() {
+		return false
+	}
+	if yieldsTo(s, r.task.step) {
+		return r.backfilled || r.task.step.job.beyondRate || toleratesPreemption(now, r)
+	}
+	return d.returnsShare(now, s, r)
+}
+
+// savesWork reports whether the step's runs lose no work when they are preempted.
+func (s *step) savesWork() bool {
+	return s.def.Checkpointing && !s.def.Gang && !s.def.LongRunning && !s.def.Filler
 }
 
-// yieldsTo reports whether runs of other lose no work when s preempts them and are of a less
-// urgent queue.
+// yieldsTo reports whether runs of other lose no work when s preempts them, and are less urgent:
+// beyond their account's rate, or of a less urgent queue.
 func yieldsTo(s, other *step) bool {
-	return other.job.queue.Priority > s.job.queue.Priority && other.def.Checkpointing &&
-		!other.def.Gang && !other.def.LongRunning && !other.def.Filler
+	if order := compareBool(s.job.beyondRate, other.job.beyondRate); order != 0 {
+		return order < 0 && other.savesWork()
+	}
+	return comparePriority(s, other) < 0 && other.savesWork()
+}
+
+// returnsShare reports whether the run uses capacity lent to its account that the step's account
+// has waited for longer than maxShareReturn.
+func (d *Dispatcher) returnsShare(now time.Duration, s *step, r *run) bool {
+	other := r.task.step.job
+	return s.job.account != nil && s.job.account != other.account && d.compareClasses(now, s, r.task.step) == 0 &&
+		now-s.job.arrivedAt > maxShareReturn && d.hasShareLeft(s.job.account) && d.aboveShareWithout(other.account, r.task.step.def.Demand)
 }
 
 // toleratesPreemption reports whether the run's submission can still meet its objective after
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -13,6 +13,8 @@
 	State fleet.State    `cbor:"1,keyasint"`
 	Tasks []TaskProgress `cbor:"2,keyasint,omitempty"` // tasks that are done, have failed or have a checkpoint
 	Gangs []GangProgress `cbor:"3,keyasint,omitempty"`
+	// Account is that of the submission, for VMs that answer callers from this record.
+	Account string `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskProgress is the state of a task that outlives its runs.
@@ -45,6 +47,7 @@
 	Job          fleet.JobID
 	Progress     *Progress        // nil if this is another kind of record
 	Remove       bool             // the job is deleted
+	Account      string           // of the deleted job
 	Workers      []RecordedWorker // the complete worker list, if IsWorkerList
 	IsWorkerList bool
 	Wave         *WaveProgress
@@ -54,9 +57,15 @@
 	version int64
 }
 
+// removal names a job whose records are to be deleted.
+type removal struct {
+	ID      fleet.JobID
+	Account string
+}
+
 // snapshotProgress returns a copy of the state to be stored. A final state needs no tasks.
 func (j *job) snapshotProgress() *Progress {
-	p := &Progress{State: j.state}
+	p := &Progress{State: j.state, Account: j.sub.Account}
 	if j.state.Final() {
 		return p
 	}
@@ -152,7 +161,7 @@
 		})
 	}
 	for len(batch)+keysPerRemoval <= limit && len(d.removals) > 0 {
-		batch = append(batch, Record{Job: d.removals[0], Remove: true})
+		batch = append(batch, Record{Job: d.removals[0].ID, Account: d.removals[0].Account, Remove: true})
 		d.removals = d.removals[1:]
 		limit -= keysPerRemoval - 1
 	}
@@ -196,7 +205,7 @@
 			}
 		case rec.Remove:
 			if !ok {
-				d.removals = append(d.removals, rec.Job)
+				d.removals = append(d.removals, removal{ID: rec.Job, Account: rec.Account})
 			}
 		default:
 			d.handleProgressWrite(rec, ok)
@@ -246,7 +255,7 @@
 		}
 		n++
 		delete(d.jobs, j.sub.ID)
-		d.removals = append(d.removals, j.sub.ID)
+		d.removals = append(d.removals, removal{ID: j.sub.ID, Account: j.sub.Account})
 	}
 	d.finalJobs = d.finalJobs[n:]
 }
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -61,7 +61,7 @@
 	h.d.HandleBatchResult(h.now, second, true)
 	h.d.HandleBatchResult(h.now, first, false)
 	for _, rec := range first {
-		if h.d.State(rec.Job).Final() {
+		if h.d.Status(rec.Job).State.Final() {
 			t.Fatalf("%s is reported as ended although its write failed", rec.Job)
 		}
 	}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertcross/internal/event"
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/model"
 )
 
@@ -214,10 +215,10 @@
 		if rack != "" && w.rack() != rack || w.reservedFor != nil || !d.mayRunMember(now, s, w) {
 			continue
 		}
-		if !s.def.Gang && dominantShare(w.entry.Capacity, reservedCapacity(s.def)) < wideShare {
+		if !s.def.Gang && fairshare.DominantShare(reservedCapacity(s.def), w.entry.Capacity) < wideShare {
 			continue
 		}
-		used := dominantShare(w.entry.Capacity, w.used)
+		used := fairshare.DominantShare(w.used, w.entry.Capacity)
 		for _, at := range d.memberTimes(now, s, w) {
 			slots = append(slots, memberSlot{w, at, used})
 		}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -88,6 +88,7 @@
 	recordedWorkers []RecordedWorker
 	batchInFlight   bool
 	done            map[fleet.TaskID]bool // acknowledged as completed
+	accounts        *fleet.Accounts       // of the submissions in turn, checked against their quotas; nil: none
 	starts          int
 }
 
@@ -188,6 +189,7 @@
 	if used > w.entry.Capacity.MilliCPU {
 		h.fail("worker %s is overcommitted: %d of %d mCPU", w.entry.ID, used, w.entry.Capacity.MilliCPU)
 	}
+	h.checkQuota(sub, step.Demand)
 	h.starts++
 	w.runs[s.Task] = &simRun{run: s.Run, startedAt: h.now, duration: step.Estimate/2 + h.jitter(step.Estimate), fails: h.rng.IntN(30) == 0, milliCPU: step.Demand.MilliCPU}
 	return nil
@@ -334,7 +336,9 @@
 	opts := testOptions()
 	opts.Fence = h.fence
 	h.d = New(h.now, opts, eventTracer{h})
-	h.d.SetConfiguration(testConfiguration())
+	conf := testConfiguration()
+	conf.Accounts = h.accounts
+	h.d.SetConfiguration(conf)
 	h.d.SetRecordedWorkers(h.recordedWorkers)
 	h.listWorkers()
 	if generation := h.ownerGeneration; h.peerRNG.IntN(2) == 0 { // the previous owner's VM responds
@@ -389,8 +393,8 @@
 	}
 }
 
-func runHistory(t testFailer, seed uint64) int {
-	h := &simHistory{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
+func runHistory(t testFailer, seed uint64, accounts *fleet.Accounts) int {
+	h := &simHistory{t: t, seed: seed, accounts: accounts, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
 		jobs: map[fleet.JobID]*fleet.Submission{}, revisions: map[fleet.JobID]int64{}, store: map[fleet.JobID]*Progress{}, done: map[fleet.TaskID]bool{}}
 	for i := range 5 {
 		w := &simWorker{h: h, entry: workerEntry(i), up: true, clockRate: 0.98 + 0.02*h.rng.Float64()}
@@ -408,6 +412,9 @@
 		second := tasks(1+h.rng.IntN(3), 2)
 		second.Estimate, second.After = 300*time.Millisecond, []int{0}
 		h.jobs[id] = &fleet.Submission{ID: id, Queue: "quick", Service: "pool", Steps: []fleet.Step{step, second}}
+		if accounts != nil {
+			h.jobs[id].Account = simAccounts[len(h.jobs)%len(simAccounts)]
+		}
 		h.revisions[id] = revision
 		h.d.AddJob(h.now, h.jobs[id], revision, 0, nil)
 	})
@@ -420,7 +427,7 @@
 		e.do()
 	}
 	for i := range len(h.jobs) {
-		if state := h.d.State(simID(i)); state != fleet.StateCompleted && state != fleet.StateFailed {
+		if state := h.d.Status(simID(i)).State; state != fleet.StateCompleted && state != fleet.StateFailed {
 			h.fail("submission %d is %v a minute after the last fault", i, state)
 		}
 	}
@@ -438,11 +445,11 @@
 func TestSimulatedHistoriesKeepInvariants(t *testing.T) {
 	starts := 0
 	for seed := range regressions {
-		starts += runHistory(t, seed)
+		starts += runHistory(t, seed, nil)
 	}
 	first := seedFromEnvironment(proptest.SeedVariable, 1) * 1_000_000
 	for i := range seedFromEnvironment(proptest.ChecksVariable, 30) {
-		starts += runHistory(t, first+i)
+		starts += runHistory(t, first+i, nil)
 	}
 	t.Logf("%d starts", starts)
 }
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -25,6 +25,9 @@
 			t.runs[0] != r || s.job.closed() || !mayBeLost(r) && (d.stepsUnplaced || !copyWouldBeFaster(now, r)) {
 			continue
 		}
+		if !d.quotaAllows(now, s, 1) {
+			continue
+		}
 		w := d.bestWorker(now, s, t, d.workerList)
 		if w == nil {
 			d.requestAdvice(now, s)
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -245,7 +245,7 @@
 	first := h.starts[0]
 	h.acceptStarts(h.starts)
 	h.report(first.To.ID, h.runResult(first, fleet.OutcomeDone))
-	if got := h.d.State("a"); got.Final() {
+	if got := h.d.Status("a").State; got.Final() {
 		t.Fatalf("%v is reported before it is durable", got)
 	}
 	h.advance(unackedPollInterval)
@@ -257,7 +257,7 @@
 	}
 	batch := h.d.NextBatch(h.now, 30)
 	h.d.HandleBatchResult(h.now, batch, false)
-	if got := h.d.State("a"); got.Final() {
+	if got := h.d.Status("a").State; got.Final() {
 		t.Fatalf("%v is reported after a failed write", got)
 	}
 	h.advance(time.Second)
@@ -270,7 +270,7 @@
 		}
 	}
 	h.commitAll()
-	if got := h.d.State("a"); got != fleet.StateCompleted {
+	if got := h.d.Status("a").State; got != fleet.StateCompleted {
 		t.Fatalf("state %v, want completed", got)
 	}
 	h.report(first.To.ID)
@@ -291,25 +291,25 @@
 		h.acceptStarts(h.starts)
 		h.report(first.To.ID, h.runResult(first, fleet.OutcomeFailed))
 	}
-	if got := h.d.State("a"); got.Final() {
+	if got := h.d.Status("a").State; got.Final() {
 		t.Fatalf("%v is reported before it is durable", got)
 	}
 	h.commitAll()
-	if got := h.d.State("a"); got != fleet.StateFailed {
+	if got := h.d.Status("a").State; got != fleet.StateFailed {
 		t.Fatalf("state %v, want failed", got)
 	}
 }
 
 func TestCancelBeforeSubmissionTakesEffect(t *testing.T) {
 	h := newHarness(t, 1)
-	h.d.Cancel(h.now, "a")
+	h.d.Cancel(h.now, "a", "")
 	h.submit("quick", "a", tasks(1, 4))
 	h.decide()
 	if len(h.starts) != 0 {
 		t.Fatal("a canceled submission is started")
 	}
 	h.commitAll()
-	if got := h.d.State("a"); got != fleet.StateCanceled {
+	if got := h.d.Status("a").State; got != fleet.StateCanceled {
 		t.Fatalf("state %v, want canceled", got)
 	}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -172,6 +172,9 @@
 	if s.def.Filler {
 		w.fillerRuns++
 	}
+	if a := s.job.account; a != nil {
+		a.usage = a.usage.Add(s.def.Demand)
+	}
 	d.runs[r.id] = r
 	d.runList = append(d.runList, r)
 }
@@ -190,6 +193,12 @@
 		w.stoppingDemand = w.stoppingDemand.Sub(r.demand)
 	}
 	r.removed = true
+	if a := s.job.account; a != nil {
+		a.usage = a.usage.Sub(s.def.Demand)
+		if r.phase == runStopping {
+			a.stopping = a.stopping.Sub(s.def.Demand)
+		}
+	}
 	if s.runsPerWorker != nil {
 		if s.runsPerWorker[w.entry.ID]--; s.runsPerWorker[w.entry.ID] <= 0 {
 			delete(s.runsPerWorker, w.entry.ID)
--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -30,6 +30,7 @@
 type WriteResult struct {
 	Stored   bool
 	Revision int64           // of the write; 0: the key existed already, possibly through an attempt without a response
+	Existing []byte          // value of the key that existed already; nil if it is not known
 	Verdict  verdict.Verdict // if not Stored: whether the write may still take effect
 	Attempts int
 	Err      error // of the last failed attempt, if not Stored
@@ -72,6 +73,9 @@
 			switch {
 			case attempt.err == nil || errors.As(attempt.err, &conflict):
 				r.Stored, r.Revision, r.Err = true, attempt.revision, nil
+				if conflict != nil && len(conflict.Current) > 0 {
+					r.Existing = conflict.Current[0].Value
+				}
 				return r
 			case fleet.IsNotRun(attempt.err):
 				rejected++
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -26,6 +26,7 @@
 // Format is the format of the callers' API, as provided by the platform's adapter.
 type Format struct {
 	DeadlineHeader    string // name of the header with the milliseconds that the caller waits
+	KeyHeader         string // name of the header with the API key
 	ValidID           func(id string) bool
 	ParseSubmission   func(id string, body []byte) (fleet.Submission, error)
 	FormatState       func(fleet.State) ([]byte, error)
@@ -36,8 +37,11 @@
 // be safe for concurrent use.
 type ClusterView interface {
 	Configuration() *fleet.Configuration // nil: none yet
-	// SubmissionState queries the owner, or the store if the owner does not respond.
-	SubmissionState(ctx context.Context, id fleet.JobID) (fleet.State, error)
+	// ConfigurationAge returns the time since the configuration that Configuration then returns was
+	// last known to be the newest.
+	ConfigurationAge() time.Duration
+	// SubmissionStatus queries the owner, or the store if the owner does not respond.
+	SubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error)
 	// QueueLength returns the number of waiting submissions; false: it is not known.
 	QueueLength(queue string) (int, bool)
 	// NotifyStored notifies the owner of an intake item that was written at a revision.
@@ -49,6 +53,7 @@
 // Handler serves the callers' API. It is safe for concurrent use.
 type Handler struct {
 	format  Format
+	limits  AgeLimits
 	view    ClusterView
 	store   Committer
 	relay   Committer
@@ -58,9 +63,9 @@
 }
 
 // NewHandler returns a handler whose write attempts alternate between store and relay; relay may be nil.
-func NewHandler(format Format, view ClusterView, store, relay Committer, events event.Recorder, scope tally.Scope) *Handler {
+func NewHandler(format Format, limits AgeLimits, view ClusterView, store, relay Committer, events event.Recorder, scope tally.Scope) *Handler {
 	return &Handler{
-		format: format, view: view, store: store, relay: relay, events: events, scope: scope,
+		format: format, limits: limits, view: view, store: store, relay: relay, events: events, scope: scope,
 		latency: scope.Histogram("caller_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)),
 	}
 }
@@ -77,15 +82,18 @@
 }
 
 func (h *Handler) route(w http.ResponseWriter, r *http.Request) int {
+	age := h.view.ConfigurationAge() // before the configuration, which is at least as new
 	conf := h.view.Configuration()
-	if conf == nil {
-		return h.reject(w, r, "", http.StatusServiceUnavailable, "no configuration yet", nil)
-	}
-	queue, ok := conf.MatchQueue(hostName(r), r.URL.Path)
-	if !ok {
-		h.events.Record(event.CallerRequestUnrouted, r.Method, r.Host, r.URL.Path, conf.Version)
-		return writeResponse(w, http.StatusNotFound, nil)
-	}
+	access := authorize(conf, age, h.limits, hostName(r), r.URL.Path, r.Header.Get(h.format.KeyHeader))
+	switch access.status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		return h.reject(w, r, "", access.status, access.reason, nil)
+	default:
+		h.events.Record(event.CallerRequestUnrouted, r.Method, r.Host, r.URL.Path, conf.Version, age, access.status, access.reason)
+		return writeResponse(w, access.status, nil)
+	}
+	queue := access.queue
 	id := strings.TrimPrefix(r.URL.Path, queue.Prefix)
 	ctx, cancel := context.WithTimeout(r.Context(), h.requestTimeout(r))
 	defer cancel()
@@ -96,11 +104,11 @@
 		h.events.Record(event.SubmissionInvalid, id, queue.Name, "the id is not valid")
 		return writeResponse(w, http.StatusBadRequest, []byte(`{"error":"the id is not valid"}`))
 	case r.Method == http.MethodGet:
-		return h.serveState(ctx, w, r, fleet.JobID(id))
+		return h.serveState(ctx, w, r, access.account, fleet.JobID(id))
 	case r.Method == http.MethodPost:
-		return h.serveSubmit(ctx, w, r, queue, conf, id)
+		return h.serveSubmit(ctx, w, r, access, conf, id)
 	case r.Method == http.MethodDelete:
-		return h.serveCancel(ctx, w, r, fleet.JobID(id))
+		return h.serveCancel(ctx, w, r, access.account, fleet.JobID(id))
 	}
 	w.Header().Set("Allow", "GET, POST, DELETE")
 	return writeResponse(w, http.StatusMethodNotAllowed, nil)
@@ -121,7 +129,8 @@
 	return max(time.Duration(ms)*time.Millisecond-responseReserve, responseReserve)
 }
 
-func (h *Handler) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, queue fleet.Queue, conf *fleet.Configuration, id string) int {
+func (h *Handler) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, access access, conf *fleet.Configuration, id string) int {
+	queue := access.queue
 	limit := conf.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -136,22 +145,32 @@
 		h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
 		return writeResponse(w, http.StatusBadRequest, []byte(`{"error":`+strconv.Quote(err.Error())+`}`))
 	}
-	sub.Queue, sub.Service, sub.Received = queue.Name, queue.Service, time.Now()
+	sub.Queue, sub.Service, sub.Account, sub.Received = queue.Name, queue.Service, access.account, time.Now()
+	if account, ok := conf.Accounts.ByName(access.account); ok {
+		if err := checkQuota(&sub, account); err != nil {
+			h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
+			return writeResponse(w, http.StatusBadRequest, []byte(`{"error":`+strconv.Quote(err.Error())+`}`))
+		}
+	}
 	txn, err := owner.SubmissionTxn(&sub)
 	if err != nil {
 		return h.reject(w, r, id, http.StatusInternalServerError, "encode", err)
 	}
 	result := createKey(ctx, h.store, h.relay, txn)
 	if result.Stored {
+		if other := owner.StoredAccount(result.Existing); other != access.account && len(result.Existing) > 0 {
+			h.events.Record(event.SubmissionIDTaken, id, access.account, other)
+			return writeResponse(w, http.StatusConflict, []byte(`{"error":"another submission has this id"}`))
+		}
 		h.notifyOwner(txn, result)
-		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Attempts)
+		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Attempts, access.account)
 		return writeResponse(w, http.StatusOK, []byte("{}"))
 	}
 	return h.rejectWrite(w, r, id, result)
 }
 
-func (h *Handler) serveCancel(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.JobID) int {
-	txn := owner.CancelTxn(id)
+func (h *Handler) serveCancel(ctx context.Context, w http.ResponseWriter, r *http.Request, account string, id fleet.JobID) int {
+	txn := owner.CancelTxn(id, account)
 	result := createKey(ctx, h.store, h.relay, txn)
 	if result.Stored {
 		h.notifyOwner(txn, result)
@@ -183,16 +202,16 @@
 	return writeResponse(w, status, nil)
 }
 
-func (h *Handler) serveState(ctx context.Context, w http.ResponseWriter, r *http.Request, id fleet.JobID) int {
-	state, err := h.view.SubmissionState(ctx, id)
+func (h *Handler) serveState(ctx context.Context, w http.ResponseWriter, r *http.Request, account string, id fleet.JobID) int {
+	status, err := h.view.SubmissionStatus(ctx, id)
 	if err != nil {
 		return h.reject(w, r, string(id), http.StatusServiceUnavailable, "the state is not available", err)
 	}
-	if state == fleet.StateUnknown {
+	if status.State == fleet.StateUnknown || !status.VisibleTo(account) {
 		h.events.Record(event.SubmissionUnknown, id)
 		return writeResponse(w, http.StatusGone, nil)
 	}
-	body, err := h.format.FormatState(state)
+	body, err := h.format.FormatState(status.State)
 	if err != nil {
 		return h.reject(w, r, string(id), http.StatusInternalServerError, "encode", err)
 	}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -19,8 +20,9 @@
 func (fakeView) Configuration() *fleet.Configuration {
 	return &fleet.Configuration{Version: 1, Queues: []fleet.Queue{{Name: "q", Host: "example.com", Prefix: "/q/"}}}
 }
-func (fakeView) SubmissionState(context.Context, fleet.JobID) (fleet.State, error) {
-	return fleet.StateUnknown, nil
+func (fakeView) ConfigurationAge() time.Duration { return 0 }
+func (fakeView) SubmissionStatus(context.Context, fleet.JobID) (fleet.Status, error) {
+	return fleet.Status{}, nil
 }
 func (fakeView) QueueLength(string) (int, bool)  { return 0, false }
 func (fakeView) NotifyStored(fleet.Write, int64) {}
@@ -38,7 +40,7 @@
 		http.StatusGatewayTimeout:     func(ctx context.Context, _ int) error { <-ctx.Done(); return errNoResponse },
 		http.StatusOK:                 func(context.Context, int) error { return nil },
 	} {
-		h := NewHandler(format, fakeView{}, &fakeStore{respond: respond}, nil, event.Discard{}, tally.NoopScope)
+		h := NewHandler(format, AgeLimits{Reject: time.Second, Accept: time.Second}, fakeView{}, &fakeStore{respond: respond}, nil, event.Discard{}, tally.NoopScope)
 		for _, method := range []string{http.MethodPost, http.MethodDelete} {
 			r := httptest.NewRequest(method, "/q/a", strings.NewReader("{}"))
 			r.Header.Set("Deadline-Ms", "500")
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -110,6 +110,10 @@
 		Summary: "A gang, or tasks that need a large part of a worker, do not fit now. Workers are reserved for them, unless too few are eligible.",
 		Action:  "If ready_in stays high, look at the runs on its workers. If reserved is 0, compare eligible, the workers that may run a task of the step, with tasks: advice, labels, drains or back-offs leave too few.",
 		Keys:    []string{"step", "tasks", "eligible", "reserved", "ready_in"}})
+	AccountAtQuota = Define(Definition{ID: 2124, Name: "account-at-quota", Level: Info,
+		Summary: "A step waits because its account's runs, with those that an earlier owner may have left, use the account's quota.",
+		Action:  "Nothing while the account uses what it may. Otherwise raise its quota.",
+		Keys:    []string{"account", "step", "cpu", "memory", "accelerators", "max_cpu", "max_memory", "max_accelerators"}})
 	RunPreempted = Define(Definition{ID: 2122, Name: "run-preempted", Level: Info,
 		Summary: "A run that supports checkpoints is stopped to free capacity for a more urgent step.",
 		Action:  "If it happens all the time, the cluster is too small for its urgent queues.",
@@ -185,7 +189,7 @@
 	SubmissionAccepted = Define(Definition{ID: 4100, Name: "submission-accepted", Level: Info,
 		Summary: "A submission was stored and its caller was notified.",
 		Action:  "Nothing.",
-		Keys:    []string{"submission", "queue", "configuration", "tries"}})
+		Keys:    []string{"submission", "queue", "configuration", "tries", "account"}})
 	SubmissionInvalid = Define(Definition{ID: 4101, Name: "submission-invalid", Level: Warn,
 		Summary: "A submission was rejected because its content is invalid.",
 		Action:  "Notify the caller.",
@@ -199,9 +203,13 @@
 		Action:  "Check the reason attribute, and the events before it for dependencies that this VM lost.",
 		Keys:    []string{"submission", "method", "status", "reason", "error"}})
 	CallerRequestUnrouted = Define(Definition{ID: 4104, Name: "caller-unrouted", Level: Info,
-		Summary: "No queue of the configuration matches the path of a caller's request.",
-		Action:  "Compare the path with the operators' configuration of that version.",
-		Keys:    []string{"method", "host", "path", "configuration"}})
+		Summary: "No queue of the configuration matches a caller's request, or no account has its key.",
+		Action:  "Compare the path and the account's keys with the operators' configuration of that version.",
+		Keys:    []string{"method", "host", "path", "configuration", "age", "status", "reason"}})
+	SubmissionIDTaken = Define(Definition{ID: 4106, Name: "submission-id-taken", Level: Warn,
+		Summary: "A submission was rejected because another account has handed in one with its id.",
+		Action:  "Ask the account how it chooses ids.",
+		Keys:    []string{"submission", "account", "other"}})
 	SubmissionUnknown = Define(Definition{ID: 4105, Name: "state-unknown", Level: Info,
 		Summary: "A caller requested the state of a submission that neither the owner nor the store knows.",
 		Action:  "Nothing.",
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -10,6 +10,8 @@
 	Version int64
 	Queues  []Queue
 	MaxBody int64 // maximum size of a submission's body in bytes
+	// Accounts are the client accounts; nil: requests need no API key.
+	Accounts *Accounts
 }
 
 // Queue accepts the submissions sent to a host under a path prefix.
@@ -23,6 +25,7 @@
 	SlowdownFactor float64
 	TargetLatency  time.Duration
 	Advice         *AdvicePolicy // nil: every worker of the pool is allowed
+	Public         bool          // requests need no API key; their submissions belong to no account
 }
 
 // AdvicePolicy describes the latency of a queue's advice service and the validity of its tickets.
--- a/internal/fleet/submission.go
+++ b/internal/fleet/submission.go
@@ -61,12 +61,22 @@
 	Occurrences int           `cbor:"6,keyasint"` // number of scheduled runs; 0: runs once, immediately
 	FirstRun    time.Time     `cbor:"7,keyasint"`
 	Interval    time.Duration `cbor:"8,keyasint"`
-	Received    time.Time     `cbor:"9,keyasint"` // wall clock of the VM that accepted it
+	Received    time.Time     `cbor:"9,keyasint"`            // wall clock of the VM that accepted it
+	Account     string        `cbor:"10,keyasint,omitempty"` // name of the client account that handed it in; empty: none
 }
 
 // HasSchedule reports whether the submission runs at given times.
 func (s *Submission) HasSchedule() bool { return s.Occurrences > 0 }
 
+// Status is what is known of a submission.
+type Status struct {
+	State   State
+	Account string // that handed it in; empty: none
+}
+
+// VisibleTo reports whether a caller with the account, empty for none, may see the submission.
+func (s Status) VisibleTo(account string) bool { return s.Account == "" || s.Account == account }
+
 // State is the state of a submission as reported to callers.
 type State int
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -75,9 +75,13 @@
 		PeerServer:     peer.NewServer(peers, events),
 		PeerClient:     peer.NewClient(peers, events),
 		Format: entry.Format{
-			DeadlineHeader: platform.DeadlineHeader, ValidID: platform.ValidJobID, ParseSubmission: platform.ParseSubmission,
+			DeadlineHeader: platform.DeadlineHeader, KeyHeader: platform.APIKeyHeader, ValidID: platform.ValidJobID, ParseSubmission: platform.ParseSubmission,
 			FormatState: platform.FormatState, FormatQueueLength: platform.FormatQueueLength,
 		},
+		AgeLimits: entry.AgeLimits{
+			Reject: platform.Milliseconds(s.Bounds.ConfigApplyMS),
+			Accept: platform.Milliseconds(max(s.Bounds.ConfigApplyMS, s.Bounds.RevokeMS)),
+		},
 		Owner: owner.Options{
 			LeaseTTL: ownerLease,
 			Store:    store, Workers: platform.NewWorkerClient(),
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -162,7 +162,7 @@
 		configurations: newConfigurationCache(parse, event.Discard{}, tally.NoopScope),
 		storeReads:     newReadSeries(sourceStore, event.Discard{}, tally.NoopScope),
 	}
-	n.opts.Store, n.opts.Owner.Codec.ConfigKey = supersedingStore{node: n}, "op/config"
+	n.opts.Store, n.opts.Owner.Codec.ConfigKey, n.opts.Owner.Clock = supersedingStore{node: n}, "op/config", bootClock
 	n.advanceOperatorRevision(4)
 	if _, err := n.readConfiguration(context.Background(), configWatchTime); err != nil || parsed != 0 || n.operatorRevision.Load() != 9 {
 		t.Fatalf("error %v, %d entries applied, revision %d; want none applied and revision 9", err, parsed, n.operatorRevision.Load())
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -102,9 +102,11 @@
 // which this VM has them, and applies them. Without such a revision it lists all entries. It reports
 // whether there were any.
 func (n *Node) readConfiguration(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	start := time.Now()
-	items, next, err := n.readOperatorEntries(ctx, n.operatorRevision.Load(), wait)
+	start, sent := time.Now(), n.opts.Owner.Clock()
+	after := n.operatorRevision.Load()
+	items, next, err := n.readOperatorEntries(ctx, after, wait)
 	if errors.Is(err, fleet.ErrCompacted) {
+		after = 0
 		items, next, err = n.readOperatorEntries(ctx, 0, wait)
 	}
 	n.storeReads.observe(start, n.configurations.version(), err)
@@ -118,6 +120,7 @@
 		}
 	}
 	n.advanceOperatorRevision(next)
+	n.confirmNewest(n.readReflects(sent, wait, after == 0 || len(items) > 0))
 	if n.configurations.version() == 0 {
 		pause.For(ctx, electionRetryDelay)
 	}
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -234,6 +234,7 @@
 	defer cancel()
 	defer n.detach()
 	for attached := false; ctx.Err() == nil; {
+		sent := n.opts.Owner.Clock()
 		reply, err := n.attach(ctx, address)
 		if err != nil {
 			var failure *peer.Error
@@ -254,6 +255,7 @@
 			n.opts.Events.Record(event.OwnerFound, address, address, reply.Fence)
 		}
 		n.applyAnnouncement(ctx, address, reply)
+		n.confirmAnnounced(sent, reply)
 	}
 	return ownerLost
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -37,6 +37,10 @@
 	// entries of operators up to OperatorRevision of the store.
 	ConfigurationVersion int64 `json:"version,omitempty"`
 	OperatorRevision     int64 `json:"revision,omitempty"`
+	// ConfigurationAge is the time since the owner last knew that this version was the newest; 0: not
+	// said by an earlier release. Held is how long the owner held the poll before it determined both.
+	ConfigurationAge time.Duration `json:"age,omitempty"`
+	Held             time.Duration `json:"held,omitempty"`
 
 	QueueLengths map[string]int `json:"waiting"`
 	Peers        []string       `json:"peers"`
@@ -48,7 +52,8 @@
 }
 
 type stateResponse struct {
-	State fleet.State `json:"state"`
+	State   fleet.State `json:"state"`
+	Account string      `json:"account,omitempty"`
 }
 
 type commitRequest struct {
@@ -56,10 +61,11 @@
 }
 
 type commitResponse struct {
-	Revision int64  `json:"revision"`
-	Conflict bool   `json:"conflict"`
-	NotRun   bool   `json:"not_run"`
-	Error    string `json:"failure,omitempty"`
+	Revision int64        `json:"revision"`
+	Conflict bool         `json:"conflict"`
+	Current  []fleet.Item `json:"current,omitempty"` // of the keys whose conditions were not met
+	NotRun   bool         `json:"not_run"`
+	Error    string       `json:"failure,omitempty"`
 }
 
 type adviseRequest struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	AdviceClient   fleet.AdviceClient
 	Owner          owner.Options // New sets Advice, PreviousOwner, Successor and Configuration
 	Format         entry.Format
+	AgeLimits      entry.AgeLimits // of the configuration by which callers are answered
 	Events         event.Recorder
 	Scope          tally.Scope
 	MetricsHandler http.Handler
@@ -69,6 +70,9 @@
 	openConnections   atomic.Int64 // of callers and of the platform
 	// configConfirmedAt is the clock reading of the last successful read of the configuration.
 	configConfirmedAt atomic.Int64
+	// configNewestAt is the clock reading at which the active configuration was last known to be the
+	// newest of the store; 0: not yet.
+	configNewestAt atomic.Int64
 	// operatorRevision is the store's revision up to which this VM has the configuration; 0: none.
 	operatorRevision     atomic.Int64
 	configReadSuperseded chan struct{} // interrupts watchConfiguration's wait for a read
@@ -107,7 +111,7 @@
 // the error of the failed server.
 func (n *Node) Run(ctx context.Context) error {
 	servers := []*http.Server{
-		n.newServer(n.opts.CallerAddress, entry.NewHandler(n.opts.Format, n, n.breaker, relayCommitter{n}, n.opts.Events, n.opts.Scope)),
+		n.newServer(n.opts.CallerAddress, entry.NewHandler(n.opts.Format, n.opts.AgeLimits, n, n.breaker, relayCommitter{n}, n.opts.Events, n.opts.Scope)),
 		n.newServer(n.opts.ReadyAddress, http.HandlerFunc(n.serveReady)),
 		n.newServer(n.opts.MetricsAddress, n.opts.MetricsHandler),
 	}
@@ -225,35 +229,35 @@
 	queueLengthsMaxAge = 4 * time.Second        // queue lengths may lag by the visibility bound and 2 s
 )
 
-// SubmissionState implements entry.ClusterView. It queries the owner, then the store, whose state
+// SubmissionStatus implements entry.ClusterView. It queries the owner, then the store, whose state
 // lags a little behind. If the store does not answer either, it accepts the possibly stale state
 // of an owner that has lost the store.
-func (n *Node) SubmissionState(ctx context.Context, id fleet.JobID) (fleet.State, error) {
-	if state, err := n.ownerSubmissionState(ctx, id, false); err == nil && state != fleet.StateUnknown {
-		return state, nil
+func (n *Node) SubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error) {
+	if status, err := n.ownerSubmissionStatus(ctx, id, false); err == nil && status.State != fleet.StateUnknown {
+		return status, nil
 	}
-	state, err := n.storedSubmissionState(ctx, id)
+	status, err := n.storedSubmissionStatus(ctx, id)
 	if err != nil {
-		if stale, staleErr := n.ownerSubmissionState(ctx, id, true); staleErr == nil && stale != fleet.StateUnknown {
+		if stale, staleErr := n.ownerSubmissionStatus(ctx, id, true); staleErr == nil && stale.State != fleet.StateUnknown {
 			return stale, nil
 		}
 	}
-	return state, err
+	return status, err
 }
 
-func (n *Node) storedSubmissionState(ctx context.Context, id fleet.JobID) (fleet.State, error) {
+func (n *Node) storedSubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return owner.StoredSubmissionState(ctx, n.opts.Store, id)
+	return owner.StoredSubmissionStatus(ctx, n.opts.Store, id)
 }
 
-// ownerSubmissionState queries the owner. With allowStale it accepts the state of an owner whose
+// ownerSubmissionStatus queries the owner. With allowStale it accepts the state of an owner whose
 // lease may have expired.
-func (n *Node) ownerSubmissionState(ctx context.Context, id fleet.JobID, allowStale bool) (fleet.State, error) {
+func (n *Node) ownerSubmissionStatus(ctx context.Context, id fleet.JobID, allowStale bool) (fleet.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	if o := n.currentOwner.Load(); o != nil && (allowStale || o.HoldsLease()) {
-		return o.SubmissionState(ctx, id)
+		return o.SubmissionStatus(ctx, id)
 	}
 	n.mu.Lock()
 	address := n.ownerAddress
@@ -262,11 +266,11 @@
 	}
 	n.mu.Unlock()
 	if address == "" {
-		return fleet.StateUnknown, errNoOwner
+		return fleet.Status{}, errNoOwner
 	}
 	var reply stateResponse
 	err := n.opts.PeerClient.Call(ctx, address, methodState, stateRequest{ID: id, AllowStale: allowStale}, &reply)
-	return reply.State, err
+	return fleet.Status{State: reply.State, Account: reply.Account}, err
 }
 
 var errNoOwner = errors.New("node: no owner is known")
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -53,6 +53,7 @@
 // knows of, or after attachPollTime. The response does not contain the configuration, so that a
 // large one delays neither the next poll nor other calls on the connection.
 func (n *Node) serveAttach(ctx context.Context, r attachRequest) (attachResponse, error) {
+	arrived := n.opts.Owner.Clock()
 	o, err := n.activeOwner()
 	if err != nil {
 		return attachResponse{}, err
@@ -79,7 +80,8 @@
 		return attachResponse{}, err
 	}
 	reply := attachResponse{Fence: o.Fence(), QueueLengths: queueLengths, Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
-	reply.OperatorRevision = n.operatorRevision.Load() // before the version, which is at least as new
+	reply.OperatorRevision, reply.ConfigurationAge = n.operatorRevision.Load(), n.ConfigurationAge() // before the version, which is at least as new
+	reply.Held = n.opts.Owner.Clock() - arrived
 	version, raw := n.configurations.activeBytes()
 	reply.ConfigurationVersion = version
 	if !r.AcceptsChunks && version > r.Configuration {
@@ -93,8 +95,8 @@
 	if o == nil || !r.AllowStale && !o.HoldsLease() {
 		return stateResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM does not decide", Verdict: verdict.NotRun}
 	}
-	state, err := o.SubmissionState(ctx, r.ID)
-	return stateResponse{State: state}, err
+	status, err := o.SubmissionStatus(ctx, r.ID)
+	return stateResponse{State: status.State, Account: status.Account}, err
 }
 
 func (n *Node) serveCommit(ctx context.Context, r commitRequest) (commitResponse, error) {
@@ -103,7 +105,7 @@
 	var conflict *fleet.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		reply.Conflict = true
+		reply.Conflict, reply.Current = true, conflict.Current
 	case err != nil:
 		reply.NotRun, reply.Error = fleet.IsNotRun(err), err.Error()
 	}
@@ -187,7 +189,7 @@
 	}
 	switch {
 	case reply.Conflict:
-		return 0, &fleet.ConflictError{}
+		return 0, &fleet.ConflictError{Current: reply.Current}
 	case reply.Error != "":
 		v := verdict.MayHaveRun
 		if reply.NotRun {
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -114,7 +114,7 @@
 			err = set(waveKey(rec.Wave.Wave), rec.Wave)
 			txn.Set = append(txn.Set, fleet.Write{Key: o.opts.Codec.WaveStatusKey(rec.Wave.Wave), Value: o.opts.Codec.WaveState(state)})
 		case rec.Remove:
-			txn.Remove = append(txn.Remove, JobKey(rec.Job), CancelKey(rec.Job), ProgressKey(rec.Job))
+			txn.Remove = append(txn.Remove, JobKey(rec.Job), CancelKey(rec.Job, rec.Account), ProgressKey(rec.Job))
 		default:
 			err = set(ProgressKey(rec.Job), rec.Progress)
 		}
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -19,6 +20,8 @@
 	progressPrefix = "fc/st/" // written by the owner
 	wavePrefix     = progressPrefix + "wave/"
 	cancelValue    = "1"
+
+	cancelSeparator = "/" // between id and account; ids have none
 )
 
 // encoding retains fractions of a second, which the library's default mode drops.
@@ -33,8 +36,20 @@
 // JobKey returns the key of a submission.
 func JobKey(id fleet.JobID) string { return jobPrefix + string(id) }
 
-// CancelKey returns the key of the cancellation of a submission.
-func CancelKey(id fleet.JobID) string { return cancelPrefix + string(id) }
+// CancelKey returns the key of the cancellation of a submission by an account; empty: none. Each
+// account has a key of its own, so that none can take the place of another's cancellation.
+func CancelKey(id fleet.JobID, account string) string {
+	if account == "" {
+		return cancelPrefix + string(id)
+	}
+	return cancelPrefix + string(id) + cancelSeparator + account
+}
+
+// parseCancelKey returns the submission and the account of a key made by CancelKey.
+func parseCancelKey(key string) (fleet.JobID, string) {
+	id, account, _ := strings.Cut(strings.TrimPrefix(key, cancelPrefix), cancelSeparator)
+	return fleet.JobID(id), account
+}
 
 // ProgressKey returns the key of the progress of a submission.
 func ProgressKey(id fleet.JobID) string { return progressPrefix + string(id) }
@@ -51,9 +66,21 @@
 	return createTxn(JobKey(s.ID), value), nil
 }
 
-// CancelTxn returns the transaction that stores a cancellation on condition that its key is
-// absent. It may be committed before the submission.
-func CancelTxn(id fleet.JobID) fleet.Txn { return createTxn(CancelKey(id), []byte(cancelValue)) }
+// StoredAccount returns the account of an encoded submission; empty if it has none or cannot be
+// decoded.
+func StoredAccount(value []byte) string {
+	var s fleet.Submission
+	if err := cbor.Unmarshal(value, &s); err != nil {
+		return ""
+	}
+	return s.Account
+}
+
+// CancelTxn returns the transaction that stores an account's cancellation on condition that its key
+// is absent. It may be committed before the submission.
+func CancelTxn(id fleet.JobID, account string) fleet.Txn {
+	return createTxn(CancelKey(id, account), []byte(cancelValue))
+}
 
 func createTxn(key string, value []byte) fleet.Txn {
 	return fleet.Txn{If: []fleet.Condition{{Key: key}}, Set: []fleet.Write{{Key: key, Value: value}}}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -167,11 +167,11 @@
 		switch {
 		case item.Deleted:
 		case strings.HasPrefix(item.Key, cancelPrefix):
-			id := fleet.JobID(strings.TrimPrefix(item.Key, cancelPrefix))
-			if !o.dispatcher.Cancel(now, id) {
+			id, account := parseCancelKey(item.Key)
+			if !o.dispatcher.Cancel(now, id, account) {
 				continue
 			}
-			o.opts.Events.Record(event.CancelReceived, id, o.dispatcher.State(id))
+			o.opts.Events.Record(event.CancelReceived, id, o.dispatcher.Status(id).State)
 		case strings.HasPrefix(item.Key, jobPrefix):
 			sub := &fleet.Submission{}
 			if err := cbor.Unmarshal(item.Value, sub); err != nil {
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -26,9 +26,9 @@
 	}
 }
 
-// SubmissionState returns the state of a submission as callers see it.
-func (o *Owner) SubmissionState(ctx context.Context, id fleet.JobID) (fleet.State, error) {
-	return queryLoop(ctx, o, func(time.Duration) fleet.State { return o.dispatcher.State(id) })
+// SubmissionStatus returns the status of a submission as callers see it.
+func (o *Owner) SubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error) {
+	return queryLoop(ctx, o, func(time.Duration) fleet.Status { return o.dispatcher.Status(id) })
 }
 
 // QueueLengths returns for each queue the number of submissions of which no task has started.
@@ -75,25 +75,27 @@
 // up ownership.
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
-// StoredSubmissionState reads the state of a submission from the store, for use while no owner
-// responds. It returns fleet.StateUnknown if the submission is not stored.
-func StoredSubmissionState(ctx context.Context, store fleet.Store, id fleet.JobID) (fleet.State, error) {
+// StoredSubmissionStatus reads the status of a submission from the store, for use while no owner
+// responds. Its state is fleet.StateUnknown if the submission is not stored.
+func StoredSubmissionStatus(ctx context.Context, store fleet.Store, id fleet.JobID) (fleet.Status, error) {
 	item, found, _, err := store.Get(ctx, ProgressKey(id))
 	if err != nil {
-		return fleet.StateUnknown, err
+		return fleet.Status{}, err
 	}
 	if found {
 		var p dispatch.Progress
 		if err := cbor.Unmarshal(item.Value, &p); err != nil {
-			return fleet.StateUnknown, errors.Wrap(err, "decode stored progress")
+			return fleet.Status{}, errors.Wrap(err, "decode stored progress")
 		}
+		status := fleet.Status{State: fleet.StateRunning, Account: p.Account}
 		if p.State.Final() {
-			return p.State, nil
+			status.State = p.State
 		}
-		return fleet.StateRunning, nil
+		return status, nil
 	}
-	if _, found, _, err = store.Get(ctx, JobKey(id)); err != nil || !found {
-		return fleet.StateUnknown, err
+	item, found, _, err = store.Get(ctx, JobKey(id))
+	if err != nil || !found {
+		return fleet.Status{}, err
 	}
-	return fleet.StatePending, nil
+	return fleet.Status{State: fleet.StatePending, Account: StoredAccount(item.Value)}, nil
 }
--- a/internal/schedule/filter.go
+++ b/internal/schedule/filter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/model"
 )
 
@@ -70,7 +71,7 @@
 		return size
 	}
 	need := c.atomicTasks()
-	if !underQuota(multiply(size, need), c.branch.Quota) || s.cluster.tasksThatFitEmpty(size, need) < need {
+	if !fairshare.WithinQuota(fairshare.Multiply(size, need), c.branch.Quota) || s.cluster.tasksThatFitEmpty(size, need) < need {
 		return c.key.size
 	}
 	return size
@@ -185,7 +186,7 @@
 	switch {
 	case !c.branch.configured:
 		return "the branch is not in the configuration in force"
-	case !underQuota(multiply(c.key.size, need), c.branch.Quota):
+	case !fairshare.WithinQuota(fairshare.Multiply(c.key.size, need), c.branch.Quota):
 		return "the branch's quota is smaller than " + describeAtomicTasks(need)
 	case s.cluster.tasksThatFitEmpty(c.key.size, need) < need:
 		return "the workers are too small for " + describeAtomicTasks(need)
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/model"
 )
 
@@ -210,7 +211,7 @@
 	}
 	p.tasks = tasks
 	s.selectVictims(&p, q, victims)
-	if len(p.victims) == 0 && !w.hasStoppingRun() || !multiply(q.size, tasks).FitsIn(p.freeAfterPreemption()) {
+	if len(p.victims) == 0 && !w.hasStoppingRun() || !fairshare.Multiply(q.size, tasks).FitsIn(p.freeAfterPreemption()) {
 		return preemptionPlan{}, false
 	}
 	return p, true
@@ -281,7 +282,7 @@
 			return victim{}, false
 		}
 		ran := s.cluster.now.Sub(other.started).Seconds()
-		v.lostWork += max(ran, 0) * dominantShare(other.size, s.cluster.total)
+		v.lostWork += max(ran, 0) * fairshare.DominantShare(other.size, s.cluster.total)
 	}
 	return v, true
 }
@@ -335,7 +336,7 @@
 // selectVictims adds victims to the plan in order until its tasks fit, then drops those that
 // turned out not to be needed, and computes the plan's cost.
 func (s *Scheduler) selectVictims(p *preemptionPlan, q *query, victims []victim) {
-	size := multiply(q.size, p.tasks)
+	size := fairshare.Multiply(q.size, p.tasks)
 	gain := size
 	lostByBranch := map[*branch]model.Resources{}
 	for _, v := range victims {
@@ -362,7 +363,7 @@
 
 // stoppedSize returns the capacity that the victim's branch loses.
 func (v *victim) stoppedSize() model.Resources {
-	return multiply(v.run.size, len(v.stoppedRuns()))
+	return fairshare.Multiply(v.run.size, len(v.stoppedRuns()))
 }
 
 // keepsShareOrder reports whether the gaining branch holds no more afterwards than the losing
@@ -401,7 +402,7 @@
 
 // executePlan preempts the plan's victims and holds their capacity for the class.
 func (s *Scheduler) executePlan(q *query, p preemptionPlan) {
-	size := multiply(q.size, p.tasks)
+	size := fairshare.Multiply(q.size, p.tasks)
 	free := p.freeAfterPreemption()
 	for _, v := range p.victims {
 		for _, r := range v.stoppedRuns() {
--- a/internal/schedule/reserve.go
+++ b/internal/schedule/reserve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/model"
 )
 
@@ -54,7 +55,7 @@
 
 // reservation returns the hold for n tasks on a worker.
 func (s *Scheduler) reservation(q *query, w *worker, n int, at time.Time) *hold {
-	size := multiply(q.size, n)
+	size := fairshare.Multiply(q.size, n)
 	return &hold{
 		class: q.class, worker: w, size: size, tasks: n, spare: s.freeAt(w, at).Sub(size), expectedStart: at,
 		expires: at.Add(reservationGrace), isReservation: true,
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"filbertcross/internal/fairshare"
 	"filbertcross/internal/model"
 )
 
@@ -393,7 +394,7 @@
 		s.queue.moveToList(c, classBlocked, "the gang is larger than what one call may decide")
 		return false
 	}
-	if !c.branch.withinQuota(multiply(q.size, need)) {
+	if !c.branch.withinQuota(fairshare.Multiply(q.size, need)) {
 		s.blockByQuota(c)
 		return false
 	}
--- a/internal/schedule/share.go
+++ b/internal/schedule/share.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "filbertcross/internal/model"
+import (
+	"filbertcross/internal/fairshare"
+	"filbertcross/internal/model"
+)
 
 // branch is a branch with its queued classes and the capacity that its tasks hold. Its share
 // is a weighted dominant-resource share: the largest fraction of any resource of the cluster
@@ -29,23 +32,9 @@
 // weight returns the branch's share from the sheet, at least 1.
 func (b *branch) weight() float64 { return float64(max(b.Share, 1)) }
 
-// dominantShare returns the largest fraction of total that r takes in any resource.
-func dominantShare(r, total model.Resources) float64 {
-	share := 0.0
-	fraction := func(part, whole int64) {
-		if whole > 0 {
-			share = max(share, float64(part)/float64(whole))
-		}
-	}
-	fraction(r.MilliCPU, total.MilliCPU)
-	fraction(r.MemoryMiB, total.MemoryMiB)
-	fraction(r.Accelerators, total.Accelerators)
-	return share
-}
-
 // weightedShare returns the branch's weighted dominant share with delta added.
 func (s *Scheduler) weightedShare(b *branch, delta model.Resources) float64 {
-	return dominantShare(b.effectiveUsage().Add(delta), s.cluster.total) / b.weight()
+	return fairshare.DominantShare(b.effectiveUsage().Add(delta), s.cluster.total) / b.weight()
 }
 
 // entitledShare returns the weighted share to which every active branch is entitled.
@@ -69,29 +58,13 @@
 	for t := model.TierUrgent; t <= tier; t++ {
 		sum = sum.Add(b.claimedByTier[t])
 	}
-	return dominantShare(sum, s.cluster.total)/b.weight() >= s.entitledShare()
+	return fairshare.DominantShare(sum, s.cluster.total)/b.weight() >= s.entitledShare()
 }
 
 // withinQuota reports whether the branch's quota allows more to be granted on top of its
 // usage.
 func (b *branch) withinQuota(more model.Resources) bool {
-	return underQuota(b.usage.Add(more), b.Quota)
-}
-
-// underQuota reports whether use is at most quota. A zero resource in quota means no limit.
-func underQuota(use, quota model.Resources) bool {
-	return (quota.MilliCPU == 0 || use.MilliCPU <= quota.MilliCPU) &&
-		(quota.MemoryMiB == 0 || use.MemoryMiB <= quota.MemoryMiB) &&
-		(quota.Accelerators == 0 || use.Accelerators <= quota.Accelerators)
-}
-
-// multiply returns n times r.
-func multiply(r model.Resources, n int) model.Resources {
-	return model.Resources{
-		MilliCPU:     r.MilliCPU * int64(n),
-		MemoryMiB:    r.MemoryMiB * int64(n),
-		Accelerators: r.Accelerators * int64(n),
-	}
+	return fairshare.WithinQuota(b.usage.Add(more), b.Quota)
 }
 
 // adjustTaskCounts adds to the counts of waiting and running tasks of the job's class and
