Admission by account while capacity or a quota is short; soak with accounts, keys, quotas and floods

Cause: whatever arrived was stored; an account beyond its rate, or at its quota, only learned from the missing result that it asked for too much. A soak with floods on a low quota left 232 submissions unfinished 40 s later. Change: internal/admission divides an account's rate among the VMs in proportion to what arrives there; entry refuses beyond it with 429 before anything is stored, after a check that the submission is not stored already; dispatch tells when capacity or an account's quota is short. The stand-in has accounts; the soak changes keys and quotas, floods, and checks quotas and keys at every VM.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -24,6 +24,9 @@
 	atQuota     bool    // a step waits for the quota, so that later ones of the account must not take it in this pass
 	share       float64 // fraction of the cluster to which it is entitled
 	quotaLogged time.Duration
+
+	quotaWaits    bool     // a step within the rate waits for the quota in the current placement pass
+	quotaShortage shortage // of the quota
 }
 
 // accountOf returns the account of a submission; nil: it belongs to none.
@@ -61,7 +64,7 @@
 	}
 	d.unknownUsage = d.possibleUnknownUsage()
 	for _, a := range d.accounts {
-		a.ready, a.atQuota, a.share = false, false, 0
+		a.ready, a.atQuota, a.quotaWaits, a.share = false, false, false, 0
 	}
 	for _, s := range ready {
 		if s.job.account != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
 	unknownUsage  model.Resources
 	capacity      model.Resources // of the cluster at the last pass
+	shortage      shortage
 	jobs          map[fleet.JobID]*job
 	activeJobs    []*job // jobs without a final state, in order of arrival
 	finalJobs     []*job // jobs with a final state, in order of completion
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -81,7 +81,7 @@
 func TestStepsWithTimeLeaveFastWorkersToUrgentOnes(t *testing.T) {
 	h := newSpeedHarness(t)
 	h.learn(40, 1, 1, 1, 1, 2, 2)
-	patient := tasks(4, 8) // half of what the slow workers hold
+	patient := tasks(4, 8)                    // half of what the slow workers hold
 	patient.Estimate = 100 * time.Millisecond // of an objective of more than a second
 	h.submit("rebuild", "patient", patient)
 	h.decide()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -44,6 +44,9 @@
 	SubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error)
 	// QueueLength returns the number of waiting submissions; false: it is not known.
 	QueueLength(queue string) (int, bool)
+	// AdmitSubmission counts a submission of the account and reports whether it is within the rate
+	// of the account at this VM. If not, retryAfter is the time until the next one will be.
+	AdmitSubmission(account string) (retryAfter time.Duration, admitted bool)
 	// NotifyStored notifies the owner of an intake item that was written at a revision.
 	NotifyStored(w fleet.Write, revision int64)
 	// Stopping reports whether connections must be closed after the response.
@@ -152,6 +155,11 @@
 			return writeResponse(w, http.StatusBadRequest, []byte(`{"error":`+strconv.Quote(err.Error())+`}`))
 		}
 	}
+	if access.account != "" {
+		if retryAfter, admitted := h.view.AdmitSubmission(access.account); !admitted && !h.mayBeStored(ctx, sub.ID) {
+			return h.refuseBeyondRate(w, &sub, retryAfter)
+		}
+	}
 	txn, err := owner.SubmissionTxn(&sub)
 	if err != nil {
 		return h.reject(w, r, id, http.StatusInternalServerError, "encode", err)
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -210,6 +210,10 @@
 		Summary: "No queue of the configuration matches a caller's request, or no account has its key.",
 		Action:  "Compare the path and the account's keys with the operators' configuration of that version.",
 		Keys:    []string{"method", "host", "path", "configuration", "age", "status", "reason"}})
+	SubmissionRefused = Define(Definition{ID: 4107, Name: "submission-refused", Level: Info,
+		Summary: "A submission was refused with status 429 before anything was stored; it never runs.",
+		Action:  "Compare the account's rate, its weight in the configuration, with what it sends.",
+		Keys:    []string{"submission", "account", "queue", "reason", "after", "retry_after_s"}})
 	SubmissionIDTaken = Define(Definition{ID: 4106, Name: "submission-id-taken", Level: Warn,
 		Summary: "A submission was rejected because another account has handed in one with its id.",
 		Action:  "Ask the account how it chooses ids.",
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -189,6 +189,7 @@
 	if conf := n.Configuration(); conf != nil {
 		go o.SetConfiguration(ctx, conf)
 	}
+	go n.limitOwnCallers(ctx, o)
 	if err := o.Run(ctx, reason); err != nil && ctx.Err() == nil {
 		pause.For(ctx, electionRetryDelay)
 	}
@@ -268,6 +269,7 @@
 	request := attachRequest{
 		Name: n.opts.Name, Address: n.opts.PeerAddress, ElectionDelay: n.opts.ElectionDelay,
 		Configuration: max(n.configurations.version(), n.transfer.announced()), AcceptsChunks: true,
+		Arrivals: n.gate.TakeArrivals(),
 	}
 	if n.currentOwnerAddress() != address {
 		request.Configuration = -1 // the first poll of an owner returns at once
@@ -275,6 +277,7 @@
 	if err := n.opts.PeerClient.Call(ctx, address, methodAttach, request, &reply); err != nil {
 		return reply, err
 	}
+	n.gate.SetLimits(reply.Limits, n.opts.Owner.Clock())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/negroni/v3"
 	"golang.org/x/sync/errgroup"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/entry"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
@@ -78,6 +79,8 @@
 	configReadSuperseded chan struct{} // interrupts watchConfiguration's wait for a read
 	transfer             configurationTransfer
 	sender               transfer.Sender // of the configuration to followers
+	gate                 *admission.Gate // of the submissions that arrive at this VM
+	divider              *admission.Divider
 
 	mu             sync.Mutex
 	ownerAddress   string             // peer address of the owner that this VM follows; "": none
@@ -95,6 +98,7 @@
 func New(opts Options) *Node {
 	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
 	n.configReadSuperseded = make(chan struct{}, 1)
+	n.gate, n.divider = admission.NewGate(), admission.NewDivider()
 	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
 	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
 	n.advisors = newAdvisorPool(opts.PeerClient, opts.AdviceClient)
@@ -280,8 +284,8 @@
 	if o := n.currentOwner.Load(); o != nil && o.HoldsLease() {
 		ctx, cancel := context.WithTimeout(context.Background(), ownerCallTimeout)
 		defer cancel()
-		counts, err := o.QueueLengths(ctx)
-		return counts[queue], err == nil
+		load, err := o.Load(ctx)
+		return load.QueueLengths[queue], err == nil
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -60,6 +60,7 @@
 	}
 	n.advisors.recordFollower(r.Address, r.ElectionDelay)
 	n.resignToLargerVM(r.ElectionDelay)
+	n.divider.Report(r.Address, r.Arrivals, arrived)
 	_, _, changed := n.configurations.snapshot()
 	if n.opts.Owner.Clock()-time.Duration(n.configConfirmedAt.Load()) > configMaxAge {
 		return attachResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "the configuration here may be old", Verdict: verdict.NotRun}
@@ -75,11 +76,11 @@
 	if n.currentOwner.Load() != o || !o.HoldsLease() {
 		return attachResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM decides no more", Verdict: verdict.NotRun}
 	}
-	queueLengths, err := o.QueueLengths(ctx)
+	load, err := o.Load(ctx)
 	if err != nil {
 		return attachResponse{}, err
 	}
-	reply := attachResponse{Fence: o.Fence(), QueueLengths: queueLengths, Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
+	reply := attachResponse{Fence: o.Fence(), QueueLengths: load.QueueLengths, Limits: n.partsOfRates(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
 	reply.OperatorRevision, reply.ConfigurationAge = n.operatorRevision.Load(), n.ConfigurationAge() // before the version, which is at least as new
 	reply.Held = n.opts.Owner.Clock() - arrived
 	version, raw := n.configurations.activeBytes()
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -31,9 +31,18 @@
 	return queryLoop(ctx, o, func(time.Duration) fleet.Status { return o.dispatcher.Status(id) })
 }
 
-// QueueLengths returns for each queue the number of submissions of which no task has started.
-func (o *Owner) QueueLengths(ctx context.Context) (map[string]int, error) {
-	return queryLoop(ctx, o, func(time.Duration) map[string]int { return o.dispatcher.QueueLengths() })
+// Load is what the owner tells other VMs about its load.
+type Load struct {
+	QueueLengths    map[string]int // by queue, the number of submissions of which no task has started
+	ShortOfCapacity bool           // see dispatch.Dispatcher.ShortOfCapacity
+	ShortOfQuota    []string       // accounts; see dispatch.Dispatcher.AccountsShortOfQuota
+}
+
+// Load returns the current load.
+func (o *Owner) Load(ctx context.Context) (Load, error) {
+	return queryLoop(ctx, o, func(now time.Duration) Load {
+		return Load{o.dispatcher.QueueLengths(), o.dispatcher.ShortOfCapacity(now), o.dispatcher.AccountsShortOfQuota(now)}
+	})
 }
 
 // SetConfiguration passes a newer configuration to the dispatcher.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -112,6 +112,16 @@
 		time.AfterFunc(d, func() { w.SetDraining(false) })
 		return fmt.Sprint("worker ", i)
 	}},
+	{"accounts", func(r *soakRun, _ *rand.Rand, _ time.Duration) string {
+		r.changeAccounts()
+		r.version++
+		r.platform.PutConfigurationWithQueues(r.version, r.unusedQueues)
+		return fmt.Sprint("version ", r.version)
+	}},
+	{"flood", func(r *soakRun, _ *rand.Rand, d time.Duration) string {
+		r.accounts.flood(d)
+		return accountName(0)
+	}},
 	{"configuration", func(r *soakRun, _ *rand.Rand, _ time.Duration) string {
 		r.version += 3
 		r.unusedQueues = int(r.version*queuesPerVersion) % maxUnusedQueues
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -26,6 +26,7 @@
 type submission struct {
 	id, path   string
 	spec       string
+	account    int
 	acceptedAt time.Time
 	canceled   bool
 }
@@ -33,7 +34,10 @@
 // submit generates submission n and sends it until it is accepted; it cancels some of them
 // afterwards. It returns nil if the submission was not accepted.
 func (r *soakRun) submit(ctx context.Context, rng *rand.Rand, n int) *submission {
-	s := &submission{id: fmt.Sprintf("%016x", uint64(n)+r.opts.Seed<<20)}
+	s := &submission{account: n % accountCount, id: fmt.Sprintf("%016x", uint64(n)+r.opts.Seed<<20)}
+	if r.accounts.flooding() {
+		s.account = 0
+	}
 	prefix := standin.QueuePrefix
 	if rng.IntN(3) == 0 {
 		prefix = standin.AdvisedQueuePrefix
@@ -54,12 +58,13 @@
 		sub.Steps = append(sub.Steps, second)
 	}
 	sub.Steps[0].Gang = rng.IntN(6) == 0
+	sub.Account = accountName(s.account)
 	body := sub.Body()
 	cancel := s.spec == "lasts" || rng.IntN(15) == 0
 	r.platform.Checker.RecordSubmission(s.id, sub)
 	allRejected := true
 	for range maxSubmitAttempts {
-		status, _ := r.sendRequest(ctx, rng, http.MethodPost, s.path, body)
+		status, _ := r.sendRequest(ctx, rng, s, http.MethodPost, body)
 		switch status {
 		case http.StatusOK:
 			s.acceptedAt = time.Now()
@@ -68,7 +73,7 @@
 				r.cancel(ctx, rng, s)
 			}
 			return s
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized:
 		default:
 			allRejected = false
 		}
@@ -83,7 +88,7 @@
 // cancel sends a cancellation until it is confirmed.
 func (r *soakRun) cancel(ctx context.Context, rng *rand.Rand, s *submission) {
 	for ctx.Err() == nil {
-		status, _ := r.sendRequest(ctx, rng, http.MethodDelete, s.path, "")
+		status, _ := r.sendRequest(ctx, rng, s, http.MethodDelete, "")
 		if status == http.StatusOK || status == http.StatusGone {
 			s.canceled = true
 			time.AfterFunc(maxCancelDelay, func() { r.platform.Checker.RecordCancellation(s.id) })
@@ -93,12 +98,13 @@
 	}
 }
 
-// sendRequest sends a request to a random VM; status 0 means that no complete response was
-// received.
-func (r *soakRun) sendRequest(ctx context.Context, rng *rand.Rand, method, path, body string) (int, string) {
+// sendRequest sends a request for a submission to a random VM, with the newest key of its account;
+// status 0 means that no complete response was received.
+func (r *soakRun) sendRequest(ctx context.Context, rng *rand.Rand, s *submission, method, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	status, response, err := r.client.Do(ctx, method, r.randomVM(rng).callerAddress, path, body)
+	client := standin.Client{HTTP: r.client, Key: r.accounts.currentKey(s.account)}
+	status, response, err := client.Do(ctx, method, r.randomVM(rng).callerAddress, s.path, body)
 	if err != nil {
 		return 0, ""
 	}
@@ -108,7 +114,7 @@
 // checkFinalState queries a submission and reports whether its state is final. A final state
 // that contradicts the submission is a violation, as is an accepted submission that is unknown.
 func (r *soakRun) checkFinalState(ctx context.Context, rng *rand.Rand, s *submission) bool {
-	status, response := r.sendRequest(ctx, rng, http.MethodGet, s.path, "")
+	status, response := r.sendRequest(ctx, rng, s, http.MethodGet, "")
 	switch {
 	case status == http.StatusGone && time.Since(s.acceptedAt) > lostAfter:
 		r.platform.Checker.AddViolation("LOST: %s was accepted %v ago but is unknown", s.id, time.Since(s.acceptedAt))
@@ -155,11 +161,5 @@
 
 // queueStatus returns the status of the response of a VM to a query of an unused queue's length.
 func (r *soakRun) queueStatus(ctx context.Context, v *vm, queue int) int {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	status, _, err := r.client.Do(ctx, http.MethodGet, v.callerAddress, standin.UnusedQueuePrefix(queue), "")
-	if err != nil {
-		return 0
-	}
-	return status
+	return r.statusOf(ctx, v, r.accounts.currentKey(0), standin.UnusedQueuePrefix(queue))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,7 +47,8 @@
 	platform *standin.Platform
 	vms      []*vm
 	proxies  []*Proxy // one in front of each worker
-	client   standin.Client
+	client   *http.Client
+	accounts accounts
 	version  int64 // of the newest configuration; like unusedQueues, read only after the last fault
 	// unusedQueues is the number of queues of that configuration that receive no submissions.
 	unusedQueues int
@@ -61,7 +62,9 @@
 		return nil, err
 	}
 	defer platform.Close()
-	r := &soakRun{opts: opts, platform: platform, version: 1, client: standin.Client{HTTP: &http.Client{}}}
+	r := &soakRun{opts: opts, platform: platform, version: 1, client: &http.Client{}}
+	r.changeAccounts()
+	platform.PutConfiguration(r.version)
 	for _, w := range platform.Workers {
 		proxy, err := NewProxy(w.Address())
 		if err != nil {
@@ -94,6 +97,7 @@
 	accepted := r.runLoadAndFaults(ctx)
 	r.awaitFinalStates(ctx, accepted)
 	r.checkConfigurations(ctx)
+	r.checkKeys(ctx)
 	for _, v := range r.vms {
 		if v.unexpectedExits > 0 {
 			platform.Checker.AddViolation("%s exited unexpectedly %d times, see %s", v.name, v.unexpectedExits, v.logFile.Name())
@@ -121,7 +125,11 @@
 				accepted = append(accepted, s)
 			}
 		})
-		time.Sleep(submitInterval)
+		if r.accounts.flooding() {
+			time.Sleep(floodInterval)
+		} else {
+			time.Sleep(submitInterval)
+		}
 	}
 	callers.Wait()
 	return accepted
