Admission only behind a backlog that has no value any more; rate over the settings' window

Change: the owner names streams of which a submission has waited so long that those behind it would miss three times their objective; only these are limited, to the rate over quota-window-s with quota-slack.

--- a/internal/admission/divider.go
+++ b/internal/admission/divider.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Division of an account's rate among the VMs.
+// Division of an account's limit among the VMs.
 const (
 	rateTime = 2 * time.Second // over which arrivals are averaged
 	// idleRate is assumed, in arrivals a second, of a VM in addition to what it reports, so that callers
@@ -16,7 +16,8 @@
 	forgetTime = 4 * time.Second
 )
 
-// Divider divides the rates of accounts among the VMs. It is safe for concurrent use.
+// Divider divides the limits of accounts among the VMs. The zero value has no
+// reports. It is safe for concurrent use.
 type Divider struct {
 	mu  sync.Mutex
 	vms map[string]*vmArrivals
@@ -24,41 +25,41 @@
 
 // vmArrivals are the arrivals at one VM.
 type vmArrivals struct {
-	average map[string]float64 // count that decays with rateTime, by account
+	average map[Stream]float64 // count that decays with rateTime
 	at      time.Duration
 }
 
-// NewDivider returns a divider without reports.
-func NewDivider() *Divider { return &Divider{vms: map[string]*vmArrivals{}} }
-
 // Report records the arrivals at a VM since its last report.
-func (d *Divider) Report(vm string, arrivals map[string]int, now time.Duration) {
+func (d *Divider) Report(vm string, arrivals map[Stream]int, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := d.vms[vm]
 	if v == nil {
-		v = &vmArrivals{average: map[string]float64{}, at: now}
+		v = &vmArrivals{average: map[Stream]float64{}, at: now}
+		if d.vms == nil {
+			d.vms = map[string]*vmArrivals{}
+		}
 		d.vms[vm] = v
 	}
 	decay := math.Exp(-max(now-v.at, 0).Seconds() / rateTime.Seconds())
-	for account := range v.average {
-		if v.average[account] *= decay; v.average[account] < idleRate {
-			delete(v.average, account)
+	for stream := range v.average {
+		if v.average[stream] *= decay; v.average[stream] < idleRate {
+			delete(v.average, stream)
 		}
 	}
-	for account, n := range arrivals {
-		v.average[account] += float64(n)
+	for stream, n := range arrivals {
+		v.average[stream] += float64(n)
 	}
 	v.at = max(now, v.at)
 }
 
-// Parts returns the VM's parts of the rates, in submissions a second, of all accounts that
-// send more than their rates; rateOf returns an account's rate, 0 if it is not limited. The parts of
-// all VMs that report add up to the rate.
-func (d *Divider) Parts(vm string, rateOf func(account string) float64, now time.Duration) map[string]float64 {
+// Parts returns the VM's parts of the limits of those of the given streams whose accounts send more,
+// to all queues together, than their rates. limitOf returns the limit of an account. Each stream has
+// the part of its account's limit that it has of the arrivals; the parts of all VMs add up to that.
+func (d *Divider) Parts(vm string, streams map[Stream]bool, limitOf func(account string) Limit, now time.Duration) map[Stream]Limit {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	totals := map[string]float64{}
+	ofStream, ofAccount := map[Stream]float64{}, map[string]float64{}
 	reporting := 0.0
 	for name, v := range d.vms {
 		if now-v.at > forgetTime {
@@ -66,25 +67,23 @@
 			continue
 		}
 		reporting++
-		for account, n := range v.average {
-			totals[account] += n / rateTime.Seconds()
+		for stream, n := range v.average {
+			ofStream[stream] += n / rateTime.Seconds()
+			ofAccount[stream.Account] += n / rateTime.Seconds()
 		}
 	}
 	v := d.vms[vm]
 	if v == nil {
 		return nil
 	}
-	var parts map[string]float64
-	for account, total := range totals {
-		rate := rateOf(account)
-		if rate <= 0 || total <= rate {
+	parts := map[Stream]Limit{}
+	for stream := range streams {
+		limit, total := limitOf(stream.Account), ofAccount[stream.Account]
+		if limit.PerSecond <= 0 || total <= limit.PerSecond {
 			continue
 		}
-		if parts == nil {
-			parts = map[string]float64{}
-		}
-		own := v.average[account]/rateTime.Seconds() + idleRate
-		parts[account] = rate * own / (total + idleRate*reporting)
+		own := v.average[stream]/rateTime.Seconds() + idleRate
+		parts[stream] = limit.scale(ofStream[stream] / total * own / (ofStream[stream] + idleRate*reporting))
 	}
 	return parts
 }
--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fairshare"
 	"filbertcross/internal/fleet"
@@ -18,15 +19,12 @@
 	usage    model.Resources
 	stopping model.Resources // part of usage that is being stopped
 
-	rate rateLimiter // of its submissions
+	rate admission.Bucket // of its submissions
 
 	ready       bool    // it has a step with waiting tasks in the current placement pass
 	atQuota     bool    // a step waits for the quota, so that later ones of the account must not take it in this pass
 	share       float64 // fraction of the cluster to which it is entitled
 	quotaLogged time.Duration
-
-	quotaWaits    bool     // a step within the rate waits for the quota in the current placement pass
-	quotaShortage shortage // of the quota
 }
 
 // accountOf returns the account of a submission; nil: it belongs to none.
@@ -52,7 +50,7 @@
 	if c, ok := d.config.Accounts.ByName(a.Name); ok {
 		a.Account = c
 	}
-	a.rate.perSecond = a.Weight
+	a.rate.SetLimit(d.opts.RateBurst.Limit(a.Weight))
 }
 
 // startPass computes the state of the accounts for a placement pass over the ready steps: their
@@ -64,7 +62,7 @@
 	}
 	d.unknownUsage = d.possibleUnknownUsage()
 	for _, a := range d.accounts {
-		a.ready, a.atQuota, a.quotaWaits, a.share = false, false, false, 0
+		a.ready, a.atQuota, a.share = false, false, 0
 	}
 	for _, s := range ready {
 		if s.job.account != nil {
@@ -162,27 +160,17 @@
 	return 1
 }
 
-// rateLimiter is a token bucket: it admits perSecond arrivals a second, and as many at once.
-type rateLimiter struct {
-	perSecond float64
-	tokens    float64
-	at        time.Duration // of the last arrival; 0: none yet
-}
-
-// admit reports whether an arrival at the time is within the rate. Arrivals out of order count as
-// simultaneous with the latest.
-func (r *rateLimiter) admit(at time.Duration) bool {
-	burst := max(r.perSecond, 1)
-	switch {
-	case r.at == 0:
-		r.tokens, r.at = burst, at
-	case at > r.at:
-		r.tokens = min(r.tokens+r.perSecond*(at-r.at).Seconds(), burst)
-		r.at = at
-	}
-	if r.tokens < 1 {
-		return false
-	}
-	r.tokens--
-	return true
+// OverdueStreams returns the streams of which a submission has waited so long for its first start
+// that those which arrive now behind it are not likely to complete while they have value.
+func (d *Dispatcher) OverdueStreams(now time.Duration) map[admission.Stream]bool {
+	overdue := map[admission.Stream]bool{}
+	for _, j := range d.activeJobs {
+		if j.account == nil || j.started || j.sub.HasSchedule() || j.sub.Steps[0].LongRunning {
+			continue
+		}
+		if now-j.arrivedAt > (lateFactor-1)*j.objective {
+			overdue[admission.Stream{Account: j.account.Name, Queue: j.sub.Queue}] = true
+		}
+	}
+	return overdue
 }
--- a/internal/dispatch/account_test.go
+++ b/internal/dispatch/account_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 	"filbertcross/internal/proptest"
@@ -269,3 +270,29 @@
 		t.Error("a submission is not canceled by its account")
 	}
 }
+
+// Load: an account fills its quota, and one floods beyond its rate. Their streams are overdue only once
+// submissions wait so long that those behind them would have no value; that of a third account never is.
+func TestOverdueStreamsAreThoseWithAHopelessBacklog(t *testing.T) {
+	h := newAccountHarness(t, 2, model.Resources{MilliCPU: 32000}, 50, 1, 50)
+	for n := range 12 {
+		h.submitFor(0, "quick", fleet.JobID(fmt.Sprintf("quota-%d", n)), tasks(4, 8))
+		h.submitFor(1, "quick", fleet.JobID(fmt.Sprintf("flood-%d", n)), tasks(4, 8))
+	}
+	objective, begun, n := h.d.jobs["quota-0"].objective, h.now, 0
+	h.runFor(6*time.Second, time.Second, func(elapsed time.Duration) {
+		if n = int(elapsed / time.Second); h.d.jobs[fleet.JobID(fmt.Sprintf("usual-%d", n))] == nil {
+			h.submitFor(2, "quick", fleet.JobID(fmt.Sprintf("usual-%d", n)), tasks(1, 4))
+		}
+		overdue := h.d.OverdueStreams(h.now)
+		if overdue[admission.Stream{Account: "a2", Queue: "quick"}] {
+			t.Fatalf("the stream of an account within its rate is overdue after %v", elapsed)
+		}
+		if waited := h.now - begun; waited < 2*objective && len(overdue) > 0 {
+			t.Fatalf("%v are overdue after %v, the objective is %v", overdue, waited, objective)
+		}
+	})
+	if overdue := h.d.OverdueStreams(h.now); len(overdue) != 2 {
+		t.Fatalf("%v are overdue, want those of two accounts", overdue)
+	}
+}
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -52,21 +52,14 @@
 	cleared := d.clearReservations()
 	p := &placementPass{d: d, now: now, freed: freed}
 	d.stepsUnplaced = false
-	withinRateUnplaced := false
 	for len(steps) > 0 {
 		n := 1
 		for n < len(steps) && d.compareClasses(now, steps[0], steps[n]) == 0 {
 			n++
 		}
 		p.placeClass(steps[:n])
-		withinRateUnplaced = withinRateUnplaced || p.waits && !steps[0].job.beyondRate
-		p.waits = false
 		steps = steps[n:]
 	}
-	d.shortage.update(now, withinRateUnplaced)
-	for _, a := range d.accounts {
-		a.quotaShortage.update(now, a.quotaWaits)
-	}
 	d.markUnreserved(cleared)
 	d.preempt(now, p.unplaced)
 }
@@ -77,7 +70,6 @@
 	now      time.Duration
 	freed    []*worker // since the last pass
 	unplaced []*step   // that found no worker, and are due for another attempt to get one
-	waits    bool      // a step of the current class waits for capacity
 }
 
 // placeClass places steps of one class: first up to the shares of their accounts, then what is left
@@ -115,17 +107,13 @@
 func (p *placementPass) finishStep(s *step) {
 	d := p.d
 	if s.waiting > 0 && !d.quotaAllows(p.now, s, s.startableTogether()) {
-		a := s.job.account
-		a.quotaWaits = a.quotaWaits || !s.job.beyondRate
 		s.tryAllWorkers = true // which capacity is freed until the quota allows it is not recorded
 		return
 	}
 	if s.waiting > 0 && s.reservesCapacity() {
 		d.reserve(p.now, s)
 	}
-	if s.waiting > 0 && !s.advice.inFlight {
-		d.stepsUnplaced, p.waits = true, true
-	}
+	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
 	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
 		s.retryDue = p.now + placementRetryInterval
 		p.unplaced = append(p.unplaced, s)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,7 +26,6 @@
 	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
 	unknownUsage  model.Resources
 	capacity      model.Resources // of the cluster at the last pass
-	shortage      shortage
 	jobs          map[fleet.JobID]*job
 	activeJobs    []*job // jobs without a final state, in order of arrival
 	finalJobs     []*job // jobs with a final state, in order of completion
@@ -173,7 +172,7 @@
 	d.jobs[sub.ID] = j
 	d.setQueue(j)
 	if j.account = d.accountOf(sub); j.account != nil {
-		j.beyondRate = !j.account.rate.admit(j.arrivedAt)
+		j.beyondRate = !j.account.rate.Take(j.arrivedAt)
 	}
 	if !sub.HasSchedule() {
 		j.createSteps(0)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -1,9 +1,14 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"filbertcross/internal/admission"
+)
 
 // Options configures a Dispatcher.
 type Options struct {
+	RateBurst         admission.Burst
 	Fence             int64         // fencing token of this owner; increases with every owner
 	Lease             time.Duration // lease of the runs on a worker, extended by every renewal
 	MaxInheritedLease time.Duration // longest remaining lease granted by earlier owners, counted from this owner's election
--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
@@ -100,7 +101,7 @@
 	err   error
 }
 
-func (limitedView) AdmitSubmission(string) (time.Duration, bool) {
+func (limitedView) AdmitSubmission(admission.Stream) (time.Duration, bool) {
 	return 1500 * time.Millisecond, false
 }
 func (v limitedView) SubmissionStatus(context.Context, fleet.JobID) (fleet.Status, error) {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
@@ -44,9 +45,9 @@
 	SubmissionStatus(ctx context.Context, id fleet.JobID) (fleet.Status, error)
 	// QueueLength returns the number of waiting submissions; false: it is not known.
 	QueueLength(queue string) (int, bool)
-	// AdmitSubmission counts a submission of the account and reports whether it is within the rate
-	// of the account at this VM. If not, retryAfter is the time until the next one will be.
-	AdmitSubmission(account string) (retryAfter time.Duration, admitted bool)
+	// AdmitSubmission counts a submission of the stream and reports whether it is within the limit of
+	// the stream at this VM. If not, retryAfter is the time until the next one will be.
+	AdmitSubmission(stream admission.Stream) (retryAfter time.Duration, admitted bool)
 	// NotifyStored notifies the owner of an intake item that was written at a revision.
 	NotifyStored(w fleet.Write, revision int64)
 	// Stopping reports whether connections must be closed after the response.
@@ -156,7 +157,7 @@
 		}
 	}
 	if access.account != "" {
-		if retryAfter, admitted := h.view.AdmitSubmission(access.account); !admitted && !h.mayBeStored(ctx, sub.ID) {
+		if retryAfter, admitted := h.view.AdmitSubmission(admission.Stream{Account: access.account, Queue: queue.Name}); !admitted && !h.mayBeStored(ctx, sub.ID) {
 			return h.refuseBeyondRate(w, &sub, retryAfter)
 		}
 	}
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 )
@@ -24,10 +25,10 @@
 func (fakeView) SubmissionStatus(context.Context, fleet.JobID) (fleet.Status, error) {
 	return fleet.Status{}, nil
 }
-func (fakeView) QueueLength(string) (int, bool)               { return 0, false }
-func (fakeView) AdmitSubmission(string) (time.Duration, bool) { return 0, true }
-func (fakeView) NotifyStored(fleet.Write, int64)              {}
-func (fakeView) Stopping() bool                               { return false }
+func (fakeView) QueueLength(string) (int, bool)                         { return 0, false }
+func (fakeView) AdmitSubmission(admission.Stream) (time.Duration, bool) { return 0, true }
+func (fakeView) NotifyStored(fleet.Write, int64)                        {}
+func (fakeView) Stopping() bool                                         { return false }
 
 // Status 503 guarantees that the submission never runs. A write without a response may still take
 // effect, so it gets 504.
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -28,7 +28,7 @@
 // refuseBeyondRate refuses a submission beyond its account's rate, before anything is stored.
 func (h *Handler) refuseBeyondRate(w http.ResponseWriter, sub *fleet.Submission, retryAfter time.Duration) int {
 	seconds := retrySeconds(string(sub.ID), retryAfter)
-	h.events.Record(event.SubmissionRefused, sub.ID, sub.Account, sub.Queue, "beyond the account's rate while capacity is short", retryAfter, seconds)
+	h.events.Record(event.SubmissionRefused, sub.ID, sub.Account, sub.Queue, "beyond the account's rate, and earlier ones wait too long", retryAfter, seconds)
 	h.scope.Tagged(map[string]string{"reason": "rate"}).Counter("submissions_refused").Inc(1)
 	w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	return writeResponse(w, http.StatusTooManyRequests, nil)
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/entry"
 	"filbertcross/internal/event"
@@ -93,6 +94,7 @@
 				WaveStatusKey: platform.WaveStatusKey, WaveState: platform.FormatWaveState,
 			},
 			Dispatch: dispatch.Options{
+				RateBurst:         admission.Burst{Window: seconds(max(s.Bounds.RateWindowS, 1)), Slack: s.Bounds.RateSlack},
 				Lease:             lease,
 				MaxInheritedLease: lease + ownerLease + renewalGrace,
 				RenewGrace:        renewalGrace,
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 	"filbertcross/internal/peer"
@@ -28,8 +29,8 @@
 	Configuration int64         `json:"configuration"` // version that the follower has or knows of; -1: respond at once
 	AcceptsChunks bool          `json:"chunks"`        // the follower fetches the configuration; false: an earlier release, which expects it in the response
 	ElectionDelay time.Duration `json:"rank"`          // how long the follower waits before it campaigns
-	// Arrivals are the submissions that arrived at the follower since its last poll, by account.
-	Arrivals map[string]int `json:"arrivals,omitempty"`
+	// Arrivals are the submissions that arrived at the follower since its last poll.
+	Arrivals map[admission.Stream]int `json:"arrivals,omitempty"`
 }
 
 type attachResponse struct {
@@ -46,8 +47,8 @@
 
 	QueueLengths map[string]int `json:"waiting"`
 	Peers        []string       `json:"peers"`
-	// Limits are the follower's parts of the rates of limited accounts, in submissions a second.
-	Limits map[string]float64 `json:"limits,omitempty"`
+	// Limits are the follower's parts of the limits of streams.
+	Limits map[admission.Stream]admission.Limit `json:"limits,omitempty"`
 }
 
 type stateRequest struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,8 +79,8 @@
 	configReadSuperseded chan struct{} // interrupts watchConfiguration's wait for a read
 	transfer             configurationTransfer
 	sender               transfer.Sender // of the configuration to followers
-	gate                 *admission.Gate // of the submissions that arrive at this VM
-	divider              *admission.Divider
+	gate                 admission.Gate  // of the submissions that arrive at this VM
+	divider              admission.Divider
 
 	mu             sync.Mutex
 	ownerAddress   string             // peer address of the owner that this VM follows; "": none
@@ -98,7 +98,6 @@
 func New(opts Options) *Node {
 	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
 	n.configReadSuperseded = make(chan struct{}, 1)
-	n.gate, n.divider = admission.NewGate(), admission.NewDivider()
 	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
 	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
 	n.advisors = newAdvisorPool(opts.PeerClient, opts.AdviceClient)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return attachResponse{}, err
 	}
-	reply := attachResponse{Fence: o.Fence(), QueueLengths: load.QueueLengths, Limits: n.partsOfRates(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
+	reply := attachResponse{Fence: o.Fence(), QueueLengths: load.QueueLengths, Limits: n.partsOfLimits(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
 	reply.OperatorRevision, reply.ConfigurationAge = n.operatorRevision.Load(), n.ConfigurationAge() // before the version, which is at least as new
 	reply.Held = n.opts.Owner.Clock() - arrived
 	version, raw := n.configurations.activeBytes()
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"filbertcross/internal/admission"
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/fleet"
 )
@@ -33,15 +34,14 @@
 
 // Load is what the owner tells other VMs about its load.
 type Load struct {
-	QueueLengths    map[string]int // by queue, the number of submissions of which no task has started
-	ShortOfCapacity bool           // see dispatch.Dispatcher.ShortOfCapacity
-	ShortOfQuota    []string       // accounts; see dispatch.Dispatcher.AccountsShortOfQuota
+	QueueLengths map[string]int            // by queue, the number of submissions of which no task has started
+	Overdue      map[admission.Stream]bool // see dispatch.Dispatcher.OverdueStreams
 }
 
 // Load returns the current load.
 func (o *Owner) Load(ctx context.Context) (Load, error) {
 	return queryLoop(ctx, o, func(now time.Duration) Load {
-		return Load{o.dispatcher.QueueLengths(), o.dispatcher.ShortOfCapacity(now), o.dispatcher.AccountsShortOfQuota(now)}
+		return Load{o.dispatcher.QueueLengths(), o.dispatcher.OverdueStreams(now)}
 	})
 }
 
