Failure stories: expired permission, malformed entries, panics, false 'never runs'; operators' view of accounts

Change: the lease is checked when the command is sent; stored submissions are validated; a panic fails its call; the owner is asked before a rejection.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -38,16 +38,30 @@
 		},
 		Commands: []*cli.Command{{
 			Name:  "check",
-			Usage: "check the settings file and list all problems in it",
-			Action: func(context.Context, *cli.Command) error {
+			Usage: "check the settings file, and a configuration before operators write it, and list all problems in them",
+			Flags: []cli.Flag{&cli.StringFlag{Name: "configuration", Usage: "`FILE` with a configuration as operators write it"}},
+			Action: func(_ context.Context, c *cli.Command) error {
 				_, err := platform.LoadSettings(processSettings.SettingsFile)
-				return err
+				return errors.Join(err, checkConfiguration(c.String("configuration")))
 			},
 		}},
 		Action: func(ctx context.Context, _ *cli.Command) error { return runNode(ctx, processSettings) },
 	}
 }
 
+// checkConfiguration returns the problems of a configuration file; none if file is empty.
+func checkConfiguration(file string) error {
+	if file == "" {
+		return nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "configuration")
+	}
+	_, err = platform.ParseConfiguration(data)
+	return err
+}
+
 func runNode(ctx context.Context, processSettings node.Settings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -357,7 +357,7 @@
 // findTask returns the task with the ID, or nil. It creates the steps of its occurrence if needed.
 func (d *Dispatcher) findTask(id fleet.TaskID) *task {
 	j := d.jobs[id.Job]
-	if j == nil || id.Occurrence >= len(j.steps) || id.Step >= len(j.sub.Steps) {
+	if j == nil || min(id.Occurrence, id.Step, id.Index) < 0 || id.Occurrence >= len(j.steps) || id.Step >= len(j.sub.Steps) {
 		return nil
 	}
 	j.createSteps(id.Occurrence)
--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// Guards against a caller who is told that its submission never runs, although an earlier attempt
+// whose response was lost has stored it.
+func TestRejectedWriteOfAStoredSubmissionIsNotReportedAsNeverRun(t *testing.T) {
+	rejects := &fakeStore{respond: func(context.Context, int) error { return errNotRun }}
+	if w := serveAccount(rejects, event.Discard{}, http.MethodPost, "key-a"); w.Code != http.StatusOK {
+		t.Errorf("%d for a submission that the owner knows, want 200", w.Code)
+	}
+	if w := serveAccount(rejects, event.Discard{}, http.MethodPost, "key-b"); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("%d for the id of another account's submission, want 503", w.Code)
+	}
+}
+
 // Load: a refused crowd. It is told to return spread over as long as it has to wait.
 func TestRefusedCallersReturnSpread(t *testing.T) {
 	counts := map[int]int{}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -175,6 +175,10 @@
 		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Attempts, access.account)
 		return writeResponse(w, http.StatusOK, []byte("{}"))
 	}
+	if result.Verdict == verdict.NotRun && h.isStored(ctx, sub.ID, access.account) {
+		h.events.Record(event.SubmissionAccepted, id, queue.Name, conf.Version, result.Attempts, access.account)
+		return writeResponse(w, http.StatusOK, []byte("{}"))
+	}
 	return h.rejectWrite(w, r, id, result)
 }
 
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -13,7 +13,10 @@
 
 const (
 	storedCheckTimeout = 500 * time.Millisecond // of the check before a refusal
-	maxRetryAfter      = 10 * time.Second       // the load is a different one by then
+	// outageCheckTimeout is that of the check before the rejection of a submission that the store
+	// rejected. The owner responds in a few ms; without it the rejection must not take long.
+	outageCheckTimeout = 150 * time.Millisecond
+	maxRetryAfter      = 10 * time.Second // the load is a different one by then
 )
 
 // mayBeStored reports whether the submission, possibly sent for a second time, is stored or may be: a
@@ -25,6 +28,15 @@
 	return err != nil || status.State != fleet.StateUnknown
 }
 
+// isStored reports whether the account's submission is known to be stored, by an earlier attempt whose
+// response was lost. The owner knows while the store rejects this VM.
+func (h *Handler) isStored(ctx context.Context, id fleet.JobID, account string) bool {
+	ctx, cancel := context.WithTimeout(ctx, outageCheckTimeout)
+	defer cancel()
+	status, err := h.view.SubmissionStatus(ctx, id)
+	return err == nil && status.State != fleet.StateUnknown && status.Account == account
+}
+
 // refuseBeyondRate refuses a submission beyond its account's rate, before anything is stored.
 func (h *Handler) refuseBeyondRate(w http.ResponseWriter, sub *fleet.Submission, retryAfter time.Duration) int {
 	seconds := retrySeconds(string(sub.ID), retryAfter)
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -281,3 +281,9 @@
 	Summary: "A connection from another VM could not be accepted for lack of file descriptors or memory; accepting is retried.",
 	Action:  "Raise the limit or use larger VMs: each worker uses up to six connections of the owner.",
 	Keys:    []string{"error"}})
+
+// PeerHandlerPanicked is recorded when the handler of a call from another VM panics.
+var PeerHandlerPanicked = Define(Definition{ID: 6007, Name: "peer-handler-panicked", Level: Error,
+	Summary: "The handler of a call from another VM panicked; the call failed and the process continues.",
+	Action:  "Report the stack to the developers.",
+	Keys:    []string{"method", "cause", "stack"}})
--- a/internal/fleet/submission.go
+++ b/internal/fleet/submission.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"filbertcross/internal/model"
 )
 
@@ -65,6 +67,25 @@
 	Account     string        `cbor:"10,keyasint,omitempty"` // name of the client account that handed it in; empty: none
 }
 
+// Validate returns an error if the submission cannot be scheduled, as it has no steps or its steps
+// depend on later ones. A stored entry that another program wrote, or that is damaged, may be so.
+func (s *Submission) Validate() error {
+	if s.ID == "" || len(s.Steps) == 0 || s.Occurrences < 0 {
+		return errors.New("submission without id or steps, or with a negative number of occurrences")
+	}
+	for i, step := range s.Steps {
+		if step.Tasks < 1 || step.Demand.HasNegative() || step.Estimate < 0 {
+			return errors.Newf("step %d: no tasks, or a negative amount", i)
+		}
+		for _, a := range step.After {
+			if a < 0 || a >= i {
+				return errors.Newf("step %d depends on step %d", i, a)
+			}
+		}
+	}
+	return nil
+}
+
 // HasSchedule reports whether the submission runs at given times.
 func (s *Submission) HasSchedule() bool { return s.Occurrences > 0 }
 
--- a/internal/owner/command_test.go
+++ b/internal/owner/command_test.go
@@ -41,3 +41,29 @@
 		t.Fatal("start sent although a successor may have been elected")
 	}
 }
+
+// maintenanceCounter counts the maintenance commands sent to the control plane.
+type maintenanceCounter struct{ calls int }
+
+func (m *maintenanceCounter) StartMaintenance(context.Context, fleet.MaintenanceRequest) error {
+	m.calls++
+	return nil
+}
+
+// Guards against an owner that was paused after a decision and takes a machine down on an expired
+// lease. Where the control plane checks no fencing tokens, nothing else stops it.
+func TestMaintenanceIsNotStartedAfterLeaseExpiry(t *testing.T) {
+	now := time.Second
+	machines := &maintenanceCounter{}
+	o := &Owner{
+		opts:      Options{Machines: machines, Events: event.Discard{}, Clock: func() time.Duration { return now }},
+		ownership: &Ownership{},
+	}
+	o.ownership.heldUntil.Store(int64(2 * time.Second))
+	o.runCommand(context.Background(), dispatch.MaintainCommand{})
+	now = 7 * time.Second // the process was paused for 5 s
+	o.runCommand(context.Background(), dispatch.MaintainCommand{})
+	if machines.calls != 1 {
+		t.Fatalf("%d commands sent, want only the one while the lease was held", machines.calls)
+	}
+}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -160,6 +161,18 @@
 	o.opts.Events.Record(event.OwnerElected, o.ownership.Fence, reason, len(state.intake), len(state.workers))
 }
 
+// decodeSubmission decodes and validates a stored submission. An invalid one would end every owner
+// that loads it.
+func decodeSubmission(item fleet.Item, sub *fleet.Submission) error {
+	if err := cbor.Unmarshal(item.Value, sub); err != nil {
+		return err
+	}
+	if JobKey(sub.ID) != item.Key {
+		return errors.Newf("the entry contains submission %q", sub.ID)
+	}
+	return sub.Validate()
+}
+
 // applyIntake passes submissions and cancellations to the dispatcher. progress is nil for items
 // that were received after the initial load.
 func (o *Owner) applyIntake(now time.Duration, items []fleet.Item, progress map[fleet.JobID]*dispatch.Progress) {
@@ -174,7 +187,7 @@
 			o.opts.Events.Record(event.CancelReceived, id, o.dispatcher.Status(id).State)
 		case strings.HasPrefix(item.Key, jobPrefix):
 			sub := &fleet.Submission{}
-			if err := cbor.Unmarshal(item.Value, sub); err != nil {
+			if err := decodeSubmission(item, sub); err != nil {
 				o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
 				continue
 			}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -175,6 +175,7 @@
 		group.Go(func() error { o.awaitPreviousOwner(ctx, state.workersRecord.Owner); return nil })
 		group.Go(func() error { o.watchIntake(ctx, state.intakeRevision); return nil })
 		group.Go(func() error { o.listWorkers(ctx); return nil })
+		group.Go(func() error { o.publishAccounts(ctx); return nil })
 		return o.runLoop(ctx)
 	})
 	err := group.Wait()
@@ -281,9 +282,12 @@
 		})
 		return func(now time.Duration) { d.HandlePaceResponse(now, c.Pace.RunID, c.Pace.Percent, err) }
 	case dispatch.MaintainCommand:
-		_, err := withTimeout(ctx, machineTimeout, func(ctx context.Context) (struct{}, error) {
-			return struct{}{}, o.opts.Machines.StartMaintenance(ctx, c.Request)
-		})
+		err := errLeaseNotHeld
+		if o.ownership.HeldAt(o.opts.Clock()) { // not every control plane checks the fencing token
+			_, err = withTimeout(ctx, machineTimeout, func(ctx context.Context) (struct{}, error) {
+				return struct{}{}, o.opts.Machines.StartMaintenance(ctx, c.Request)
+			})
+		}
 		return func(now time.Duration) { d.HandleMaintenanceResponse(now, c.Request, err) }
 	case dispatch.AdviseCommand:
 		allowed, validity, err := o.opts.Advice.Advise(ctx, c.Step, c.Workers)
@@ -292,9 +296,9 @@
 	return nil
 }
 
-// errLeaseNotHeld is the result of a start that was not sent because the lease may have expired
+// errLeaseNotHeld is the result of a command that was not sent because the lease may have expired
 // since the decision.
-var errLeaseNotHeld error = &fleet.CallError{Op: "start", Verdict: verdict.NotRun, Cause: errors.New("the owner lease may have expired")}
+var errLeaseNotHeld error = &fleet.CallError{Op: "command", Verdict: verdict.NotRun, Cause: errors.New("the owner lease may have expired")}
 
 // sendCommand makes the call of a command to a worker, whose response may take as long as the
 // long poll of length wait and the command timeout.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -279,6 +279,32 @@
 	}
 }
 
+// Guards against a malformed request of one VM that ends the process of another.
+func TestPanicOfAHandlerFailsOnlyItsCall(t *testing.T) {
+	server := NewServer(Options{}, event.Discard{})
+	server.Handle("test.index", func(_ context.Context, params json.RawMessage) (any, error) {
+		var m message
+		if err := json.Unmarshal(params, &m); err != nil {
+			return nil, err
+		}
+		return []int{1, 2}[m.Number], nil
+	})
+	l := newBlockableNetwork().listen(t)
+	go func() { _ = server.Serve(context.Background(), l) }()
+	client := NewClient(Options{}, event.Discard{})
+	defer client.Close()
+	var failure *Error
+	if err := client.Call(context.Background(), l.Addr().String(), "test.index", message{9}, nil); !errors.As(err, &failure) || failure.Verdict != verdict.MayHaveRun {
+		t.Fatalf("the call that panics: %v, want an error that it may have run", err)
+	}
+	if err := client.Call(context.Background(), l.Addr().String(), "test.index", message{1}, nil); err != nil {
+		t.Fatalf("the next call: %v", err)
+	}
+	if err := server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // BenchmarkCall measures calls and their responses over loopback.
 func BenchmarkCall(b *testing.B) {
 	server := NewServer(Options{}, event.Discard{})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -209,10 +210,22 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := m.handler(ctx, params)
+	result, err := s.callHandler(ctx, req.Method, m, params)
 	s.reply(ctx, conn, req, result, err)
 }
 
+// callHandler calls the handler. A panic, such as one caused by a malformed request, fails only the
+// call.
+func (s *Server) callHandler(ctx context.Context, name string, m method, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.recorder.Record(event.PeerHandlerPanicked, name, cause, string(debug.Stack()))
+			err = &Error{Code: CodeInternal, Message: "the handler failed", Verdict: verdict.MayHaveRun}
+		}
+	}()
+	return m.handler(ctx, params)
+}
+
 func (s *Server) reject(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, code Code, message string) {
 	s.recorder.Record(event.PeerCallRejected, req.Method, int(code))
 	s.reply(ctx, conn, req, nil, &Error{Code: code, Message: message, Verdict: verdict.NotRun})
