A new owner counts rates in order of arrival; the placement pass in a file of its own

Cause: the store lists submissions by id, so a new owner took others for those beyond an account's rate than the earlier one; a submission stored before accounts were configured got 409 when it was sent again. Change: the stored submissions are sorted by the revision of their creation; the visibility rule is the same for state and resubmission. placement_pass.go holds the pass, decide.go the rest.

--- a/internal/admission/bucket.go
+++ b/internal/admission/bucket.go
@@ -23,8 +23,8 @@
 // scale returns the part of the limit.
 func (l Limit) scale(part float64) Limit { return Limit{l.PerSecond * part, l.Burst * part} }
 
-// Bucket is a token bucket. It starts full when its limit is first set. Without a limit it admits
-// a single submission at a time that is later than those before by any amount. It is not safe for concurrent use.
+// Bucket is a token bucket. It starts full when its limit is first set, and is empty before. It is not
+// safe for concurrent use.
 type Bucket struct {
 	limit  Limit
 	tokens float64
--- a/internal/dispatch/account_status.go
+++ b/internal/dispatch/account_status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 )
 
@@ -40,3 +41,9 @@
 	})
 	return list
 }
+
+// BeyondRate reports whether a submission arrived beyond its account's rate.
+func (d *Dispatcher) BeyondRate(id fleet.JobID) bool {
+	j := d.jobs[id]
+	return j != nil && j.beyondRate
+}
--- /dev/null
+++ b/internal/dispatch/placement_pass.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// placeWaiting places waiting tasks and reserves workers for gangs and wide tasks that do not fit.
+// A step that found no worker is retried only on workers with freed capacity, and requests advice
+// or preempts at most every placementRetryInterval. The cost of a pass thus depends on what
+// changed, not on the number of waiting steps.
+func (d *Dispatcher) placeWaiting(now time.Duration) {
+	freed := d.freedWorkers
+	d.freedWorkers = nil
+	for _, w := range freed {
+		w.inFreedList = false
+	}
+	steps := d.readySteps(now)
+	d.startPass(steps)
+	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
+	d.requestAdviceForSteps(now, steps)
+	cleared := d.clearReservations()
+	p := &placementPass{d: d, now: now, freed: freed}
+	d.stepsUnplaced = false
+	for len(steps) > 0 {
+		n := 1
+		for n < len(steps) && d.compareClasses(now, steps[0], steps[n]) == 0 {
+			n++
+		}
+		p.placeClass(steps[:n])
+		steps = steps[n:]
+	}
+	d.markUnreserved(cleared)
+	d.preempt(now, p.unplaced)
+}
+
+// placementPass is one pass over the ready steps.
+type placementPass struct {
+	d        *Dispatcher
+	now      time.Duration
+	freed    []*worker // since the last pass
+	unplaced []*step   // that found no worker, and are due for another attempt to get one
+}
+
+// placeClass places steps of one class: first up to the shares of their accounts, then what is left
+// of the capacity.
+func (p *placementPass) placeClass(steps []*step) {
+	var aboveShare []*step
+	for _, s := range steps {
+		if p.d.hasShareLeft(s.job.account) {
+			p.placeStep(s, true)
+		}
+		if s.waiting > 0 && !p.d.hasShareLeft(s.job.account) {
+			aboveShare = append(aboveShare, s)
+		} else {
+			p.finishStep(s)
+		}
+	}
+	for _, s := range aboveShare {
+		p.placeStep(s, false)
+		p.finishStep(s)
+	}
+}
+
+// placeStep places what it can of a step, within the share of its account if withinShare is set.
+func (p *placementPass) placeStep(s *step, withinShare bool) {
+	candidates := p.freed
+	if s.tryAllWorkers {
+		candidates = p.d.workerList
+	}
+	if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || p.now >= s.retryDue) {
+		p.d.placeStep(p.now, s, candidates, withinShare)
+	}
+}
+
+// finishStep reserves capacity for what is left of a step, and determines when to try it again.
+func (p *placementPass) finishStep(s *step) {
+	d := p.d
+	if s.waiting > 0 && !d.quotaAllows(p.now, s, s.startableTogether()) {
+		s.tryAllWorkers = true // which capacity is freed until the quota allows it is not recorded
+		return
+	}
+	if s.waiting > 0 && s.reservesCapacity() {
+		d.reserve(p.now, s)
+	}
+	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
+	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
+		s.retryDue = p.now + placementRetryInterval
+		p.unplaced = append(p.unplaced, s)
+	}
+	s.tryAllWorkers = s.waiting > 0 && s.hasDelayedTask
+}
+
+// readySteps returns the steps with tasks to place.
+func (d *Dispatcher) readySteps(now time.Duration) []*step {
+	var list []*step
+	for _, j := range d.activeJobs {
+		if !d.eligible(j) {
+			continue
+		}
+		for _, steps := range j.steps {
+			for _, s := range steps {
+				if s.waiting > 0 && now >= s.notBefore && s.ready() {
+					list = append(list, s)
+				}
+			}
+		}
+	}
+	return list
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -167,7 +167,7 @@
 	}
 	result := createKey(ctx, h.store, h.relay, txn)
 	if result.Stored {
-		if other := owner.StoredAccount(result.Existing); other != access.account && len(result.Existing) > 0 {
+		if other := owner.StoredAccount(result.Existing); !(fleet.Status{Account: other}).VisibleTo(access.account) {
 			h.events.Record(event.SubmissionIDTaken, id, access.account, other)
 			return writeResponse(w, http.StatusConflict, []byte(`{"error":"another submission has this id"}`))
 		}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -157,6 +159,8 @@
 	for _, wave := range state.waves {
 		d.SetWave(now, time.Now(), wave, state.waveProgress[wave.Number])
 	}
+	// The rates of accounts count submissions in the order in which they were accepted.
+	slices.SortStableFunc(state.intake, func(a, b fleet.Item) int { return cmp.Compare(a.CreateRevision, b.CreateRevision) })
 	o.applyIntake(now, state.intake, state.progress)
 	o.opts.Events.Record(event.OwnerElected, o.ownership.Fence, reason, len(state.intake), len(state.workers))
 }
