--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -40,13 +40,13 @@
 	}
 }
 
-func serveAccount(store Committer, events event.Recorder, method, key string) *httptest.ResponseRecorder {
+func serveAccount(view ClusterView, store Committer, events event.Recorder, method, key string) *httptest.ResponseRecorder {
 	format := Format{
 		DeadlineHeader: "Deadline-Ms", KeyHeader: "X-Api-Key", ValidID: func(string) bool { return true },
 		ParseSubmission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
 		FormatState:     func(fleet.State) ([]byte, error) { return []byte("{}"), nil },
 	}
-	h := NewHandler(format, testLimits, accountView{}, store, nil, events, tally.NoopScope)
+	h := NewHandler(format, testLimits, view, store, nil, events, tally.NoopScope)
 	r := httptest.NewRequest(method, "http://example.com/keyed/1", strings.NewReader("{}"))
 	r.Header.Set("X-Api-Key", key)
 	w := httptest.NewRecorder()
@@ -74,7 +74,7 @@
 		{http.MethodPost, "key-b", http.StatusConflict},
 	} {
 		var events keyRecorder
-		if w := serveAccount(exists, &events, c.method, c.key); w.Code != c.status {
+		if w := serveAccount(accountView{}, exists, &events, c.method, c.key); w.Code != c.status {
 			t.Errorf("%s with %s: %d, want %d", c.method, c.key, w.Code, c.status)
 		}
 		if strings.Contains(events.text.String(), c.key) {
@@ -122,15 +122,7 @@
 		{"not known", limitedView{err: context.DeadlineExceeded}, http.StatusOK, 1},
 	} {
 		store := &fakeStore{respond: func(context.Context, int) error { return nil }}
-		format := Format{
-			DeadlineHeader: "Deadline-Ms", KeyHeader: "X-Api-Key", ValidID: func(string) bool { return true },
-			ParseSubmission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
-		}
-		h := NewHandler(format, testLimits, c.view, store, nil, event.Discard{}, tally.NoopScope)
-		r := httptest.NewRequest(http.MethodPost, "http://example.com/keyed/1", strings.NewReader("{}"))
-		r.Header.Set("X-Api-Key", "key-a")
-		w := httptest.NewRecorder()
-		h.ServeHTTP(w, r)
+		w := serveAccount(c.view, store, event.Discard{}, http.MethodPost, "key-a")
 		if w.Code != c.status || store.calls != c.writes || c.status == http.StatusTooManyRequests && w.Header().Get("Retry-After") == "" {
 			t.Errorf("%s: status %d, %d writes, Retry-After %q; want %d and %d writes", c.name, w.Code, store.calls, w.Header().Get("Retry-After"), c.status, c.writes)
 		}
@@ -141,10 +133,10 @@
 // whose response was lost has stored it.
 func TestRejectedWriteOfAStoredSubmissionIsNotReportedAsNeverRun(t *testing.T) {
 	rejects := &fakeStore{respond: func(context.Context, int) error { return errNotRun }}
-	if w := serveAccount(rejects, event.Discard{}, http.MethodPost, "key-a"); w.Code != http.StatusOK {
+	if w := serveAccount(accountView{}, rejects, event.Discard{}, http.MethodPost, "key-a"); w.Code != http.StatusOK {
 		t.Errorf("%d for a submission that the owner knows, want 200", w.Code)
 	}
-	if w := serveAccount(rejects, event.Discard{}, http.MethodPost, "key-b"); w.Code != http.StatusServiceUnavailable {
+	if w := serveAccount(accountView{}, rejects, event.Discard{}, http.MethodPost, "key-b"); w.Code != http.StatusServiceUnavailable {
 		t.Errorf("%d for the id of another account's submission, want 503", w.Code)
 	}
 }
