node: a follower keeps its owner while the owner's read of the configuration is late

Ruled out: the long poll, the transfer, the new fields of the answer. Change: the owner answers such polls with the age of its configuration; a follower reads the store beyond 1.4 s and keeps following.

--- a/internal/node/configuration_age.go
+++ b/internal/node/configuration_age.go
@@ -34,12 +34,16 @@
 // owner's clock, says about the age of the configuration. The owner's state is at least as recent
 // as the poll's arrival plus the time that the owner held it.
 func (n *Node) confirmAnnounced(sent time.Duration, reply attachResponse) {
-	if reply.ConfigurationVersion == 0 || reply.ConfigurationVersion > n.configurations.version() {
+	if reply.ConfigurationVersion == 0 {
 		return
 	}
 	age := reply.ConfigurationAge
 	if age == 0 { // an earlier release, which serves polls only up to this age
 		age = configMaxAge
 	}
-	n.confirmNewest(sent + reply.Held - age)
+	readAt := sent + reply.Held - age
+	n.ownerReadAt.Store(int64(readAt))
+	if reply.ConfigurationVersion <= n.configurations.version() {
+		n.confirmNewest(readAt)
+	}
 }
--- a/internal/node/configuration_watch.go
+++ b/internal/node/configuration_watch.go
@@ -16,9 +16,12 @@
 	attachedCheckInterval = 250 * time.Millisecond
 	attachmentMaxAge      = attachTimeout + 100*time.Millisecond
 	// configMaxAge is the maximum age of the owner's last read of the configuration for which
-	// followers rely on it. Together with the long poll it leaves time to read the store within
-	// the 2 s in which a change must become active.
-	configMaxAge          = 900 * time.Millisecond
+	// followers of earlier releases rely on it. Together with the long poll it leaves time to read
+	// the store within the 2 s in which a change must become active.
+	configMaxAge = 900 * time.Millisecond
+	// followedConfigMaxAge is the same for followers that know the age. They read the store beyond it,
+	// but keep following: an owner that is busy with a large configuration still decides.
+	followedConfigMaxAge  = configMaxAge + attachPollTime
 	configWatchTime       = 500 * time.Millisecond
 	configConfirmTime     = time.Millisecond                       // shortest long poll
 	configResponseTimeout = configWatchTime + 300*time.Millisecond // of the first byte of a response
@@ -83,6 +86,9 @@
 	if n.currentOwner.Load() != nil || active == 0 && announced == 0 || n.transfer.stalled(active) {
 		return false
 	}
+	if n.opts.Owner.Clock()-time.Duration(n.ownerReadAt.Load()) > followedConfigMaxAge {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return time.Since(n.attachedAt) < attachmentMaxAge
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -268,7 +268,7 @@
 	var reply attachResponse
 	request := attachRequest{
 		Name: n.opts.Name, Address: n.opts.PeerAddress, ElectionDelay: n.opts.ElectionDelay,
-		Configuration: max(n.configurations.version(), n.transfer.announced()), AcceptsChunks: true,
+		Configuration: max(n.configurations.version(), n.transfer.announced()), AcceptsChunks: true, JudgesAge: true,
 		Arrivals: n.gate.TakeArrivals(),
 	}
 	if n.currentOwnerAddress() != address {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -29,6 +29,8 @@
 	Configuration int64         `json:"configuration"` // version that the follower has or knows of; -1: respond at once
 	AcceptsChunks bool          `json:"chunks"`        // the follower fetches the configuration; false: an earlier release, which expects it in the response
 	ElectionDelay time.Duration `json:"rank"`          // how long the follower waits before it campaigns
+	// JudgesAge is set by a follower that decides by ConfigurationAge whether to rely on the owner.
+	JudgesAge bool `json:"judges_age,omitempty"`
 	// Arrivals are the submissions that arrived at the follower since its last poll.
 	Arrivals map[admission.Stream]int `json:"arrivals,omitempty"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,9 @@
 	// configNewestAt is the clock reading at which the active configuration was last known to be the
 	// newest of the store; 0: not yet.
 	configNewestAt atomic.Int64
+	// ownerReadAt is the clock reading at which the owner that this VM follows, or the last one, is known
+	// to have read the configuration; 0: never.
+	ownerReadAt atomic.Int64
 	// operatorRevision is the store's revision up to which this VM has the configuration; 0: none.
 	operatorRevision     atomic.Int64
 	configReadSuperseded chan struct{} // interrupts watchConfiguration's wait for a read
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -62,7 +62,7 @@
 	n.resignToLargerVM(r.ElectionDelay)
 	n.divider.Report(r.Address, r.Arrivals, arrived)
 	_, _, changed := n.configurations.snapshot()
-	if n.opts.Owner.Clock()-time.Duration(n.configConfirmedAt.Load()) > configMaxAge {
+	if !r.JudgesAge && n.opts.Owner.Clock()-time.Duration(n.configConfirmedAt.Load()) > configMaxAge {
 		return attachResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "the configuration here may be old", Verdict: verdict.NotRun}
 	}
 	if r.Configuration >= 0 && r.Configuration >= n.configurations.version() {
