--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -116,8 +115,7 @@
 // room has a valid ticket.
 func (d *Dispatcher) unreservedCandidates(now time.Duration, s *step) []*worker {
 	a := &s.advice
-	var candidates []*worker
-	usable := 0
+	best := &freestWorkers{limit: s.adviceWorkers()}
 	for _, w := range d.workerList {
 		if !w.placeable(now) || !d.satisfiesConstraints(s, w) || !reservedCapacity(s.def).FitsIn(w.entry.Capacity) {
 			continue
@@ -128,17 +126,35 @@
 		case known && !allowed:
 		case a.hasTicket(now, w.entry.ID):
 			if fits {
-				usable++
+				return nil
 			}
 		case !known || fits:
-			candidates = append(candidates, w)
+			best.add(w)
 		}
 	}
-	if usable > 0 {
-		return nil
+	return best.list
+}
+
+// freestWorkers selects the workers with the most free CPU, the earlier one among equals. In a large
+// fleet most workers then cost one comparison.
+type freestWorkers struct {
+	limit int
+	list  []*worker // in descending order
+}
+
+func (f *freestWorkers) add(w *worker) {
+	free := w.free().MilliCPU
+	if len(f.list) == f.limit && f.list[f.limit-1].free().MilliCPU >= free {
+		return
 	}
-	slices.SortStableFunc(candidates, func(x, y *worker) int { return cmp.Compare(y.free().MilliCPU, x.free().MilliCPU) })
-	return candidates
+	at, _ := slices.BinarySearchFunc(f.list, free, func(other *worker, free int64) int {
+		if other.free().MilliCPU >= free {
+			return -1
+		}
+		return 1
+	})
+	f.list = slices.Insert(f.list, at, w)
+	f.list = f.list[:min(len(f.list), f.limit)]
 }
 
 // ticketLatency returns how long an advice call that names all reserved workers takes.
