owner: the cost of decisions can be seen

Change: event decision-load, once a second while decisions take a tenth of the time or more, and metrics of the time of a decision, workers examined, steps ready and unplaced. No decision changes.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -117,6 +117,7 @@
 	a := &s.advice
 	best := &freestWorkers{limit: s.adviceWorkers()}
 	for _, w := range d.workerList {
+		d.load.Examined++
 		if !w.placeable(now) || !d.satisfiesConstraints(s, w) || !reservedCapacity(s.def).FitsIn(w.entry.Capacity) {
 			continue
 		}
@@ -165,6 +166,7 @@
 // unknownWorkers returns workers with room for a task of the step that no advice call has named.
 func (d *Dispatcher) unknownWorkers(now time.Duration, s *step) []*worker {
 	var unknown []*worker
+	d.load.Examined += int64(len(d.workerList))
 	for _, w := range d.workerList {
 		_, known := s.advice.allowed[w.entry.ID]
 		if !known && w.placeable(now) && d.satisfiesConstraints(s, w) && reservedCapacity(s.def).FitsIn(w.free()) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -36,6 +36,7 @@
 	reservations  []*reservation // of the last placement pass
 	passDue       time.Duration
 	stepsUnplaced bool // steps found no worker in the last placement pass
+	load          DecisionLoad
 	sweepDue      time.Duration
 	earlyCancels  map[earlyCancel]bool // cancellations of submissions that have not arrived yet
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -60,6 +60,7 @@
 func (d *Dispatcher) bestWorker(now time.Duration, s *step, t *task, candidates []*worker) *worker {
 	var best *worker
 	bestScore := 0.0
+	d.load.Examined += int64(len(candidates))
 	for _, w := range candidates {
 		if !d.feasible(now, s, w, model.Resources{}) {
 			continue
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -16,6 +16,8 @@
 		w.inFreedList = false
 	}
 	steps := d.readySteps(now)
+	d.load.Passes++
+	d.load.Ready, d.load.Unplaced = len(steps), 0
 	d.startPass(steps)
 	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
 	d.requestAdviceForSteps(now, steps)
@@ -83,6 +85,9 @@
 	if s.waiting > 0 && s.reservesCapacity() {
 		d.reserve(p.now, s)
 	}
+	if s.waiting > 0 {
+		d.load.Unplaced++
+	}
 	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
 	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
 		s.retryDue = p.now + placementRetryInterval
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -70,6 +70,7 @@
 	var target *worker
 	demand := reservedCapacity(s.def)
 	for _, w := range d.workerList {
+		d.load.Examined++
 		if !w.placeable(now) || w.probing || !d.satisfiesConstraints(s, w) || s.job.queue.Advice != nil && !s.advice.hasTicket(now+d.opts.StopTimeout, w.entry.ID) {
 			continue
 		}
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -211,6 +211,7 @@
 // chooseInRack chooses among the workers of a rack, or all workers if rack is empty.
 func (d *Dispatcher) chooseInRack(now time.Duration, s *step, rack string) *reservation {
 	var slots []memberSlot
+	d.load.Examined += int64(len(d.workerList))
 	for _, w := range d.workerList {
 		if rack != "" && w.rack() != rack || w.reservedFor != nil || !d.mayRunMember(now, s, w) {
 			continue
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -54,6 +54,10 @@
 		Summary: "An occurrence of a timed submission is due.",
 		Action:  "Nothing.",
 		Keys:    []string{"submission", "occurrence", "behind"}})
+	DecisionLoad = Define(Definition{ID: 2157, Name: "decision-load", Level: Info,
+		Summary: "Decisions took a tenth of the last second or more; recorded once a second at most.",
+		Action:  "Near half of the interval, move ownership to a larger VM. Otherwise look at free_cpu and stopping (capacity) and at the advice calls.",
+		Keys:    []string{"interval", "busy", "longest", "passes", "examined", "ready", "unplaced", "stopping", "advice_calls", "advice_slots", "free_cpu"}})
 	SubmissionFinished = Define(Definition{ID: 2106, Name: "submission-ended", Level: Info,
 		Summary: "A submission reached its final state.",
 		Action:  "For a failed submission, search the run-ended events for its id.",
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -122,6 +122,7 @@
 	leaseLostAt      time.Duration
 	startLatency     tally.Histogram
 	renewalLatency   tally.Histogram
+	decisions        *decisionMeter
 	commandTimeout   commandTimeout
 	invalidRevisions sync.Map // revision of each invalid entry, by key
 }
@@ -140,6 +141,7 @@
 		done:             make(chan struct{}),
 		stepDown:         make(chan struct{}),
 		revisions:        map[string]int64{},
+		decisions:        newDecisionMeter(opts.Scope, buckets),
 		startLatency:     opts.Scope.Histogram("start_order_seconds", buckets),
 		renewalLatency:   opts.Scope.Histogram("hold_seconds", buckets),
 	}
@@ -208,7 +210,9 @@
 			return errors.Wrap(errOwnershipLost, "a worker has seen a higher fencing token")
 		}
 		o.dispatcher.SetAdviceSlots(o.opts.Advice.Slots())
-		for _, c := range o.dispatcher.Decide(now, time.Now(), o.leaseHeld) {
+		commands := o.dispatcher.Decide(now, time.Now(), o.leaseHeld)
+		o.decisions.record(now, o.opts.Clock(), o.dispatcher, o.opts.Events)
+		for _, c := range commands {
 			o.execute(ctx, c)
 		}
 		o.flushProgress(ctx, now)
