dispatch: a start examines the workers that hold tickets, not the whole fleet

Cause: each waiting step examined every worker for each of its tasks, for its preemptions and, every 50 ms, for its next advice call, so decisions took 30 to 59% of the time of the owner's processor; and all calls in flight named the same workers with the most room, so that most answers were of no use and the steps asked again. Change: starts, preemption, copies and gangs examine the holders of tickets; freeIndex yields the workers with the most free cores without a look at the others; short calls claim room on the workers that they name; a step with enough tickets, or without a worker to name, waits for freed capacity. freestWorkers and its test are gone with the selection over all workers: TestFreeIndexYieldsWorkersInOrderOfFreeCores holds its order, to whole cores.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -14,8 +14,14 @@
 type advice struct {
 	inFlight bool
 	retryAt  time.Duration
-	allowed  map[model.WorkerID]bool // an entry for every worker in an answered call
-	tickets  map[model.WorkerID]ticket
+	// exhaustedUntil is set when there was no worker to name. Until then, only a worker with freed
+	// capacity ends that.
+	exhaustedUntil time.Duration
+	claimed        []*worker               // named by the call in flight
+	claim          int64                   // milli-CPU claimed on each of them
+	allowed        map[model.WorkerID]bool // an entry for every worker in an answered call
+	tickets        map[model.WorkerID]ticket
+	holders        []*worker // of tickets, in the order of the calls; some tickets may have expired
 }
 
 type ticket struct {
@@ -32,6 +38,34 @@
 
 func (a *advice) dropTicket(id model.WorkerID) { delete(a.tickets, id) }
 
+// addTicket records a ticket for the worker.
+func (a *advice) addTicket(w *worker, t ticket) {
+	a.tickets[w.entry.ID] = t
+	if !slices.Contains(a.holders, w) {
+		a.holders = append(a.holders, w)
+	}
+}
+
+// dropExpired drops the tickets that cannot be used any more.
+func (a *advice) dropExpired(now time.Duration) {
+	a.holders = slices.DeleteFunc(a.holders, func(w *worker) bool {
+		expired := !a.hasTicket(now, w.entry.ID)
+		if expired {
+			a.dropTicket(w.entry.ID)
+		}
+		return expired
+	})
+}
+
+// startCandidates returns the workers that may be able to start tasks of the step. If its queue needs
+// advice, these are the few that hold tickets, whatever the size of the fleet.
+func (d *Dispatcher) startCandidates(s *step) []*worker {
+	if s.job.queue.Advice != nil {
+		return s.advice.holders
+	}
+	return d.workerList
+}
+
 // requestAdviceForSteps sends the advice calls that the most urgent ready steps need, then
 // those for steps that will become ready within the latency of a call.
 func (d *Dispatcher) requestAdviceForSteps(now time.Duration, ready []*step) {
@@ -62,7 +96,7 @@
 func (d *Dispatcher) requestAdvice(now time.Duration, s *step) {
 	a := &s.advice
 	policy := s.job.queue.Advice
-	if policy == nil || a.inFlight || now < a.retryAt || d.adviceInFlight >= d.adviceSlots || !s.tryAllWorkers && now < s.adviceDue {
+	if policy == nil || a.inFlight || now < max(a.retryAt, a.exhaustedUntil) || d.adviceInFlight >= d.adviceSlots || !s.tryAllWorkers && now < s.adviceDue {
 		return
 	}
 	if policy.Latency(1) > shortAdviceCall && d.onlyReservedSlotsFree() {
@@ -84,9 +118,35 @@
 	}
 	a.inFlight = true
 	d.adviceInFlight++
+	if latency <= shortAdviceCall {
+		d.claimRoom(s, candidates)
+	}
 	d.emit(AdviseCommand{Step: s.id, Workers: ids})
 }
 
+// claimRoom claims an equal part of what the step needs on each worker that its call names, so that
+// calls in flight at the same time name different workers. Without that they all name those with the
+// most room, and only the first to be answered can use it. Long calls claim nothing: the room is likely
+// to be used meanwhile, by steps whose calls are answered earlier.
+func (d *Dispatcher) claimRoom(s *step, named []*worker) {
+	a := &s.advice
+	a.claimed = named
+	a.claim = reservedCapacity(s.def).MilliCPU * int64(min(s.waiting, len(named))) / int64(len(named))
+	for _, w := range named {
+		w.claimedMilliCPU += a.claim
+		d.freeWorkers.update(w)
+	}
+}
+
+// releaseClaims releases the claims of an answered call.
+func (d *Dispatcher) releaseClaims(a *advice) {
+	for _, w := range a.claimed {
+		w.claimedMilliCPU -= a.claim
+		d.freeWorkers.update(w)
+	}
+	a.claimed = nil
+}
+
 // onlyReservedSlotsFree reports whether all free advice slots are reserved for short calls.
 func (d *Dispatcher) onlyReservedSlotsFree() bool {
 	return d.adviceSlots-d.adviceInFlight <= d.adviceSlots/reservedSlotDivisor
@@ -110,52 +170,54 @@
 	return d.unknownWorkers(now, s)
 }
 
-// unreservedCandidates returns the workers to name for a step without reserved workers: those that
-// no call has named and those that have room but no valid ticket. There are none if a worker with
+// unreservedCandidates returns the workers to name for a step without reserved workers, those with
+// the most free cores first: those that have room but no valid ticket and, while the step has tickets
+// for fewer workers than a call names, those that no call has named. There are none if a worker with
 // room has a valid ticket.
 func (d *Dispatcher) unreservedCandidates(now time.Duration, s *step) []*worker {
 	a := &s.advice
-	best := &freestWorkers{limit: s.adviceWorkers()}
-	for _, w := range d.workerList {
+	limit := s.adviceWorkers()
+	demand := reservedCapacity(s.def)
+	valid := 0
+	for _, w := range a.holders {
 		d.load.Examined++
-		if !w.placeable(now) || !d.satisfiesConstraints(s, w) || !reservedCapacity(s.def).FitsIn(w.entry.Capacity) {
+		if !a.hasTicket(now, w.entry.ID) || !w.placeable(now) || !d.satisfiesConstraints(s, w) {
 			continue
 		}
-		allowed, known := a.allowed[w.entry.ID]
-		fits := reservedCapacity(s.def).FitsIn(w.free())
-		switch {
-		case known && !allowed:
-		case a.hasTicket(now, w.entry.ID):
-			if fits {
-				return nil
-			}
-		case !known || fits:
-			best.add(w)
+		if demand.FitsIn(w.free()) {
+			return nil
 		}
+		valid++
 	}
-	return best.list
-}
-
-// freestWorkers selects the workers with the most free CPU, the earlier one among equals. In a large
-// fleet most workers then cost one comparison.
-type freestWorkers struct {
-	limit int
-	list  []*worker // in descending order
+	onlyWithRoom := valid >= limit // more tickets without room would not let the step start earlier
+	var list []*worker
+	for w := range d.freeWorkers.descending() {
+		d.load.Examined++
+		if onlyWithRoom && w.unclaimed().MilliCPU < demand.MilliCPU || len(list) == limit {
+			break
+		}
+		if d.worthNaming(now, s, w, onlyWithRoom) {
+			list = append(list, w)
+		}
+	}
+	if len(list) == 0 {
+		a.exhaustedUntil = now + adviceRescanInterval
+	}
+	return list
 }
 
-func (f *freestWorkers) add(w *worker) {
-	free := w.free().MilliCPU
-	if len(f.list) == f.limit && f.list[f.limit-1].free().MilliCPU >= free {
-		return
+// worthNaming reports whether an advice call for the step should name the worker: if it has unclaimed
+// room but no valid ticket or, unless onlyWithRoom is set, if no call has named it.
+func (d *Dispatcher) worthNaming(now time.Duration, s *step, w *worker, onlyWithRoom bool) bool {
+	demand := reservedCapacity(s.def)
+	if !w.placeable(now) || !d.satisfiesConstraints(s, w) || !demand.FitsIn(w.entry.Capacity) {
+		return false
 	}
-	at, _ := slices.BinarySearchFunc(f.list, free, func(other *worker, free int64) int {
-		if other.free().MilliCPU >= free {
-			return -1
-		}
-		return 1
-	})
-	f.list = slices.Insert(f.list, at, w)
-	f.list = f.list[:min(len(f.list), f.limit)]
+	allowed, known := s.advice.allowed[w.entry.ID]
+	if !known && !onlyWithRoom {
+		return true
+	}
+	return (!known || allowed) && demand.FitsIn(w.unclaimed()) && !s.advice.hasTicket(now, w.entry.ID)
 }
 
 // ticketLatency returns how long an advice call that names all reserved workers takes.
@@ -208,6 +270,7 @@
 	}
 	a := &t.step.advice
 	a.inFlight = false
+	d.releaseClaims(a)
 	t.step.tryAllWorkers = true
 	if err != nil {
 		a.retryAt = now + adviceRetryDelay
@@ -217,11 +280,12 @@
 	if a.allowed == nil {
 		a.allowed, a.tickets = map[model.WorkerID]bool{}, map[model.WorkerID]ticket{}
 	}
-	for _, w := range requested {
-		text, ok := allowed[w]
-		a.allowed[w] = ok
-		if ok {
-			a.tickets[w] = ticket{text: text, until: now + validity}
+	a.dropExpired(now)
+	for _, id := range requested {
+		text, ok := allowed[id]
+		a.allowed[id] = ok
+		if w := d.workers[id]; ok && w != nil {
+			a.addTicket(w, ticket{text: text, until: now + validity})
 		}
 	}
 	d.events.Record(event.AdviceReceived, id, len(requested), len(allowed), validity)
@@ -257,6 +321,11 @@
 	reservedSlotDivisor = 4 // one in this many slots is reserved
 	// adviceWorkersPerTask allows for workers that are not allowed or whose room is taken before the response arrives.
 	adviceWorkersPerTask = 2
+	// adviceRescanInterval is the time after which a step without workers to name examines all again.
+	adviceRescanInterval = 500 * time.Millisecond
+	// wokenPerWorker is the number of steps that may name a worker with freed capacity. Not all of them
+	// are allowed to use it, and one is enough.
+	wokenPerWorker = 4
 )
 
 // adviceLead is added to the latency of a call made ahead, for two hops between VMs and queueing.
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -98,6 +98,7 @@
 		left := !w.listed && len(w.runs) == 0 && !w.recordedByPrevious && !w.renewInFlight && len(w.pendingAcks) == 0
 		if left {
 			delete(d.workers, w.entry.ID)
+			d.freeWorkers.remove(w)
 			d.workerListDirty = true
 		}
 		return left
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,9 +20,10 @@
 	inheritedLeaseEnd time.Duration
 	config            *fleet.Configuration
 
-	workers    map[model.WorkerID]*worker
-	workerList []*worker           // in order of first appearance, so that decisions are reproducible
-	accounts   map[string]*account // with submissions, by name
+	workers     map[model.WorkerID]*worker
+	workerList  []*worker           // in order of first appearance, so that decisions are reproducible
+	freeWorkers freeIndex           // all workers
+	accounts    map[string]*account // with submissions, by name
 	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
 	unknownUsage  model.Resources
 	capacity      model.Resources // of the cluster at the last pass
@@ -60,7 +61,8 @@
 	adviceSlots    int // maximum number of advice calls in flight
 	adviceInFlight int
 
-	commands []Command
+	commands       []Command
+	feasibleBuffer []*worker
 }
 
 // New returns a dispatcher without workers and jobs.
@@ -122,6 +124,7 @@
 		w = &worker{slowdown: 1, entry: fleet.WorkerEntry{ID: id}, runs: map[fleet.RunID]*run{}, lastReportAt: d.startedAt}
 		d.workers[id] = w
 		d.workerList = append(d.workerList, w)
+		d.freeWorkers.add(w)
 	}
 	return w
 }
@@ -149,6 +152,7 @@
 		}
 		w.retired = w.retired && e.Incarnation == w.retiredIncarnation
 		w.entry, w.listed = e, true
+		d.freeWorkers.update(w)
 		if w.recorded == w.drained() {
 			d.workerListDirty = true
 		}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -52,8 +52,9 @@
 	for range s.tasks {
 		var best *worker
 		bestScore := 0.0
-		d.load.Examined += int64(len(d.workerList))
-		for _, w := range d.workerList {
+		candidates := d.startCandidates(s)
+		d.load.Examined += int64(len(candidates))
+		for _, w := range candidates {
 			if rack != "" && !slices.Contains(w.entry.Labels, rack) || !d.feasible(now, s, w, extra[w]) ||
 				s.def.MaxPerWorker > 0 && counts[w] >= s.def.MaxPerWorker {
 				continue
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -76,5 +76,5 @@
 
 // hasFeasibleWorker reports whether a task of the step can be started on some worker now.
 func (d *Dispatcher) hasFeasibleWorker(now time.Duration, s *step) bool {
-	return slices.ContainsFunc(d.workerList, func(w *worker) bool { return d.feasible(now, s, w, model.Resources{}) })
+	return slices.ContainsFunc(d.startCandidates(s), func(w *worker) bool { return d.feasible(now, s, w, model.Resources{}) })
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -32,6 +32,8 @@
 		d.placeGang(now, s)
 		return
 	}
+	// A worker that cannot take the first task cannot take another one in this pass either.
+	feasible := d.feasibleWorkers(now, s, candidates)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			return
@@ -46,7 +48,7 @@
 		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
 			return
 		}
-		w := d.bestWorker(now, s, t, candidates)
+		w := d.bestWorker(now, s, t, feasible)
 		if w == nil {
 			return
 		}
@@ -56,6 +58,19 @@
 	}
 }
 
+// feasibleWorkers returns the candidates on which a task of the step can be started. The result is
+// valid until the next call.
+func (d *Dispatcher) feasibleWorkers(now time.Duration, s *step, candidates []*worker) []*worker {
+	d.load.Examined += int64(len(candidates))
+	d.feasibleBuffer = d.feasibleBuffer[:0]
+	for _, w := range candidates {
+		if d.feasible(now, s, w, model.Resources{}) {
+			d.feasibleBuffer = append(d.feasibleBuffer, w)
+		}
+	}
+	return d.feasibleBuffer
+}
+
 // bestWorker returns the feasible candidate with the lowest score, or nil.
 func (d *Dispatcher) bestWorker(now time.Duration, s *step, t *task, candidates []*worker) *worker {
 	var best *worker
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"filbertcross/internal/model"
 )
 
 // placeWaiting places waiting tasks and reserves workers for gangs and wide tasks that do not fit.
@@ -22,7 +24,7 @@
 	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
 	d.requestAdviceForSteps(now, steps)
 	cleared := d.clearReservations()
-	p := &placementPass{d: d, now: now, freed: freed}
+	p := &placementPass{d: d, now: now, freed: freed, leastDemand: leastDemand(steps)}
 	d.stepsUnplaced = false
 	for len(steps) > 0 {
 		n := 1
@@ -33,15 +35,51 @@
 		steps = steps[n:]
 	}
 	d.markUnreserved(cleared)
+	p.wakeExhausted()
 	d.preempt(now, p.unplaced)
 }
 
 // placementPass is one pass over the ready steps.
 type placementPass struct {
-	d        *Dispatcher
-	now      time.Duration
-	freed    []*worker // since the last pass
-	unplaced []*step   // that found no worker, and are due for another attempt to get one
+	d           *Dispatcher
+	now         time.Duration
+	freed       []*worker // since the last pass; without those that have no room any more
+	leastDemand model.Resources
+	unplaced    []*step // that found no worker, and are due for another attempt to get one
+	exhausted   []*step // see advice.exhaustedUntil
+}
+
+// leastDemand returns, for each resource, the least that a task of any step needs.
+func leastDemand(steps []*step) model.Resources {
+	var least model.Resources
+	for i, s := range steps {
+		demand := reservedCapacity(s.def)
+		if i == 0 {
+			least = demand
+		}
+		least.MilliCPU = min(least.MilliCPU, demand.MilliCPU)
+		least.MemoryMiB = min(least.MemoryMiB, demand.MemoryMiB)
+		least.Accelerators = min(least.Accelerators, demand.Accelerators)
+	}
+	return least
+}
+
+// wakeExhausted lets the most urgent steps that had no worker to name in an advice call name those
+// with freed capacity that no step has used.
+func (p *placementPass) wakeExhausted() {
+	for _, w := range p.freed {
+		woken := 0
+		for _, s := range p.exhausted {
+			if woken == wokenPerWorker {
+				break
+			}
+			p.d.load.Examined++
+			if p.d.worthNaming(p.now, s, w, true) {
+				s.advice.exhaustedUntil = 0
+				woken++
+			}
+		}
+	}
 }
 
 // placeClass places steps of one class: first up to the shares of their accounts, then what is left
@@ -67,11 +105,15 @@
 // placeStep places what it can of a step, within the share of its account if withinShare is set.
 func (p *placementPass) placeStep(s *step, withinShare bool) {
 	candidates := p.freed
-	if s.tryAllWorkers {
-		candidates = p.d.workerList
+	if all := p.d.startCandidates(s); s.tryAllWorkers || len(all) < len(candidates) {
+		candidates = all
 	}
 	if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || p.now >= s.retryDue) {
+		waiting := s.waiting
 		p.d.placeStep(p.now, s, candidates, withinShare)
+		if s.waiting < waiting {
+			p.freed = slices.DeleteFunc(p.freed, func(w *worker) bool { return !p.leastDemand.FitsIn(w.free()) })
+		}
 	}
 }
 
@@ -87,6 +129,9 @@
 	}
 	if s.waiting > 0 {
 		d.load.Unplaced++
+		if p.now < s.advice.exhaustedUntil {
+			p.exhausted = append(p.exhausted, s)
+		}
 	}
 	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
 	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -69,7 +69,7 @@
 	var best []*run
 	var target *worker
 	demand := reservedCapacity(s.def)
-	for _, w := range d.workerList {
+	for _, w := range d.startCandidates(s) {
 		d.load.Examined++
 		if !w.placeable(now) || w.probing || !d.satisfiesConstraints(s, w) || s.job.queue.Advice != nil && !s.advice.hasTicket(now+d.opts.StopTimeout, w.entry.ID) {
 			continue
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -28,7 +28,7 @@
 		if !d.quotaAllows(now, s, 1) {
 			continue
 		}
-		w := d.bestWorker(now, s, t, d.workerList)
+		w := d.bestWorker(now, s, t, d.startCandidates(s))
 		if w == nil {
 			d.requestAdvice(now, s)
 			continue
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -31,6 +31,9 @@
 	lastReportAt           time.Duration
 	incarnationConfirmedAt time.Duration // when the last answered renewal was sent; the incarnation was alive then
 
+	claimedMilliCPU         int64 // by advice calls in flight that name the worker
+	freeClass, freePosition int   // see freeIndex
+
 	runs           map[fleet.RunID]*run
 	used           model.Resources
 	stoppingDemand model.Resources // part of used that belongs to runs being stopped
@@ -115,6 +118,13 @@
 
 func (w *worker) free() model.Resources { return w.entry.Capacity.Sub(w.used) }
 
+// unclaimed returns the free capacity that no advice call in flight claims.
+func (w *worker) unclaimed() model.Resources {
+	free := w.free()
+	free.MilliCPU -= w.claimedMilliCPU
+	return free
+}
+
 // placeable reports whether new runs may be started on the worker.
 func (w *worker) placeable(now time.Duration) bool {
 	return w.listed && w.recorded && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
@@ -166,6 +176,7 @@
 	w, s := r.worker, r.task.step
 	w.runs[r.id] = r
 	w.used = w.used.Add(r.demand)
+	d.freeWorkers.update(w)
 	if s.runsPerWorker != nil {
 		s.runsPerWorker[w.entry.ID]++
 	}
@@ -191,6 +202,7 @@
 	delete(w.runs, r.id)
 	delete(d.runs, r.id)
 	w.used = w.used.Sub(r.demand)
+	d.freeWorkers.update(w)
 	d.markFreed(w)
 	if r.phase == runStopping {
 		w.stoppingDemand = w.stoppingDemand.Sub(r.demand)
