dispatch: expired tickets are dropped before a step looks for workers to name

Cause: steps that wait for long went through workers whose tickets had expired. Change: they are dropped first.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -179,9 +179,10 @@
 	limit := s.adviceWorkers()
 	demand := reservedCapacity(s.def)
 	valid := 0
+	a.dropExpired(now)
 	for _, w := range a.holders {
 		d.load.Examined++
-		if !a.hasTicket(now, w.entry.ID) || !w.placeable(now) || !d.satisfiesConstraints(s, w) {
+		if !w.placeable(now) || !d.satisfiesConstraints(s, w) {
 			continue
 		}
 		if demand.FitsIn(w.free()) {
