--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -87,11 +87,12 @@
 func formatAttributes(def *Definition, values []any) []Attribute {
 	list := make([]Attribute, len(values))
 	for i, v := range values {
-		key := fmt.Sprint("value", i)
+		list[i].Value = fmt.Sprint(v)
 		if i < len(def.Keys) {
-			key = def.Keys[i]
+			list[i].Key = def.Keys[i]
+		} else {
+			list[i].Key = fmt.Sprint("value", i)
 		}
-		list[i] = Attribute{Key: key, Value: fmt.Sprint(v)}
 	}
 	return list
 }
