--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -132,14 +132,19 @@
 	a := &s.advice
 	a.claimed = named
 	a.claim = reservedCapacity(s.def).MilliCPU * int64(min(s.waiting, len(named))) / int64(len(named))
+	d.claimingCalls++
 	for _, w := range named {
 		w.claimedMilliCPU += a.claim
 		d.freeWorkers.update(w)
 	}
 }
 
-// releaseClaims releases the claims of an answered call.
+// releaseClaims releases the claims of an answered call, if it had any.
 func (d *Dispatcher) releaseClaims(a *advice) {
+	if len(a.claimed) == 0 {
+		return
+	}
+	d.claimingCalls--
 	for _, w := range a.claimed {
 		w.claimedMilliCPU -= a.claim
 		d.freeWorkers.update(w)
@@ -191,24 +196,29 @@
 		valid++
 	}
 	onlyWithRoom := valid >= limit // more tickets without room would not let the step start earlier
+	contested := false             // calls in flight may have claimed room that the step could use
 	var list []*worker
 	for w := range d.freeWorkers.descending() {
-		d.load.Examined++
-		if onlyWithRoom && w.unclaimed().MilliCPU < demand.MilliCPU || len(list) == limit {
+		if len(list) == limit {
 			break
 		}
+		if onlyWithRoom && int64(w.freeClass+1)*coreMilliCPU <= demand.MilliCPU {
+			contested = d.claimingCalls > 0
+			break
+		}
+		d.load.Examined++
 		if d.worthNaming(now, s, w, onlyWithRoom) {
 			list = append(list, w)
 		}
 	}
-	if len(list) == 0 {
+	if len(list) == 0 && !contested {
 		a.exhaustedUntil = now + adviceRescanInterval
 	}
 	return list
 }
 
-// worthNaming reports whether an advice call for the step should name the worker: if it has unclaimed
-// room but no valid ticket or, unless onlyWithRoom is set, if no call has named it.
+// worthNaming reports whether an advice call for the step should name the worker: if it has room but
+// no valid ticket or, unless onlyWithRoom is set, if no call has named it.
 func (d *Dispatcher) worthNaming(now time.Duration, s *step, w *worker, onlyWithRoom bool) bool {
 	demand := reservedCapacity(s.def)
 	if !w.placeable(now) || !d.satisfiesConstraints(s, w) || !demand.FitsIn(w.entry.Capacity) {
@@ -218,7 +228,7 @@
 	if !known && !onlyWithRoom {
 		return true
 	}
-	return (!known || allowed) && demand.FitsIn(w.unclaimed()) && !s.advice.hasTicket(now, w.entry.ID)
+	return (!known || allowed) && demand.FitsIn(w.free()) && !s.advice.hasTicket(now, w.entry.ID)
 }
 
 // ticketLatency returns how long an advice call that names all reserved workers takes.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -60,6 +60,7 @@
 
 	adviceSlots    int // maximum number of advice calls in flight
 	adviceInFlight int
+	claimingCalls  int // advice calls in flight that claim room, see claimRoom
 
 	commands       []Command
 	feasibleBuffer []*worker
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -112,6 +112,7 @@
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			s.tryAllWorkers = true
+			s.advice.exhaustedUntil = 0
 		}
 	}
 }
