dispatch: the cost of a pass does not grow with the backlog

What operators would see: with 100,000 waiting tasks on 3,700 full workers, queues without advice, one placement pass takes 2.2 s, longer than the owner keeps its lease. Change: demands for which a search of all workers found none are recorded by service, label and, for preemption, queue and account; steps that need as much are not searched for again, in this pass or for 250 ms. One pass examines 50,000 workers for preemption at most.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,6 +35,7 @@
 	unsettledRuns []*run         // runs whose start or stop has an unknown outcome
 	freedWorkers  []*worker      // workers with freed capacity since the last placement pass
 	reservations  []*reservation // of the last placement pass
+	noVictims     failedDemands  // of steps that found no runs to preempt
 	passDue       time.Duration
 	stepsUnplaced bool // steps found no worker in the last placement pass
 	load          DecisionLoad
@@ -70,7 +71,7 @@
 func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, events: events, startedAt: now, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
-		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, jobs: map[fleet.JobID]*job{},
+		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, noVictims: failedDemands{}, jobs: map[fleet.JobID]*job{},
 		runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
 		workerListDirty: true,
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -21,22 +21,23 @@
 )
 
 // placeStep starts as many of the step's waiting tasks as fit on the candidates and its account's
-// quota, and as its account's share if withinShare is set.
-func (d *Dispatcher) placeStep(now time.Duration, s *step, candidates []*worker, withinShare bool) {
+// quota, and as its account's share if withinShare is set. It reports false if no candidate could take
+// even one.
+func (d *Dispatcher) placeStep(now time.Duration, s *step, candidates []*worker, withinShare bool) bool {
 	s.hasDelayedTask = false
 	s.slowdownLimit = s.maxSlowdown(now)
 	if !d.quotaAllows(now, s, s.startableTogether()) {
-		return
+		return true
 	}
 	if s.def.Gang {
 		d.placeGang(now, s)
-		return
+		return true
 	}
 	// A worker that cannot take the first task cannot take another one in this pass either.
 	feasible := d.feasibleWorkers(now, s, candidates)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
-			return
+			break
 		}
 		if t.state != taskWaiting {
 			continue
@@ -46,16 +47,17 @@
 			continue
 		}
 		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
-			return
+			break
 		}
 		w := d.bestWorker(now, s, t, feasible)
 		if w == nil {
-			return
+			break
 		}
 		s.job.nextRun++
 		s.reservation = nil
 		d.startRun(now, t, w, d.opts.Fence*runsPerFence+s.job.nextRun)
 	}
+	return len(feasible) > 0
 }
 
 // feasibleWorkers returns the candidates on which a task of the step can be started. The result is
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -24,7 +24,7 @@
 	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
 	d.requestAdviceForSteps(now, steps)
 	cleared := d.clearReservations()
-	p := &placementPass{d: d, now: now, freed: freed, leastDemand: leastDemand(steps)}
+	p := &placementPass{d: d, now: now, freed: freed, leastDemand: leastDemand(steps), noRoom: failedDemands{}}
 	d.stepsUnplaced = false
 	for len(steps) > 0 {
 		n := 1
@@ -47,6 +47,7 @@
 	leastDemand model.Resources
 	unplaced    []*step // that found no worker, and are due for another attempt to get one
 	exhausted   []*step // see advice.exhaustedUntil
+	noRoom      failedDemands
 }
 
 // leastDemand returns, for each resource, the least that a task of any step needs.
@@ -108,12 +109,21 @@
 	if all := p.d.startCandidates(s); s.tryAllWorkers || len(all) < len(candidates) {
 		candidates = all
 	}
-	if len(candidates) > 0 && (!s.def.Gang || s.tryAllWorkers || p.now >= s.retryDue) {
-		waiting := s.waiting
-		p.d.placeStep(p.now, s, candidates, withinShare)
-		if s.waiting < waiting {
-			p.freed = slices.DeleteFunc(p.freed, func(w *worker) bool { return !p.leastDemand.FitsIn(w.free()) })
-		}
+	if len(candidates) == 0 || s.def.Gang && !s.tryAllWorkers && p.now < s.retryDue {
+		return
+	}
+	tryAll := s.tryAllWorkers && s.sharesFailures()
+	key, demand := placementKey(s), reservedCapacity(s.def)
+	if tryAll && p.noRoom.found(p.now, key, demand) {
+		return
+	}
+	waiting := s.waiting
+	hadRoom := p.d.placeStep(p.now, s, candidates, withinShare)
+	if !hadRoom && tryAll && len(p.d.reservations) == 0 { // reserved workers may have room for a shorter step
+		p.noRoom.record(p.now, key, demand, 0)
+	}
+	if s.waiting < waiting {
+		p.freed = slices.DeleteFunc(p.freed, func(w *worker) bool { return !p.leastDemand.FitsIn(w.free()) })
 	}
 }
 
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -17,6 +17,12 @@
 	// workersPerPreemption is the number of workers per concurrent preemption above that minimum. A
 	// stop takes up to a second, and a burst needs several tasks per worker.
 	workersPerPreemption = 3
+	// maxPreemptionSearch is the number of workers that one pass examines for preemption. The least urgent
+	// steps are left to later passes.
+	maxPreemptionSearch = 50_000
+	// preemptionSearchInterval is the time between searches for runs that steps of one key may preempt,
+	// after one that found none.
+	preemptionSearchInterval = 250 * time.Millisecond
 )
 
 // preempt frees capacity for the most urgent unplaced steps by stopping checkpointing runs of
@@ -29,6 +35,7 @@
 			budget--
 		}
 	}
+	examinedBefore := d.load.Examined
 	promised := map[*worker]model.Resources{}
 	for _, s := range steps {
 		if budget <= 0 {
@@ -41,18 +48,40 @@
 		if s.waiting == 0 || s.def.Gang || s.def.LongRunning || s.def.Filler || lateness(now, s.job) > 0 {
 			continue
 		}
-		for range s.waiting {
-			victims, w := d.victims(now, s, promised)
-			if w == nil || len(victims) > budget {
-				break
-			}
-			promised[w] = promised[w].Add(reservedCapacity(s.def))
-			for _, v := range victims {
-				budget--
-				d.preemptRun(now, v, s)
+		if d.load.Examined-examinedBefore > maxPreemptionSearch {
+			return
+		}
+		budget -= d.preemptForTasks(now, s, budget, promised)
+	}
+}
+
+// preemptForTasks stops runs for the waiting tasks of a step and returns their number, at most budget.
+func (d *Dispatcher) preemptForTasks(now time.Duration, s *step, budget int, promised map[*worker]model.Resources) int {
+	key, demand := preemptionKey(s), reservedCapacity(s.def)
+	if s.sharesFailures() && d.noVictims.found(now, key, demand) {
+		return 0
+	}
+	stopped := 0
+	for range s.waiting {
+		victims, w := d.victims(now, s, promised)
+		if w == nil {
+			// A younger step may not get its share back yet, and may be kept from reserved workers.
+			decisive := (s.job.account == nil || now-s.job.arrivedAt > maxShareReturn) && len(d.reservations) == 0
+			if decisive && s.sharesFailures() {
+				d.noVictims.record(now, key, demand, now+preemptionSearchInterval)
 			}
+			break
+		}
+		if len(victims) > budget-stopped {
+			break
+		}
+		promised[w] = promised[w].Add(demand)
+		for _, v := range victims {
+			stopped++
+			d.preemptRun(now, v, s)
 		}
 	}
+	return stopped
 }
 
 // preemptRun stops a run for a step of a more urgent queue.
