Revert "platform: idle connections to as many workers as the file descriptors allow"

Change: reverted. More idle connections help an owner of 1,000 workers and hurt one of 3,000; why is not traced (CAPACITY.md).

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -85,7 +85,7 @@
 		},
 		Owner: owner.Options{
 			LeaseTTL: ownerLease,
-			Store:    store, Workers: platform.NewWorkerClient(s.Limits.MaxFDs),
+			Store:    store, Workers: platform.NewWorkerClient(),
 			Machines: platform.NewMachineClient(s.Machines.Address, s.NodeName), Events: events, Scope: metrics.Scope, Clock: bootClock,
 			Codec: owner.Codec{
 				WorkerPrefix: platform.WorkerPrefix, Worker: platform.ParseWorkerEntry,
