dispatch: simulated histories with a queue that needs advice

Cause: the histories of owners, workers and faults had no queue with advice, so that the search for workers to name, its claims and its waits were not played under lost calls, restarts and new owners.

--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -88,6 +88,7 @@
 	recordedWorkers []RecordedWorker
 	batchInFlight   bool
 	done            map[fleet.TaskID]bool // acknowledged as completed
+	jobQueue        string                // of all submissions
 	accounts        *fleet.Accounts       // of the submissions in turn, checked against their quotas; nil: none
 	starts          int
 }
@@ -164,6 +165,9 @@
 	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
 		return nil
 	}
+	if !h.ticketValid(w, s) {
+		return rejection(fleet.RejectedTicket)
+	}
 	if s.Run <= w.highestRun[s.Task] || w.runs[s.Task] != nil {
 		return rejection(fleet.RejectedOldRun)
 	}
@@ -283,6 +287,8 @@
 				w.highestRun[c.Run.Task] = max(w.highestRun[c.Run.Task], c.Run.Run)
 				return nil
 			}, func(err error) { d.HandleStopResponse(h.now, c.Run, c.To.ID, err) }, CommandTimeout)
+		case AdviseCommand:
+			h.answerAdvice(c)
 		case RenewCommand:
 			w, sent := h.worker(c.To.ID), h.now
 			var rep fleet.Report
@@ -394,7 +400,12 @@
 }
 
 func runHistory(t testFailer, seed uint64, accounts *fleet.Accounts) int {
-	h := &simHistory{t: t, seed: seed, accounts: accounts, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
+	return runQueueHistory(t, seed, accounts, "quick")
+}
+
+// runQueueHistory runs a history whose submissions all go to one queue.
+func runQueueHistory(t testFailer, seed uint64, accounts *fleet.Accounts, queue string) int {
+	h := &simHistory{t: t, seed: seed, accounts: accounts, jobQueue: queue, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
 		jobs: map[fleet.JobID]*fleet.Submission{}, revisions: map[fleet.JobID]int64{}, store: map[fleet.JobID]*Progress{}, done: map[fleet.TaskID]bool{}}
 	for i := range 5 {
 		w := &simWorker{h: h, entry: workerEntry(i), up: true, clockRate: 0.98 + 0.02*h.rng.Float64()}
@@ -411,7 +422,7 @@
 		step.Estimate = 200*time.Millisecond + h.jitter(1500*time.Millisecond)
 		second := tasks(1+h.rng.IntN(3), 2)
 		second.Estimate, second.After = 300*time.Millisecond, []int{0}
-		h.jobs[id] = &fleet.Submission{ID: id, Queue: "quick", Service: "pool", Steps: []fleet.Step{step, second}}
+		h.jobs[id] = &fleet.Submission{ID: id, Queue: queue, Service: "pool", Steps: []fleet.Step{step, second}}
 		if accounts != nil {
 			h.jobs[id].Account = simAccounts[len(h.jobs)%len(simAccounts)]
 		}
