dispatch: a worker that leaves during an advice call stays out of the index of free cores

What operators would see: the owner's process ends with a panic when a worker leaves the fleet, or lapses after a fault, while an advice call that names it is in flight. Change: removed workers are marked, and updates leave them out.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -52,6 +52,28 @@
 	}
 }
 
+// Guards against an owner whose process ends because a worker left while a call that names it was in
+// flight.
+func TestWorkerMayLeaveWhileACallNamesIt(t *testing.T) {
+	h := newHarness(t, 3)
+	h.submit("advised", "a", tasks(2, 8))
+	h.decide()
+	call := h.adviceCalls[0]
+	h.listWorkers(2)
+	h.d.HandleRenewFailure(h.now, workerID(2), errNoResponse)
+	h.advance(time.Minute)
+	h.decide()
+	if h.d.workers[workerID(2)] != nil {
+		t.Fatal("the worker that left is still known")
+	}
+	h.answerAdvice(call)
+	for _, w := range h.d.workerList {
+		if w.claimedMilliCPU != 0 {
+			t.Fatalf("%s has %d mCPU claimed without a call in flight", w.entry.ID, w.claimedMilliCPU)
+		}
+	}
+}
+
 // Load: a full cluster of which advice allows the step two workers. Guards against a step that stays
 // without a ticket although capacity was freed on a worker that it may use, and against one that keeps
 // the advice service busy meanwhile.
--- a/internal/dispatch/free_index.go
+++ b/internal/dispatch/free_index.go
@@ -5,6 +5,7 @@
 const (
 	coreMilliCPU = 1000
 	freeClasses  = 256 // the last one holds all workers with more free cores
+	notInIndex   = -1  // position of a worker that was removed
 )
 
 // freeIndex orders the workers by their unclaimed free cores, so that those with most of them are found
@@ -27,11 +28,13 @@
 	list[w.freePosition], last.freePosition = last, w.freePosition
 	list[len(list)-1] = nil
 	x.classes[w.freeClass] = list[:len(list)-1]
+	w.freePosition = notInIndex
 }
 
-// update moves a worker whose capacity, use or claims have changed.
+// update moves a worker whose capacity, use or claims have changed. A worker that was removed stays
+// out: the answer to an advice call that names it may still come.
 func (x *freeIndex) update(w *worker) {
-	if freeClass(w) != w.freeClass {
+	if w.freePosition != notInIndex && freeClass(w) != w.freeClass {
 		x.remove(w)
 		x.add(w)
 	}
