dispatch: the cost of a pass does not grow with the gangs that wait

What operators would see: with hundreds of waiting gangs the owner's decisions take the time of its other work. Change: a pass that has examined 50,000 workers leaves further searches for gangs to the next passes, which start with those that have waited for theirs; a gang without workers to reserve searches every 50 ms. A reservation that could not be renewed for that reason holds no workers.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,8 +39,10 @@
 	passDue       time.Duration
 	stepsUnplaced bool // steps found no worker in the last placement pass
 	load          DecisionLoad
-	sweepDue      time.Duration
-	earlyCancels  map[earlyCancel]bool // cancellations of submissions that have not arrived yet
+	// examinedBeforePass is load.Examined at the start of the placement pass.
+	examinedBeforePass int64
+	sweepDue           time.Duration
+	earlyCancels       map[earlyCancel]bool // cancellations of submissions that have not arrived yet
 
 	dirtyJobs         []*job
 	removals          []removal
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -19,6 +19,7 @@
 	}
 	steps := d.readySteps(now)
 	d.load.Passes++
+	d.examinedBeforePass = d.load.Examined
 	d.load.Ready, d.load.Unplaced = len(steps), 0
 	d.startPass(steps)
 	slices.SortStableFunc(steps, func(a, b *step) int { return d.compareSteps(now, a, b) })
@@ -112,6 +113,9 @@
 	if len(candidates) == 0 || s.def.Gang && !s.tryAllWorkers && p.now < s.retryDue {
 		return
 	}
+	if s.postponed = s.def.Gang && !p.d.mayStartSearch(); s.postponed {
+		return
+	}
 	tryAll := s.tryAllWorkers && s.sharesFailures()
 	key, demand := placementKey(s), reservedCapacity(s.def)
 	if tryAll && p.noRoom.found(p.now, key, demand) {
@@ -144,6 +148,9 @@
 		}
 	}
 	d.stepsUnplaced = d.stepsUnplaced || s.waiting > 0 && !s.advice.inFlight
+	if s.postponed {
+		return // it is still due
+	}
 	if s.waiting > 0 && (s.tryAllWorkers || p.now >= s.retryDue) {
 		s.retryDue = p.now + placementRetryInterval
 		p.unplaced = append(p.unplaced, s)
--- a/internal/dispatch/reservation.go
+++ b/internal/dispatch/reservation.go
@@ -16,10 +16,13 @@
 const (
 	wideShare           = 0.4                    // of a worker with accelerators; tasks that need more are wide
 	reservationInterval = 200 * time.Millisecond // between two choices of workers for a waiting step
-	reservationGain     = 500 * time.Millisecond // a new choice replaces the current one only if it is ready this much earlier
-	minBackfillTime     = time.Second            // below this a run that is to be preempted soon is not started
-	maxReadyTime        = 2 * time.Second        // a step that fits for longer does not start for another reason, such as failing advice calls, and holds no workers
-	neverFree           = time.Duration(math.MaxInt64)
+	// maxPassSearch is the number of workers that one pass examines before it leaves further searches for
+	// gangs to the next passes. The cost of a pass then does not depend on how many wait.
+	maxPassSearch   = 50_000
+	reservationGain = 500 * time.Millisecond // a new choice replaces the current one only if it is ready this much earlier
+	minBackfillTime = time.Second            // below this a run that is to be preempted soon is not started
+	maxReadyTime    = 2 * time.Second        // a step that fits for longer does not start for another reason, such as failing advice calls, and holds no workers
+	neverFree       = time.Duration(math.MaxInt64)
 )
 
 // reservation holds workers for a step that waits for capacity: a gang, which starts when all its
@@ -92,9 +95,12 @@
 		return
 	}
 	valid := s.reservation != nil && d.reservable(now, s.reservation)
-	if !valid || now >= s.reserveDue {
+	if (now >= s.reserveDue || s.reservation != nil && !valid) && d.mayStartSearch() {
 		s.reserveDue = now + reservationInterval
 		next := d.chooseReservation(now, s)
+		if next == nil {
+			s.reserveDue = now + placementRetryInterval
+		}
 		if valid {
 			d.updateEstimates(now, s.reservation)
 		}
@@ -103,7 +109,7 @@
 			s.reservation = next
 		}
 	}
-	if s.reservation == nil {
+	if s.reservation == nil || !d.reservable(now, s.reservation) {
 		return
 	}
 	s.reservation.updateFitsAt(now)
@@ -116,6 +122,12 @@
 	}
 }
 
+// mayStartSearch reports whether the placement pass may search for workers for another gang or wide
+// task.
+func (d *Dispatcher) mayStartSearch() bool {
+	return d.load.Examined-d.examinedBeforePass < maxPassSearch
+}
+
 // fits reports whether a gang fits on its workers, or a wide task on one of them. It does not use
 // the estimates: runs may take longer.
 func (r *reservation) fits() bool {
