dispatch: a test of backfill beside recorded failures

Change: TestShortStepIsBackfilledBehindLongerOneOfTheSameDemand. Not caught: a new owner's steps that wait 0.5 s after recovery instead of searching at once, and failures of young steps that are kept for 250 ms; both are bounded by these times.

--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// Guards against a short step that is taken for one without room because a longer one, which would delay
+// a waiting gang, found none.
+func TestShortStepIsBackfilledBehindLongerOneOfTheSameDemand(t *testing.T) {
+	h := newHarness(t, 1)
+	running := tasks(1, 20)
+	running.Estimate = 5 * time.Second
+	h.submit("quick", "running", running)
+	h.decide()
+	h.acceptStarts(h.starts)
+	gang := tasks(1, 32)
+	gang.Gang = true
+	h.submit("quick", "gang", gang)
+	long, short := tasks(1, 8), tasks(1, 8)
+	long.Estimate = time.Hour
+	h.submit("quick", "a-long", long)
+	h.submit("rebuild", "b-short", short)
+	h.advance(time.Second)
+	h.decide()
+	if len(h.starts) != 1 || h.starts[0].Start.Task.Job != "b-short" {
+		t.Fatalf("starts %+v, want the short step, which ends before the gang can start", h.starts)
+	}
+}
+
 func BenchmarkPassWithBacklog(b *testing.B) {
 	cluster := newBacklog(&testing.T{}, 3700, 5000)
 	cluster.pass()
