--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -11,6 +11,10 @@
 // result in a later report frees the capacity. NextBatch and HandleBatchResult make the
 // job's progress durable before the result is acknowledged to the worker.
 //
+// A decision must not cost more the more is waiting: free_index.go, failed_demand.go and the holders
+// of tickets (advice.go) keep it from examining all workers for each step, as
+// docs/design/decision-cost.md describes.
+//
 // A task gets a new run only when no earlier run of it can still be running, which is
 // proved by one of the following: the worker reported the run's result; the worker no
 // longer lists the run; a report requested after a confirmed stop does not list the run;
