dispatch: an event for each run that is lost with its worker

Change: event 2158 run-lost with worker, task, run, what proved the loss and the run's age at the worker's last response. No decision is changed.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -90,7 +90,7 @@
 			d.events.Record(event.WorkerLeaseExpired, w.entry.ID, len(w.runs), now-w.lastReportAt)
 		}
 		for _, r := range d.sortedRuns(w.runs) {
-			d.endRun(r)
+			d.loseRun(now, r, lostByExpiry)
 		}
 		w.recordedByPrevious = false
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -27,7 +27,7 @@
 	case fleet.RejectedStaleFence:
 		d.lostOwnership = true
 	case fleet.RejectedIncarnation:
-		d.handleReplacement(w)
+		d.handleReplacement(now, w)
 	}
 	if w.failedRenewals++; w.failedRenewals == 1 {
 		d.events.Record(event.WorkerUnresponsive, id, now-w.lastReportAt, len(w.runs), err)
@@ -37,7 +37,7 @@
 // handleReplacement ends the runs of a worker whose address rejected a renewal because another
 // worker or incarnation runs there, which proves that the worker was dead then. Runs that were
 // started or confirmed after the renewal was sent are kept.
-func (d *Dispatcher) handleReplacement(w *worker) {
+func (d *Dispatcher) handleReplacement(now time.Duration, w *worker) {
 	if w.renewAddress != w.entry.Address {
 		return // it may be alive at its new address
 	}
@@ -46,7 +46,7 @@
 	}
 	for _, r := range d.sortedRuns(w.runs) {
 		if max(r.startSentAt, r.confirmedAt) < w.renewSentAt {
-			d.endRun(r)
+			d.loseRun(now, r, lostByReplacement)
 		}
 	}
 	w.recordedByPrevious = false
@@ -126,7 +126,7 @@
 			d.requestStop(now, r, "its worker restarted before the start was confirmed")
 			continue
 		}
-		d.endRun(r)
+		d.loseRun(now, r, lostByRestart)
 	}
 	w.lastResult, w.durableResult, w.pendingAcks, w.leaseDeadline, w.clock = 0, 0, nil, 0, 0
 	w.ackInFlight, w.ackConfirmed = 0, 0
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 )
@@ -251,6 +252,22 @@
 	d.removeRun(r)
 }
 
+// lossProof is what proved that a run has ended with its worker, as events name it.
+type lossProof string
+
+const (
+	lostByRestart     lossProof = "restart"       // a new incarnation responds
+	lostByReplacement lossProof = "replacement"   // another worker responds at the address
+	lostByExpiry      lossProof = "lease-expired" // no proof that the worker crashed
+)
+
+// loseRun ends a run that was lost with its worker.
+func (d *Dispatcher) loseRun(now time.Duration, r *run, proof lossProof) {
+	w := r.worker
+	d.events.Record(event.RunLost, w.entry.ID, r.id.Task, r.id.Run, proof, max(w.lastReportAt-r.startSentAt, 0), now-w.lastReportAt)
+	d.endRun(r)
+}
+
 // reservedCapacity returns the capacity that a task of the step reserves. A filler task uses
 // only idle CPU time, so it reserves no CPU.
 func reservedCapacity(s *fleet.Step) model.Resources {
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -162,6 +162,10 @@
 		Summary: "A worker was restarted: it responds with a new incarnation, and the runs of the previous incarnation are dead.",
 		Action:  "Nothing.",
 		Keys:    []string{"worker", "before", "now", "runs"}})
+	RunLost = Define(Definition{ID: 2158, Name: "run-lost", Level: Info,
+		Summary: "A run ended with its worker, without a result. The proof is a new incarnation, another worker at the address, or the expiry of the lease. The age is that of the run when the worker last responded.",
+		Action:  "Look at the worker. If runs of one submission are lost on several workers, look at the submission.",
+		Keys:    []string{"worker", "task", "run", "proof", "age", "silent_for"}})
 	WorkerQuarantined = Define(Definition{ID: 2137, Name: "worker-quarantined", Level: Warn,
 		Summary: "Runs of different submissions failed in a row on a worker; it gets no new runs for a while.",
 		Action:  "Check the worker.",
