dispatch: failing tests of tasks that crash their workers

Change: a small fleet of answering workers, tests that a crashing task is given up after two crashes while the work beside it completes, and simulated histories with crashing tasks.

--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -91,6 +91,8 @@
 	jobQueue        string                // of all submissions
 	accounts        *fleet.Accounts       // of the submissions in turn, checked against their quotas; nil: none
 	starts          int
+	crashing        *crashingTasks // nil: no task crashes its worker
+	failures        map[fleet.TaskID]int
 }
 
 func (h *simHistory) schedule(d time.Duration, do func()) {
@@ -118,6 +120,13 @@
 	w.entry.Incarnation++
 }
 
+// crash ends the incarnation; the next one is up after the given time.
+func (w *simWorker) crash(down time.Duration) {
+	w.up = false
+	w.startIncarnation()
+	w.h.schedule(down, func() { w.up = true })
+}
+
 // advance ends the runs that are due and those whose lease has expired.
 func (w *simWorker) advance() {
 	for id, r := range w.runs {
@@ -149,6 +158,9 @@
 	delete(w.runs, id)
 	w.highestRun[id] = max(w.highestRun[id], r.run)
 	w.lastResult++
+	if outcome == fleet.OutcomeFailed {
+		w.h.failures[id]++
+	}
 	w.results = append(w.results, fleet.RunResult{Number: w.lastResult, RunID: fleet.RunID{Task: id, Run: r.run}, Outcome: outcome})
 }
 
@@ -195,6 +207,9 @@
 	}
 	h.checkQuota(sub, step.Demand)
 	h.starts++
+	if h.crashing != nil {
+		h.crashing.started(w, s.Task)
+	}
 	w.runs[s.Task] = &simRun{run: s.Run, startedAt: h.now, duration: step.Estimate/2 + h.jitter(step.Estimate), fails: h.rng.IntN(30) == 0, milliCPU: step.Demand.MilliCPU}
 	return nil
 }
@@ -386,9 +401,7 @@
 		h.replaceOwner()
 	case 1:
 		if w.up {
-			w.up = false
-			w.startIncarnation()
-			h.schedule(h.jitter(4*time.Second), func() { w.up = true })
+			w.crash(h.jitter(4 * time.Second))
 		}
 	case 2:
 		w.partitioned = true
@@ -405,13 +418,24 @@
 
 // runQueueHistory runs a history whose submissions all go to one queue.
 func runQueueHistory(t testFailer, seed uint64, accounts *fleet.Accounts, queue string) int {
+	h := newHistory(t, seed, accounts, queue)
+	h.run()
+	return h.starts
+}
+
+func newHistory(t testFailer, seed uint64, accounts *fleet.Accounts, queue string) *simHistory {
 	h := &simHistory{t: t, seed: seed, accounts: accounts, jobQueue: queue, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
-		jobs: map[fleet.JobID]*fleet.Submission{}, revisions: map[fleet.JobID]int64{}, store: map[fleet.JobID]*Progress{}, done: map[fleet.TaskID]bool{}}
+		jobs: map[fleet.JobID]*fleet.Submission{}, revisions: map[fleet.JobID]int64{}, store: map[fleet.JobID]*Progress{}, done: map[fleet.TaskID]bool{}, failures: map[fleet.TaskID]int{}}
 	for i := range 5 {
 		w := &simWorker{h: h, entry: workerEntry(i), up: true, clockRate: 0.98 + 0.02*h.rng.Float64()}
 		w.startIncarnation()
 		h.workers = append(h.workers, w)
 	}
+	return h
+}
+
+// run runs the history to its end and checks that every submission has a final state.
+func (h *simHistory) run() {
 	h.replaceOwner()
 	loadEnd, end := h.now+20*time.Second, h.now+90*time.Second
 	revision := h.fence
@@ -422,8 +446,8 @@
 		step.Estimate = 200*time.Millisecond + h.jitter(1500*time.Millisecond)
 		second := tasks(1+h.rng.IntN(3), 2)
 		second.Estimate, second.After = 300*time.Millisecond, []int{0}
-		h.jobs[id] = &fleet.Submission{ID: id, Queue: queue, Service: "pool", Steps: []fleet.Step{step, second}}
-		if accounts != nil {
+		h.jobs[id] = &fleet.Submission{ID: id, Queue: h.jobQueue, Service: "pool", Steps: []fleet.Step{step, second}}
+		if h.accounts != nil {
 			h.jobs[id].Account = simAccounts[len(h.jobs)%len(simAccounts)]
 		}
 		h.revisions[id] = revision
@@ -442,7 +466,6 @@
 			h.fail("submission %d is %v a minute after the last fault", i, state)
 		}
 	}
-	return h.starts
 }
 
 // regressions maps seeds that have found a bug to its cause.
