dispatch: crashes of workers are attributed to tasks, and a task that causes them is given up

Cause: a crash ended the runs on the worker as lost, and only results count towards a limit. A run that may be lost was copied at once, to the next worker. Evidence: run-lost events: 212 of the 220 runs of the tasks that were lost again and again had begun less than 25 ms before their worker's last response, and 182 other tasks were lost twice or more, so counts alone are not enough. Change: a run that was younger than 500 ms when its worker stopped responding is suspected, and its task runs next on a worker without other new runs (isolation.go). Only a new incarnation, or another worker at the address, is a crash; silence, drains and maintenance are not. A crash in isolation at the second counted one (third, if the time of the crash is not known) fails the submission. Exposures and counts are in the stored progress, and a suspected task starts only once its count is there. A gang is given up after three runs. TestRunsOfReplacedWorkerStartElsewhereAtOnce: the run there is suspected now, so the test also writes the progress, and checks that nothing starts before that.

--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+	"filbertcross/internal/model"
+)
+
+// Attribution of worker crashes to tasks. A task that crashes its workers does so soon after its start, so a
+// crash is attributed to the runs that had begun shortly before it. Their tasks are started again in isolation
+// (isolation.go); a task that crashes a worker there is given up.
+const (
+	// startupWindow is the age below which a run is suspected in a crash of its worker at once.
+	startupWindow = 500 * time.Millisecond
+	// crashWindow is the age below which a crash is counted at all. Tasks with several such crashes are suspected, too.
+	crashWindow = 10 * time.Second
+	// suspectCrashes is the number of counted crashes that makes a task suspected whatever the ages of its runs.
+	suspectCrashes = 2
+	// crashesToFail is the number of crashes with which a crash in isolation fails the submission, if it is known to have
+	// followed the start within promptCrash. A crash later than that may have another cause more easily, and counts
+	// only with crashesToFailLate.
+	crashesToFail     = 2
+	crashesToFailLate = 3
+	promptCrash       = 150 * time.Millisecond
+	// maxCrashes is the number of crashes in a row, with possible ones, that fails the submission in any case.
+	maxCrashes = 4
+	// maxGangCrashes is the same for a gang, which is not isolated: the runs of a gang shortly after whose start a
+	// worker of a member crashed.
+	maxGangCrashes = 3
+	// settleWait is how long a task that has crashed a worker waits to learn whether the next one crashed, too.
+	settleWait = 6 * time.Second
+	// exposureTimeout is how long an unresponsive worker may still prove to have crashed.
+	exposureTimeout = 20 * time.Second
+	// repeatedCrashTime is the time within which a second crash at one address is attributed to the worker.
+	repeatedCrashTime = 20 * time.Second
+)
+
+// crashHistory is what is known of crashes of workers under a task.
+type crashHistory struct {
+	crashes  int  // under runs whose start was confirmed, since a run last lived for crashWindow
+	possible int  // under runs that may not have been there, as the start got no response
+	suspect  bool // until a run in isolation outlives its probation
+	exposed  []*exposure
+	version  int64   // of the job's progress that contains the counted crashes
+	heldBack *worker // kept free of other new runs for the task; nil: none
+}
+
+// exposure is a run on a worker that may have crashed: it stopped responding, and it is not known yet whether it
+// restarts or continues. Exposures of early runs are durable, so that a new owner can attribute the crash.
+type exposure struct {
+	task        *task
+	worker      *worker
+	incarnation int64 // of the worker when the run was started
+	run         int64
+	origin      *run // nil: it was started by an earlier owner
+	early       bool // the run was younger than startupWindow
+	prompt      bool // the connection to the worker was lost within promptCrash after the start
+	isolated    bool
+	confirmed   bool // the run had started
+	since       time.Duration
+}
+
+// needsIsolation reports whether the task's next run is started in isolation.
+func (t *task) needsIsolation() bool {
+	return t.history.suspect || slices.ContainsFunc(t.history.exposed, func(e *exposure) bool { return e.early })
+}
+
+// mayStartIsolated reports whether a suspected task may be started: its counted crashes are in the store, so that no
+// owner starts it without knowing of them, and it does not wait to learn of another one.
+func (t *task) mayStartIsolated(now time.Duration) bool {
+	h := &t.history
+	unsettled := slices.ContainsFunc(h.exposed, func(e *exposure) bool { return e.early && now-e.since < settleWait })
+	return t.step.job.durableVersion >= h.version && (h.crashes+h.possible == 0 || !unsettled)
+}
+
+// probation is the age up to which a run in isolation is watched.
+func (t *task) probation() time.Duration {
+	if t.history.crashes >= suspectCrashes {
+		return crashWindow
+	}
+	return startupWindow
+}
+
+// noIncarnation is the incarnation of a worker that does not exist any more.
+const noIncarnation = -1
+
+// exposeRuns records that a worker may have crashed under the given runs of it, at the time connectionLostAt or, if that
+// is 0, at any time since its last report. A worker that announced that it leaves, or whose machine was taken down,
+// does not crash.
+func (d *Dispatcher) exposeRuns(now, connectionLostAt time.Duration, w *worker, runs []*run) {
+	if w.leaving() {
+		return
+	}
+	for _, r := range runs {
+		d.exposeRun(now, connectionLostAt, r)
+	}
+}
+
+// leaving reports whether the worker is expected to end.
+func (w *worker) leaving() bool { return w.entry.Draining || w.retired || w.vacating }
+
+func (d *Dispatcher) exposeRun(now, connectionLostAt time.Duration, r *run) {
+	age := max(connectionLostAt, r.worker.lastReportAt) - r.startSentAt
+	j := r.task.step.job
+	if r.exposed || r.released || j.closed() || age >= crashWindow || r.task.step.def.Gang && age >= startupWindow {
+		return
+	}
+	r.exposed = true
+	e := &exposure{
+		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now, isolated: r.isolated && !d.crashesRepeatedly(now, r.worker),
+		early: age < startupWindow, prompt: connectionLostAt != 0 && age < promptCrash, confirmed: r.confirmedAt != 0,
+	}
+	d.addExposure(e)
+	if e.early {
+		d.markDirty(j)
+	}
+}
+
+func (d *Dispatcher) addExposure(e *exposure) {
+	e.task.history.exposed = append(e.task.history.exposed, e)
+	e.task.step.hasSuspects = true
+	e.worker.exposures = append(e.worker.exposures, e)
+}
+
+// dropExposure removes an exposure from its task; the caller removes it from the worker.
+func (d *Dispatcher) dropExposure(e *exposure) {
+	h := &e.task.history
+	h.exposed = slices.DeleteFunc(h.exposed, func(other *exposure) bool { return other == e })
+	e.task.step.tryAllWorkers = true
+}
+
+// settleExposures decides the exposures of a worker that responds with an incarnation: it has crashed under
+// those of other incarnations.
+func (d *Dispatcher) settleExposures(now time.Duration, w *worker, incarnation int64) {
+	exposures := w.exposures
+	w.exposures = nil
+	for _, e := range exposures {
+		d.dropExposure(e)
+		switch {
+		case e.incarnation == incarnation && e.origin != nil:
+			e.origin.exposed = false
+		case e.incarnation != incarnation && !w.leaving():
+			d.countCrash(now, e)
+		}
+	}
+}
+
+// dropOldExposures drops the exposures of workers about which nothing became known.
+func (d *Dispatcher) dropOldExposures(now time.Duration) {
+	for _, w := range d.workerList {
+		w.exposures = slices.DeleteFunc(w.exposures, func(e *exposure) bool {
+			old := now-e.since > exposureTimeout
+			if old {
+				d.dropExposure(e)
+			}
+			return old
+		})
+	}
+}
+
+// countCrash counts a crash of the worker of a run against its task, and fails the submission if the task has
+// crashed a worker in isolation.
+func (d *Dispatcher) countCrash(now time.Duration, e *exposure) {
+	t := e.task
+	j, h := t.step.job, &t.history
+	if j.closed() || t.state == taskDone {
+		return
+	}
+	if t.step.def.Gang {
+		d.countGangCrash(now, e)
+		return
+	}
+	if e.confirmed {
+		h.crashes++
+	} else {
+		h.possible++
+	}
+	h.suspect = h.suspect || e.early || h.crashes >= suspectCrashes
+	t.step.hasSuspects = true
+	d.markDirty(j)
+	h.version = j.version
+	d.events.Record(event.CrashCounted, e.worker.entry.ID, t.id(), e.run, h.crashes, h.possible, e.early, e.isolated)
+	limit := crashesToFailLate
+	if e.prompt {
+		limit = crashesToFail
+	}
+	if e.isolated && e.confirmed && h.crashes >= limit || h.crashes+h.possible >= maxCrashes {
+		d.finishJob(now, j, fleet.StateFailed, fmt.Sprintf("task %v crashed %d workers", t.id(), h.crashes+h.possible))
+	}
+}
+
+// countGangCrash counts a crash against a gang, once for each run of it.
+func (d *Dispatcher) countGangCrash(now time.Duration, e *exposure) {
+	s := e.task.step
+	if slices.Contains(s.gangCrashedRuns, e.run) {
+		return
+	}
+	s.gangCrashedRuns = append(s.gangCrashedRuns, e.run)
+	d.markDirty(s.job)
+	d.events.Record(event.CrashCounted, e.worker.entry.ID, e.task.id(), e.run, len(s.gangCrashedRuns), 0, e.early, e.isolated)
+	if len(s.gangCrashedRuns) >= maxGangCrashes {
+		d.finishJob(now, s.job, fleet.StateFailed, fmt.Sprintf("gang %v crashed %d workers", s.id, len(s.gangCrashedRuns)))
+	}
+}
+
+// recordSurvival updates the crash history of a run that its worker lists in a report requested at sent.
+func (d *Dispatcher) recordSurvival(sent time.Duration, r *run) {
+	t := r.task
+	age := sent - r.startSentAt
+	if r.isolated && age >= t.probation() {
+		d.endIsolation(r)
+		t.history.suspect = false
+	}
+	if age < crashWindow {
+		return
+	}
+	t.history.crashes, t.history.possible = 0, 0
+	t.step.gangCrashedRuns = nil
+}
+
+// noteCrash records the crash of a worker, and that workers crash at its address repeatedly.
+func (d *Dispatcher) noteCrash(now time.Duration, w *worker, proof lossProof) {
+	if w.leaving() || len(w.runs) == 0 && len(w.exposures) == 0 {
+		return
+	}
+	suspected, isolated := 0, false
+	for _, e := range w.exposures {
+		if e.early {
+			suspected++
+		}
+		isolated = isolated || e.isolated
+	}
+	d.events.Record(event.WorkerCrashed, w.entry.ID, proof, len(w.runs), suspected)
+	if isolated {
+		return // the crash is attributed to the task
+	}
+	maps.DeleteFunc(d.crashesByAddress, func(_ string, c addressCrashes) bool { return now-c.last > repeatedCrashTime })
+	count := d.crashesByAddress[w.entry.Address].count + 1
+	d.crashesByAddress[w.entry.Address] = addressCrashes{count: count, last: now}
+}
+
+// addressCrashes counts the crashes at one address.
+type addressCrashes struct {
+	count int
+	last  time.Duration
+}
+
+// crashesRepeatedly reports whether workers have crashed repeatedly at the worker's address.
+func (d *Dispatcher) crashesRepeatedly(now time.Duration, w *worker) bool {
+	c := d.crashesByAddress[w.entry.Address]
+	return c.count > 1 && now-c.last < repeatedCrashTime
+}
+
+// CrashProgress is the durable part of a task's crash history.
+type CrashProgress struct {
+	Crashes   int                `cbor:"1,keyasint,omitempty"`
+	Suspect   bool               `cbor:"2,keyasint,omitempty"`
+	Exposures []ExposureProgress `cbor:"3,keyasint,omitempty"`
+	Possible  int                `cbor:"4,keyasint,omitempty"`
+}
+
+// ExposureProgress is a run on a worker that may have crashed.
+type ExposureProgress struct {
+	Worker      string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"`
+	Incarnation int64  `cbor:"3,keyasint"`
+	Run         int64  `cbor:"4,keyasint"`
+	Isolated    bool   `cbor:"5,keyasint,omitempty"`
+	Confirmed   bool   `cbor:"6,keyasint,omitempty"`
+	Prompt      bool   `cbor:"7,keyasint,omitempty"`
+}
+
+// snapshot returns the durable part, nil if there is none.
+func (h *crashHistory) snapshot() *CrashProgress {
+	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect}
+	for _, e := range h.exposed {
+		if e.early {
+			p.Exposures = append(p.Exposures, ExposureProgress{
+				Worker: string(e.worker.entry.ID), Address: e.worker.entry.Address, Incarnation: e.incarnation, Run: e.run, Isolated: e.isolated, Confirmed: e.confirmed, Prompt: e.prompt,
+			})
+		}
+	}
+	if p.Crashes+p.Possible == 0 && !p.Suspect && len(p.Exposures) == 0 {
+		return nil
+	}
+	return p
+}
+
+// restoreCrashes applies a stored crash history to a task.
+func (d *Dispatcher) restoreCrashes(t *task, p *CrashProgress) {
+	if p == nil {
+		return
+	}
+	t.history.crashes, t.history.possible, t.history.suspect = p.Crashes, p.Possible, p.Suspect
+	t.step.hasSuspects = true
+	for _, e := range p.Exposures {
+		w := d.ensureWorker(model.WorkerID(e.Worker))
+		if w.entry.Address == "" {
+			w.entry.Address = e.Address
+		}
+		d.addExposure(&exposure{task: t, worker: w, incarnation: e.Incarnation, run: e.Run, early: true, isolated: e.Isolated, confirmed: e.Confirmed, prompt: e.Prompt, since: d.startedAt})
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -21,6 +21,11 @@
 	starts      map[fleet.TaskID]int
 	lost        map[fleet.TaskID]int // runs that ended with their worker
 	downUntil   map[model.WorkerID]time.Duration
+	silentUntil map[model.WorkerID]time.Duration // its responses are lost until then
+	crashDelay  time.Duration                    // from the start of a crashing task to the crash
+	storeDown   bool
+	stored      map[fleet.JobID]*Progress
+	recorded    []RecordedWorker
 	incarnation map[model.WorkerID]int64
 	startedAt   map[fleet.RunID]time.Duration
 	runs        map[model.WorkerID]map[fleet.RunID]bool
@@ -31,7 +36,7 @@
 	t.Helper()
 	f := &crashFleet{
 		harness: newHarness(t, workers), crashing: map[fleet.TaskID]bool{}, crashes: map[fleet.TaskID]int{}, starts: map[fleet.TaskID]int{},
-		lost: map[fleet.TaskID]int{}, downUntil: map[model.WorkerID]time.Duration{}, incarnation: map[model.WorkerID]int64{},
+		lost: map[fleet.TaskID]int{}, downUntil: map[model.WorkerID]time.Duration{}, silentUntil: map[model.WorkerID]time.Duration{}, stored: map[fleet.JobID]*Progress{}, incarnation: map[model.WorkerID]int64{},
 		startedAt: map[fleet.RunID]time.Duration{}, runs: map[model.WorkerID]map[fleet.RunID]bool{}, results: map[model.WorkerID][]fleet.RunResult{},
 	}
 	for i := range workers {
@@ -52,16 +57,33 @@
 	for r := range f.runs[id] {
 		f.lost[r.Task]++
 	}
+	f.endGangs(id)
 	f.downUntil[id] = f.now + restartTime
 	f.incarnation[id]++
 	f.runs[id], f.results[id], f.resultNumbers[id] = map[fleet.RunID]bool{}, nil, 0
 }
 
+// endGangs ends the members on other workers of the gangs that run on a worker.
+func (f *crashFleet) endGangs(id model.WorkerID) {
+	for r := range f.runs[id] {
+		if !f.d.findTask(r.Task).step.def.Gang {
+			continue
+		}
+		for other, runs := range f.runs {
+			for member := range runs {
+				if other != id && member.Run == r.Run && member.Task.StepID == r.Task.StepID {
+					f.finish(other, member, fleet.OutcomeGangMemberEnded)
+				}
+			}
+		}
+	}
+}
+
 // pass lets time pass until the end of d or until the condition holds, and reports whether it does.
 func (f *crashFleet) pass(d time.Duration, until func() bool) bool {
 	for end := f.now + d; f.now < end; {
 		f.decide()
-		f.commitAll()
+		f.write()
 		for _, c := range f.harness.starts {
 			f.start(c)
 		}
@@ -69,6 +91,7 @@
 			f.stop(c)
 		}
 		f.advance(25 * time.Millisecond)
+		f.crashDue()
 		for _, c := range f.renewals {
 			f.renew(c)
 		}
@@ -79,6 +102,25 @@
 	return false
 }
 
+// write writes all records, unless the store is down.
+func (f *crashFleet) write() {
+	for batch := f.d.NextBatch(f.now, 30); len(batch) > 0; batch = f.d.NextBatch(f.now, 30) {
+		if f.storeDown {
+			f.d.HandleBatchResult(f.now, batch, false)
+			return
+		}
+		for _, rec := range batch {
+			switch {
+			case rec.IsWorkerList:
+				f.recorded = rec.Workers
+			case rec.Progress != nil:
+				f.stored[rec.Job] = rec.Progress
+			}
+		}
+		f.d.HandleBatchResult(f.now, batch, true)
+	}
+}
+
 func (f *crashFleet) start(c StartCommand) {
 	id := c.To.ID
 	if f.now < f.downUntil[id] {
@@ -89,9 +131,18 @@
 	f.starts[c.Start.Task]++
 	f.runs[id][c.Start.RunID] = true
 	f.startedAt[c.Start.RunID] = f.now
-	if f.crashing[c.Start.Task] {
-		f.crashes[c.Start.Task]++
-		f.crash(id)
+}
+
+// crashDue crashes the workers on which a crashing task has run for crashDelay.
+func (f *crashFleet) crashDue() {
+	for id, runs := range f.runs {
+		for r := range runs {
+			if f.crashing[r.Task] && f.now-f.startedAt[r] >= f.crashDelay {
+				f.crashes[r.Task]++
+				f.crash(id)
+				break
+			}
+		}
 	}
 }
 
@@ -110,10 +161,14 @@
 
 func (f *crashFleet) renew(c RenewCommand) {
 	id := c.To.ID
-	if f.now < f.downUntil[id] {
+	if f.now < f.silentUntil[id] {
 		f.d.HandleRenewFailure(f.now, id, errNoResponse)
 		return
 	}
+	if f.now < f.downUntil[id] {
+		f.d.HandleRenewFailure(f.now, id, &fleet.CallError{Op: "hold", Verdict: verdict.MayHaveRun, Cause: fleet.ErrConnectionLost})
+		return
+	}
 	rep := fleet.Report{Incarnation: f.incarnation[id], Clock: f.now.Milliseconds()}
 	for run := range f.runs[id] {
 		age, estimate := f.now-f.startedAt[run], f.d.findTask(run.Task).step.def.Estimate
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -49,6 +49,8 @@
 	d.createDueOccurrences(wall)
 	d.expireWorkers(now)
 	d.endBackoffs(now)
+	d.dropOldExposures(now)
+	d.endUnusedHoldBacks(now)
 	d.drainWorkers(now)
 	d.advanceWaves(now)
 	d.stopStalledRuns(now)
@@ -95,7 +97,7 @@
 		w.recordedByPrevious = false
 	}
 	d.workerList = slices.DeleteFunc(d.workerList, func(w *worker) bool {
-		left := !w.listed && len(w.runs) == 0 && !w.recordedByPrevious && !w.renewInFlight && len(w.pendingAcks) == 0
+		left := !w.listed && len(w.runs) == 0 && len(w.exposures) == 0 && !w.recordedByPrevious && !w.renewInFlight && len(w.pendingAcks) == 0
 		if left {
 			delete(d.workers, w.entry.ID)
 			d.freeWorkers.remove(w)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,20 +25,23 @@
 	freeWorkers freeIndex           // all workers
 	accounts    map[string]*account // with submissions, by name
 	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
-	unknownUsage  model.Resources
-	capacity      model.Resources // of the cluster at the last pass
-	jobs          map[fleet.JobID]*job
-	activeJobs    []*job // jobs without a final state, in order of arrival
-	finalJobs     []*job // jobs with a final state, in order of completion
-	runs          map[fleet.RunID]*run
-	runList       []*run         // in order of start; the sweep drops removed runs
-	unsettledRuns []*run         // runs whose start or stop has an unknown outcome
-	freedWorkers  []*worker      // workers with freed capacity since the last placement pass
-	reservations  []*reservation // of the last placement pass
-	noVictims     failedDemands  // of steps that found no runs to preempt
-	passDue       time.Duration
-	stepsUnplaced bool // steps found no worker in the last placement pass
-	load          DecisionLoad
+	unknownUsage model.Resources
+	capacity     model.Resources // of the cluster at the last pass
+	heldBack     []*worker       // for tasks that are started in isolation
+	// crashesByAddress counts the crashes of the workers at each address.
+	crashesByAddress map[string]addressCrashes
+	jobs             map[fleet.JobID]*job
+	activeJobs       []*job // jobs without a final state, in order of arrival
+	finalJobs        []*job // jobs with a final state, in order of completion
+	runs             map[fleet.RunID]*run
+	runList          []*run         // in order of start; the sweep drops removed runs
+	unsettledRuns    []*run         // runs whose start or stop has an unknown outcome
+	freedWorkers     []*worker      // workers with freed capacity since the last placement pass
+	reservations     []*reservation // of the last placement pass
+	noVictims        failedDemands  // of steps that found no runs to preempt
+	passDue          time.Duration
+	stepsUnplaced    bool // steps found no worker in the last placement pass
+	load             DecisionLoad
 	// examinedBeforePass is load.Examined at the start of the placement pass.
 	examinedBeforePass int64
 	sweepDue           time.Duration
@@ -74,7 +77,7 @@
 	return &Dispatcher{
 		opts: opts, events: events, startedAt: now, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
 		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, noVictims: failedDemands{}, jobs: map[fleet.JobID]*job{},
-		runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
+		crashesByAddress: map[string]addressCrashes{}, runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
 		workerListDirty: true,
 	}
 }
--- /dev/null
+++ b/internal/dispatch/isolation.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+
+	"filbertcross/internal/event"
+	"filbertcross/internal/fleet"
+)
+
+// A task that may crash its worker is started on a worker without other runs if possible, and no run is started
+// beside it while it is on probation. So its crash ends nothing else, and shows which task is the cause.
+const (
+	// isolationWait is how long a worker is kept free of new runs for such a task. If older runs continue there after
+	// that, the task is started beside them: a suspected task that crashes nothing must not wait for long.
+	isolationWait = 1500 * time.Millisecond
+	// workersPerHeldBack is the number of workers for each that may be held back at a time.
+	workersPerHeldBack = 8
+	minHeldBack        = 2
+)
+
+// isolatedWorker returns the worker on which to start a task in isolation, or nil if it has to wait. It may hold
+// back a worker for the task.
+func (d *Dispatcher) isolatedWorker(now time.Duration, s *step, t *task) *worker {
+	if w := t.history.heldBack; w != nil {
+		if d.canIsolate(now, s, w) {
+			if reservedCapacity(s.def).FitsIn(w.free()) && (len(w.runs) == 0 || now-w.heldBackSince >= isolationWait) {
+				return w
+			}
+			return nil
+		}
+		d.endHoldBack(w)
+	}
+	var best *worker
+	var bestCost isolationCost
+	candidates := d.startCandidates(s)
+	d.load.Examined += int64(len(candidates))
+	for _, w := range candidates {
+		if w.heldBackFor != nil || !d.canIsolate(now, s, w) {
+			continue
+		}
+		if cost := d.isolationCost(now, w); best == nil || cost.compare(bestCost) < 0 {
+			best, bestCost = w, cost
+		}
+	}
+	switch {
+	case best == nil || len(best.runs) == 0:
+		return best
+	case len(d.heldBack) >= max(minHeldBack, len(d.workerList)/workersPerHeldBack):
+		return nil
+	}
+	best.heldBackFor, best.heldBackSince, t.history.heldBack = t, now, best
+	d.heldBack = append(d.heldBack, best)
+	return nil
+}
+
+// canIsolate reports whether a task of the step may be started on the worker in isolation, at once or when its
+// runs have ended.
+func (d *Dispatcher) canIsolate(now time.Duration, s *step, w *worker) bool {
+	return w.acceptsRuns(now) && w.isolated == nil && !w.probing && d.satisfiesConstraints(s, w) &&
+		reservedCapacity(s.def).FitsIn(w.entry.Capacity) && (w.reservedFor == nil || w.reservedFor.step == s) &&
+		(s.job.queue.Advice == nil || s.advice.hasTicket(now, w.entry.ID))
+}
+
+// isolationCost rates a worker for a task in isolation, lower being better.
+type isolationCost struct {
+	crashes   int           // 1: workers crash at its address repeatedly
+	remaining int           // runs that are likely to continue after isolationWait
+	vacant    time.Duration // until the others have ended
+}
+
+func (c isolationCost) compare(other isolationCost) int {
+	return cmp.Or(cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
+}
+
+func (d *Dispatcher) isolationCost(now time.Duration, w *worker) isolationCost {
+	var c isolationCost
+	if d.crashesRepeatedly(now, w) {
+		c.crashes = 1
+	}
+	for _, r := range w.runs {
+		left := time.Duration(float64(r.task.step.def.Estimate)*float64(fullPace-r.percent)/fullPace) - (now - r.progressAt)
+		if r.task.step.def.LongRunning || left > isolationWait {
+			c.remaining++
+			continue
+		}
+		c.vacant = max(c.vacant, left, time.Millisecond)
+	}
+	return c
+}
+
+// endHoldBack lets other runs start on the worker.
+func (d *Dispatcher) endHoldBack(w *worker) {
+	t := w.heldBackFor
+	if t == nil {
+		return
+	}
+	w.heldBackFor, t.history.heldBack = nil, nil
+	for i, other := range d.heldBack {
+		if other == w {
+			d.heldBack = append(d.heldBack[:i], d.heldBack[i+1:]...)
+			break
+		}
+	}
+	d.markFreed(w)
+}
+
+// endUnusedHoldBacks releases the workers that are held back for tasks that do not wait any more.
+func (d *Dispatcher) endUnusedHoldBacks(now time.Duration) {
+	for i := len(d.heldBack) - 1; i >= 0; i-- {
+		w := d.heldBack[i]
+		if t := w.heldBackFor; t.step.job.closed() || !t.needsIsolation() || now-w.heldBackSince > 2*isolationWait {
+			d.endHoldBack(w)
+		}
+	}
+}
+
+// beginIsolation starts the probation of a run.
+func (d *Dispatcher) beginIsolation(r *run) {
+	w := r.worker
+	d.endHoldBack(w)
+	if held := r.task.history.heldBack; held != nil {
+		d.endHoldBack(held)
+	}
+	r.isolated, w.isolated = true, r
+	d.events.Record(event.RunIsolated, w.entry.ID, r.id.Task, r.id.Run, r.task.history.crashes, len(w.runs)-1)
+}
+
+// endIsolation lets other runs start beside a run.
+func (d *Dispatcher) endIsolation(r *run) {
+	if r.worker.isolated == r {
+		r.worker.isolated = nil
+		d.markFreed(r.worker)
+	}
+	r.isolated = false
+}
+
+// recordEndOfRun clears the suspicion of a task whose run has ended without a crash.
+func (t *task) recordEndOfRun(outcome fleet.Outcome) {
+	if outcome == fleet.OutcomeDone || outcome == fleet.OutcomeFailed {
+		t.history.suspect = false
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -27,6 +27,7 @@
 	checkpoint string // latest known; empty: none
 	notBefore  time.Duration
 	failedOn   []model.WorkerID
+	history    crashHistory
 }
 
 func (t *task) id() fleet.TaskID { return fleet.TaskID{StepID: t.step.id, Index: t.index} }
@@ -45,17 +46,21 @@
 	waiting        int           // tasks in taskWaiting
 	started        bool
 	gangFailedRuns []int64 // failed run numbers, if the step is a gang
-	notBefore      time.Duration
-	runsPerWorker  map[model.WorkerID]int // runs by worker, if the step has MaxPerWorker
-	advice         advice
-	tryAllWorkers  bool          // the next pass tries all workers, not only those with freed capacity
-	hasDelayedTask bool          // a waiting task has notBefore in the future
-	retryDue       time.Duration // time of the next attempt to preempt or to place a gang
-	adviceDue      time.Duration // time of the next check whether advice is needed
-	reservation    *reservation  // of a gang that waits for capacity
-	reserveDue     time.Duration // time of the next choice of workers to reserve
-	postponed      bool          // the last pass left the search for its workers to the next one
-	waitRecorded   bool          // an event says that the gang waits
+	// gangCrashedRuns are the run numbers of the gang shortly after whose start a worker crashed.
+	gangCrashedRuns []int64
+	hasSuspects     bool // a task has, or had, a crash history
+	isolating       int  // tasks that wait for a worker in isolation, at the last attempt to place the step
+	notBefore       time.Duration
+	runsPerWorker   map[model.WorkerID]int // runs by worker, if the step has MaxPerWorker
+	advice          advice
+	tryAllWorkers   bool          // the next pass tries all workers, not only those with freed capacity
+	hasDelayedTask  bool          // a waiting task has notBefore in the future
+	retryDue        time.Duration // time of the next attempt to preempt or to place a gang
+	adviceDue       time.Duration // time of the next check whether advice is needed
+	reservation     *reservation  // of a gang that waits for capacity
+	reserveDue      time.Duration // time of the next choice of workers to reserve
+	postponed       bool          // the last pass left the search for its workers to the next one
+	waitRecorded    bool          // an event says that the gang waits
 }
 
 // job is a submission and its progress.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -24,7 +24,7 @@
 // quota, and as its account's share if withinShare is set. It reports false if no candidate could take
 // even one.
 func (d *Dispatcher) placeStep(now time.Duration, s *step, candidates []*worker, withinShare bool) bool {
-	s.hasDelayedTask = false
+	s.hasDelayedTask, s.isolating = false, 0
 	s.slowdownLimit = s.maxSlowdown(now)
 	if !d.quotaAllows(now, s, s.startableTogether()) {
 		return true
@@ -49,8 +49,20 @@
 		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
 			break
 		}
-		w := d.bestWorker(now, s, t, feasible)
-		if w == nil {
+		w := (*worker)(nil)
+		if t.needsIsolation() {
+			if t.mayStartIsolated(now) {
+				w = d.isolatedWorker(now, s, t)
+			}
+			if w == nil {
+				s.hasDelayedTask = true
+				s.isolating++
+				continue
+			}
+		} else if w = d.bestWorker(now, s, t, feasible); w == nil {
+			if s.hasSuspects {
+				continue // the others need no room on these workers
+			}
 			break
 		}
 		s.job.nextRun++
@@ -152,6 +164,9 @@
 		backfilled: w.reservedFor != nil && w.reservedFor.step != s,
 	}
 	d.addRun(r)
+	if t.needsIsolation() && !s.def.Gang {
+		d.beginIsolation(r)
+	}
 	t.runs = append(t.runs, r)
 	if t.state == taskWaiting {
 		t.state = taskActive
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -118,7 +118,7 @@
 	}
 	tryAll := s.tryAllWorkers && s.sharesFailures()
 	key, demand := placementKey(s), reservedCapacity(s.def)
-	if tryAll && p.noRoom.found(p.now, key, demand) {
+	if tryAll && !s.hasSuspects && p.noRoom.found(p.now, key, demand) {
 		return
 	}
 	waiting := s.waiting
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -62,7 +62,7 @@
 		return 0
 	}
 	stopped := 0
-	for range s.waiting {
+	for range s.waiting - s.isolating {
 		victims, w := d.victims(now, s, promised)
 		if w == nil {
 			// A younger step may not get its share back yet, and may be kept from reserved workers.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -19,19 +19,21 @@
 
 // TaskProgress is the state of a task that outlives its runs.
 type TaskProgress struct {
-	Occurrence int     `cbor:"1,keyasint,omitempty"`
-	Step       int     `cbor:"2,keyasint,omitempty"`
-	Index      int     `cbor:"3,keyasint,omitempty"`
-	Done       bool    `cbor:"4,keyasint,omitempty"`
-	FailedRuns []int64 `cbor:"5,keyasint,omitempty"` // run numbers, so that a result reported again is counted once
-	Checkpoint string  `cbor:"6,keyasint,omitempty"`
+	Occurrence int            `cbor:"1,keyasint,omitempty"`
+	Step       int            `cbor:"2,keyasint,omitempty"`
+	Index      int            `cbor:"3,keyasint,omitempty"`
+	Done       bool           `cbor:"4,keyasint,omitempty"`
+	FailedRuns []int64        `cbor:"5,keyasint,omitempty"` // run numbers, so that a result reported again is counted once
+	Checkpoint string         `cbor:"6,keyasint,omitempty"`
+	Crashes    *CrashProgress `cbor:"7,keyasint,omitempty"`
 }
 
-// GangProgress contains the failed run numbers of a gang.
+// GangProgress contains the run numbers of a gang that count towards its limits.
 type GangProgress struct {
-	Occurrence int     `cbor:"1,keyasint,omitempty"`
-	Step       int     `cbor:"2,keyasint,omitempty"`
-	FailedRuns []int64 `cbor:"3,keyasint,omitempty"`
+	Occurrence  int     `cbor:"1,keyasint,omitempty"`
+	Step        int     `cbor:"2,keyasint,omitempty"`
+	FailedRuns  []int64 `cbor:"3,keyasint,omitempty"`
+	CrashedRuns []int64 `cbor:"4,keyasint,omitempty"` // shortly after whose start a worker crashed
 }
 
 // RecordedWorker is an entry of the durable worker list: a worker on which runs may have been
@@ -71,16 +73,19 @@
 	}
 	for k, steps := range j.steps {
 		for i, s := range steps {
-			if len(s.gangFailedRuns) > 0 {
-				p.Gangs = append(p.Gangs, GangProgress{Occurrence: k, Step: i, FailedRuns: slices.Clone(s.gangFailedRuns)})
+			if len(s.gangFailedRuns)+len(s.gangCrashedRuns) > 0 {
+				p.Gangs = append(p.Gangs, GangProgress{
+					Occurrence: k, Step: i, FailedRuns: slices.Clone(s.gangFailedRuns), CrashedRuns: slices.Clone(s.gangCrashedRuns),
+				})
 			}
 			for _, t := range s.tasks {
-				if t.state != taskDone && len(t.failedRuns) == 0 && t.checkpoint == "" {
+				crashes := t.history.snapshot()
+				if t.state != taskDone && len(t.failedRuns) == 0 && t.checkpoint == "" && crashes == nil {
 					continue
 				}
 				p.Tasks = append(p.Tasks, TaskProgress{
 					Occurrence: k, Step: i, Index: t.index, Done: t.state == taskDone,
-					FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
+					FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: crashes,
 				})
 			}
 		}
@@ -98,7 +103,7 @@
 	j.state = fleet.StatePending
 	for _, g := range p.Gangs {
 		if t := d.findTask(fleet.TaskID{StepID: fleet.StepID{Job: j.sub.ID, Occurrence: g.Occurrence, Step: g.Step}}); t != nil {
-			t.step.gangFailedRuns = g.FailedRuns
+			t.step.gangFailedRuns, t.step.gangCrashedRuns = g.FailedRuns, g.CrashedRuns
 			j.started = true
 		}
 	}
@@ -109,6 +114,7 @@
 		}
 		j.started = true
 		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
+		d.restoreCrashes(t, tp.Crashes)
 		if tp.Done {
 			t.state = taskDone
 			t.step.done++
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
@@ -30,6 +32,11 @@
 		d.handleReplacement(now, w)
 	}
 	if w.failedRenewals++; w.failedRenewals == 1 {
+		connectionLostAt := time.Duration(0)
+		if errors.Is(err, fleet.ErrConnectionLost) {
+			connectionLostAt = now
+		}
+		d.exposeRuns(now, connectionLostAt, w, d.sortedRuns(w.runs))
 		d.events.Record(event.WorkerUnresponsive, id, now-w.lastReportAt, len(w.runs), err)
 	}
 }
@@ -44,11 +51,13 @@
 	if w.recordedByPrevious || len(w.runs) > 0 {
 		d.events.Record(event.WorkerReplaced, w.entry.ID, w.entry.Address, len(w.runs))
 	}
-	for _, r := range d.sortedRuns(w.runs) {
-		if max(r.startSentAt, r.confirmedAt) < w.renewSentAt {
-			d.loseRun(now, r, lostByReplacement)
-		}
+	dead := slices.DeleteFunc(d.sortedRuns(w.runs), func(r *run) bool { return max(r.startSentAt, r.confirmedAt) >= w.renewSentAt })
+	d.exposeRuns(now, 0, w, dead)
+	d.noteCrash(now, w, lostByReplacement)
+	for _, r := range dead {
+		d.loseRun(now, r, lostByReplacement)
 	}
+	d.settleExposures(now, w, noIncarnation)
 	w.recordedByPrevious = false
 }
 
@@ -70,6 +79,7 @@
 	if statusOnly {
 		w.statusQueryInFlight = false
 		if w.reported && rep.Incarnation == w.incarnation {
+			d.settleExposures(now, w, rep.Incarnation)
 			d.applyReport(now, sent, w, rep)
 		}
 		return
@@ -87,6 +97,7 @@
 	} else if w.ackUncertainAt != 0 {
 		w.ackLostAt, w.ackUncertainAt = w.ackUncertainAt, 0
 	}
+	d.settleExposures(now, w, rep.Incarnation)
 	w.incarnationConfirmedAt = max(w.incarnationConfirmedAt, sent)
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
 	d.applyReport(now, sent, w, rep)
@@ -107,7 +118,7 @@
 	listed := make(map[fleet.RunID]bool, len(rep.Running))
 	for _, status := range rep.Running {
 		listed[status.RunID] = true
-		d.applyRunStatus(now, w, status)
+		d.applyRunStatus(now, sent, w, status)
 	}
 	d.resolveUnlistedRuns(now, sent, w, listed)
 }
@@ -117,10 +128,11 @@
 // failedRenewals is the number of consecutive failed renewals before the restart was noticed.
 func (d *Dispatcher) handleRestart(now time.Duration, w *worker, incarnation int64, failedRenewals int) {
 	d.events.Record(event.WorkerIncarnationChanged, w.entry.ID, w.incarnation, incarnation, len(w.runs))
-	for _, r := range d.sortedRuns(w.runs) {
-		if r.confirmedAt > w.incarnationConfirmedAt {
-			continue // it may belong to the new incarnation; the next report shows it
-		}
+	// A run that was confirmed later may belong to the new incarnation; the next report shows it.
+	dead := slices.DeleteFunc(d.sortedRuns(w.runs), func(r *run) bool { return r.confirmedAt > w.incarnationConfirmedAt })
+	d.exposeRuns(now, 0, w, dead)
+	d.noteCrash(now, w, lostByRestart)
+	for _, r := range dead {
 		if r.confirmedAt == 0 {
 			r.stopConfirmedAt = 0
 			d.requestStop(now, r, "its worker restarted before the start was confirmed")
@@ -153,7 +165,7 @@
 }
 
 // applyRunStatus applies the status of one run that the worker lists.
-func (d *Dispatcher) applyRunStatus(now time.Duration, w *worker, status fleet.RunStatus) {
+func (d *Dispatcher) applyRunStatus(now, sent time.Duration, w *worker, status fleet.RunStatus) {
 	r := w.runs[status.RunID]
 	if r == nil {
 		r = d.adoptRun(now, w, status)
@@ -175,6 +187,7 @@
 		r.percent, r.progressAt = status.Percent, now
 	}
 	r.load = status.Load
+	d.recordSurvival(sent, r)
 }
 
 // adoptRun adds a run that an earlier owner started, or a run that started on its worker after this
@@ -270,6 +283,7 @@
 func (d *Dispatcher) applyOutcome(now time.Duration, w *worker, t *task, result fleet.RunResult) {
 	s := t.step
 	s.started, s.job.started = true, true
+	t.recordEndOfRun(result.Outcome)
 	switch result.Outcome {
 	case fleet.OutcomeDone:
 		w.consecutiveFailures, w.probing, w.consecutiveStalls = 0, false, 0
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -28,7 +28,7 @@
 		if !d.quotaAllows(now, s, 1) {
 			continue
 		}
-		w := d.bestWorker(now, s, t, d.startCandidates(s))
+		w := d.workerForCopy(now, t)
 		if w == nil {
 			d.requestAdvice(now, s)
 			continue
@@ -43,6 +43,18 @@
 	}
 }
 
+// workerForCopy returns the worker for a copy of a task's run, or nil. A run that may have crashed its worker is
+// copied in isolation; a task that has, or that was copied so, gets no copy before the cause is known.
+func (d *Dispatcher) workerForCopy(now time.Duration, t *task) *worker {
+	if !t.needsIsolation() {
+		return d.bestWorker(now, t.step, t, d.startCandidates(t.step))
+	}
+	if t.history.crashes+t.history.possible > 0 || len(t.history.exposed) > 1 {
+		return nil
+	}
+	return d.isolatedWorker(now, t.step, t)
+}
+
 // mayBeLost reports whether the run may be lost or is being stopped.
 func mayBeLost(r *run) bool {
 	return r.phase == runUncertain || r.phase == runStopping || r.worker.failedRenewals > 1
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -165,6 +165,12 @@
 	h.advance(time.Millisecond)
 	h.d.HandleRenewFailure(h.now, first.To.ID, rejection(fleet.RejectedIncarnation))
 	h.decide()
+	if len(h.starts) != 0 {
+		t.Fatalf("starts %v before the crash under the task is durable", h.starts)
+	}
+	h.commitAll()
+	h.advance(time.Millisecond)
+	h.decide()
 	if len(h.starts) != 1 || h.starts[0].To.ID == first.To.ID {
 		t.Fatalf("starts %v, want the task on the other worker", h.starts)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -66,6 +66,11 @@
 	vacating           bool  // its machine is about to be maintained
 	retired            bool  // its machine was taken down, which ends this incarnation
 	retiredIncarnation int64 // that incarnation, as registered
+
+	exposures     []*exposure   // of runs, if it may have crashed
+	isolated      *run          // on probation; no other run is started beside it; nil: none
+	heldBackFor   *task         // the only task that may be started; nil: any
+	heldBackSince time.Duration // when it was held back
 }
 
 // pendingAck is a result that may be acknowledged once the job's version is durable.
@@ -111,6 +116,8 @@
 	preempted       bool // stopped for a more urgent step
 	backfilled      bool // started on a worker that is reserved for a gang
 	copied          bool // a speculative copy was started
+	isolated        bool // started in isolation, and on probation
+	exposed         bool // its worker may have crashed; an exposure was recorded
 }
 
 func (w *worker) target() fleet.Target {
@@ -126,8 +133,13 @@
 	return free
 }
 
-// placeable reports whether new runs may be started on the worker.
+// placeable reports whether new runs may be started on the worker, except that of a task for which it is held back.
 func (w *worker) placeable(now time.Duration) bool {
+	return w.heldBackFor == nil && w.isolated == nil && w.acceptsRuns(now)
+}
+
+// acceptsRuns reports whether the state of the worker itself allows new runs.
+func (w *worker) acceptsRuns(now time.Duration) bool {
 	return w.listed && w.recorded && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
 }
 
@@ -209,6 +221,7 @@
 		w.stoppingDemand = w.stoppingDemand.Sub(r.demand)
 	}
 	r.removed = true
+	d.endIsolation(r)
 	if a := s.job.account; a != nil {
 		a.usage = a.usage.Sub(s.def.Demand)
 		if r.phase == runStopping {
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -166,6 +166,18 @@
 		Summary: "A run ended with its worker, without a result. The proof is a new incarnation, another worker at the address, or the expiry of the lease. The age is that of the run when the worker last responded.",
 		Action:  "Look at the worker. If runs of one submission are lost on several workers, look at the submission.",
 		Keys:    []string{"worker", "task", "run", "proof", "age", "silent_for"}})
+	WorkerCrashed = Define(Definition{ID: 2159, Name: "worker-crashed", Level: Warn,
+		Summary: "A worker has crashed: it responds with a new incarnation, or another worker responds at its address, and it had not announced that it leaves. Runs that had just begun there are suspected.",
+		Action:  "Look at crash-counted for the tasks. Without suspected runs, check the worker.",
+		Keys:    []string{"worker", "proof", "runs", "suspected"}})
+	CrashCounted = Define(Definition{ID: 2160, Name: "crash-counted", Level: Warn,
+		Summary: "A crash of a worker was counted against a task that ran there, or may have run there (possible). Early means shortly after its start; isolated, that no other run had just begun there.",
+		Action:  "A crash in isolation shows that the task is the cause: its submission fails. Look at its spec.",
+		Keys:    []string{"worker", "task", "run", "crashes", "possible", "early", "isolated"}})
+	RunIsolated = Define(Definition{ID: 2161, Name: "run-isolated", Level: Info,
+		Summary: "A task that may have crashed a worker was started on a worker without other new runs; beside is the number of older runs there.",
+		Action:  "Nothing.",
+		Keys:    []string{"worker", "task", "run", "crashes", "beside"}})
 	WorkerQuarantined = Define(Definition{ID: 2137, Name: "worker-quarantined", Level: Warn,
 		Summary: "Runs of different submissions failed in a row on a worker; it gets no new runs for a while.",
 		Action:  "Check the worker.",
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -14,6 +14,10 @@
 // ErrLeaseEnded reports that the lease expired or was revoked.
 var ErrLeaseEnded = errors.New("store: lease ended")
 
+// ErrConnectionLost marks the cause of a failed call: the other side closed the connection, or nothing listens at
+// its address. It proves no crash, as a link may do so, too.
+var ErrConnectionLost = errors.New("connection lost")
+
 // CallError is a failed call to the platform.
 type CallError struct {
 	Op           string
