dispatch: only the runs that had just begun are suspected in a crash whose time is known

Cause: every run younger than 500 ms was suspected, also when the connection closed within 150 ms of a start, which dates the crash; older runs were counted besides; runs adopted after a takeover looked as if they had just begun. Change: if a run had begun within 150 ms of the lost connection, only such runs are suspected and counted. Adopted runs are not young. A worker is held back for 2 s, for a part of that if many are suspected.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -46,7 +46,9 @@
 	possible int  // under runs that may not have been there, as the start got no response
 	suspect  bool // until a run in isolation outlives its probation
 	exposed  []*exposure
-	version  int64   // of the job's progress that contains the counted crashes
+	version  int64 // of the job's progress that contains the counted crashes
+	// suspects is the number of runs that are suspected in the last crash, this task's included; 0: none yet.
+	suspects int
 	heldBack *worker // kept free of other new runs for the task; nil: none
 }
 
@@ -58,7 +60,7 @@
 	incarnation int64 // of the worker when the run was started
 	run         int64
 	origin      *run // nil: it was started by an earlier owner
-	early       bool // the run was younger than startupWindow
+	early       bool // the run is suspected, as it was among the youngest
 	prompt      bool // the connection to the worker was lost within promptCrash after the start
 	isolated    bool
 	confirmed   bool // the run had started
@@ -96,27 +98,46 @@
 	if w.leaving() {
 		return
 	}
+	crashedAt := max(connectionLostAt, w.lastReportAt)
+	early := func(limit time.Duration) func(*run) bool {
+		return func(r *run) bool { return !r.adopted && crashedAt-r.startSentAt < limit }
+	}
+	isEarly, isPrompt := early(startupWindow), early(promptCrash)
+	prompt := connectionLostAt != 0 && slices.ContainsFunc(runs, isPrompt)
+	if prompt {
+		isEarly = isPrompt
+	}
+	suspects := 0
+	for _, r := range runs {
+		if isEarly(r) {
+			suspects++
+		}
+	}
 	for _, r := range runs {
-		d.exposeRun(now, connectionLostAt, r)
+		if isEarly(r) || !prompt { // a run that had just begun explains the crash
+			d.exposeRun(now, crashedAt, r, isEarly(r), prompt, suspects)
+		}
 	}
 }
 
 // leaving reports whether the worker is expected to end.
 func (w *worker) leaving() bool { return w.entry.Draining || w.retired || w.vacating }
 
-func (d *Dispatcher) exposeRun(now, connectionLostAt time.Duration, r *run) {
-	age := max(connectionLostAt, r.worker.lastReportAt) - r.startSentAt
+// exposeRun records that a run's worker may have crashed at the given time. Older runs than crashWindow, and gangs that did
+// not just begin, are not counted.
+func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, prompt bool, suspects int) {
 	j := r.task.step.job
-	if r.exposed || r.released || j.closed() || age >= crashWindow || r.task.step.def.Gang && age >= startupWindow {
+	if r.exposed || r.released || j.closed() || crashedAt-r.startSentAt >= crashWindow || r.task.step.def.Gang && !early {
 		return
 	}
 	r.exposed = true
 	e := &exposure{
 		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now, isolated: r.isolated && !d.crashesRepeatedly(now, r.worker),
-		early: age < startupWindow, prompt: connectionLostAt != 0 && age < promptCrash, confirmed: r.confirmedAt != 0,
+		early: early, prompt: prompt, confirmed: r.confirmedAt != 0,
 	}
 	d.addExposure(e)
 	if e.early {
+		r.task.history.suspects = suspects
 		d.markDirty(j)
 	}
 }
@@ -262,6 +283,7 @@
 	Suspect   bool               `cbor:"2,keyasint,omitempty"`
 	Exposures []ExposureProgress `cbor:"3,keyasint,omitempty"`
 	Possible  int                `cbor:"4,keyasint,omitempty"`
+	Suspects  int                `cbor:"5,keyasint,omitempty"`
 }
 
 // ExposureProgress is a run on a worker that may have crashed.
@@ -277,7 +299,7 @@
 
 // snapshot returns the durable part, nil if there is none.
 func (h *crashHistory) snapshot() *CrashProgress {
-	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect}
+	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect, Suspects: h.suspects}
 	for _, e := range h.exposed {
 		if e.early {
 			p.Exposures = append(p.Exposures, ExposureProgress{
@@ -296,7 +318,7 @@
 	if p == nil {
 		return
 	}
-	t.history.crashes, t.history.possible, t.history.suspect = p.Crashes, p.Possible, p.Suspect
+	t.history.crashes, t.history.possible, t.history.suspect, t.history.suspects = p.Crashes, p.Possible, p.Suspect, p.Suspects
 	t.step.hasSuspects = true
 	for _, e := range p.Exposures {
 		w := d.ensureWorker(model.WorkerID(e.Worker))
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -11,9 +11,10 @@
 // A task that may crash its worker is started on a worker without other runs if possible, and no run is started
 // beside it while it is on probation. So its crash ends nothing else, and shows which task is the cause.
 const (
-	// isolationWait is how long a worker is kept free of new runs for such a task. If older runs continue there after
-	// that, the task is started beside them: a suspected task that crashes nothing must not wait for long.
-	isolationWait = 1500 * time.Millisecond
+	// isolationWait is how long a worker is kept free of new runs for a task; for one of 2n suspects in a crash it is an n-th
+	// of that. If older runs continue there after that, the task is started beside them: a suspected task that crashes
+	// nothing must not wait for long.
+	isolationWait = 2 * time.Second
 	// workersPerHeldBack is the number of workers for each that may be held back at a time.
 	workersPerHeldBack = 8
 	minHeldBack        = 2
@@ -24,7 +25,7 @@
 func (d *Dispatcher) isolatedWorker(now time.Duration, s *step, t *task) *worker {
 	if w := t.history.heldBack; w != nil {
 		if d.canIsolate(now, s, w) {
-			if reservedCapacity(s.def).FitsIn(w.free()) && (len(w.runs) == 0 || now-w.heldBackSince >= isolationWait) {
+			if reservedCapacity(s.def).FitsIn(w.free()) && (len(w.runs) == 0 || now-w.heldBackSince >= t.isolationWait()) {
 				return w
 			}
 			return nil
@@ -54,6 +55,14 @@
 	return nil
 }
 
+// isolationWait is how long a worker is held back for the task.
+func (t *task) isolationWait() time.Duration {
+	if t.history.crashes >= suspectCrashes {
+		return isolationWait
+	}
+	return isolationWait / time.Duration(max(t.history.suspects/2, 1))
+}
+
 // canIsolate reports whether a task of the step may be started on the worker in isolation, at once or when its
 // runs have ended.
 func (d *Dispatcher) canIsolate(now time.Duration, s *step, w *worker) bool {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -117,6 +117,7 @@
 	backfilled      bool // started on a worker that is reserved for a gang
 	copied          bool // a speculative copy was started
 	isolated        bool // started in isolation, and on probation
+	adopted         bool // started by an earlier owner; its age is not known
 	exposed         bool // its worker may have crashed; an exposure was recorded
 }
 
