node: a failed submission carries its cause

What callers saw: GET answers {"state":"failed"}, and neither says whether a run failed too often or a task crashed its workers. Only the owner's log did, until the owner changed. Result: TestFailedStatusHasItsReason, TestCrashCountsOutliveOwners; the fields are new, so a VM of the previous build leaves them out and reads them over.

--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -115,6 +115,11 @@
 		if f.state("deadly") != fleet.StateFailed || f.crashes[deadly] > 3 {
 			t.Errorf("owner replaced %s: the submission is %v after %d crashes, want it failed after 3 at the most", name, f.state("deadly"), f.crashes[deadly])
 		}
+		cause := f.d.Status("deadly").Cause
+		f.restart(f.stored, f.recorded, sub)
+		if got := f.d.Status("deadly"); got.State != fleet.StateFailed || got.Cause == "" || got.Cause != cause {
+			t.Errorf("owner replaced %s: the next owner says %v, %q, want failed, %q", name, got.State, got.Cause, cause)
+		}
 	}
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -195,6 +195,9 @@
 	if f.state("deadly") != fleet.StateFailed || f.crashes[deadly] > 2 {
 		t.Fatalf("the submission is %v after %d crashes, want it failed after 2", f.state("deadly"), f.crashes[deadly])
 	}
+	if cause := f.d.Status("deadly").Cause; cause != "task deadly.0.0.0 crashed 2 workers" {
+		t.Errorf("the caller is told the cause %q", cause)
+	}
 }
 
 // Work that ran beside crashing tasks was lost again with each of their starts (incident BUDGET). It must not be
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -238,6 +238,9 @@
 func (d *Dispatcher) finishJob(now time.Duration, j *job, state fleet.State, reason string) {
 	j.state = state
 	j.finishedAt = now
+	if state == fleet.StateFailed {
+		j.failureCause = reason
+	}
 	d.markDirty(j)
 	d.events.Record(event.SubmissionFinished, j.sub.ID, state, reason, now-j.arrivedAt, j.objective)
 	d.activeJobs = slices.DeleteFunc(d.activeJobs, func(other *job) bool { return other == j })
@@ -271,7 +274,7 @@
 	status := fleet.Status{State: fleet.StatePending, Account: j.sub.Account}
 	switch {
 	case j.durableState.Final():
-		status.State = j.durableState
+		status.State, status.Cause = j.durableState, j.failureCause
 	case j.started || j.state.Final():
 		status.State = fleet.StateRunning
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -69,6 +69,7 @@
 	revision     int64 // store revision at which it was accepted
 	state        fleet.State
 	durableState fleet.State // the final state once it is durable, before that not final
+	failureCause string      // why it failed; empty in all other states
 	canceled     bool
 	arrivedAt    time.Duration // on the dispatcher's clock
 	started      bool          // a task has started
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -15,6 +15,8 @@
 	Gangs []GangProgress `cbor:"3,keyasint,omitempty"`
 	// Account is that of the submission, for VMs that answer callers from this record.
 	Account string `cbor:"4,keyasint,omitempty"`
+	// FailureCause is why the submission failed; empty in all other states.
+	FailureCause string `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskProgress is the state of a task that outlives its runs.
@@ -67,7 +69,7 @@
 
 // snapshotProgress returns a copy of the state to be stored. A final state needs no tasks.
 func (j *job) snapshotProgress() *Progress {
-	p := &Progress{State: j.state, Account: j.sub.Account}
+	p := &Progress{State: j.state, Account: j.sub.Account, FailureCause: j.failureCause}
 	if j.state.Final() {
 		return p
 	}
@@ -97,7 +99,7 @@
 func (d *Dispatcher) restoreProgress(j *job, p *Progress) {
 	j.state, j.durableState = p.State, p.State
 	if j.state.Final() {
-		j.canceled = j.state == fleet.StateCanceled
+		j.canceled, j.failureCause = j.state == fleet.StateCanceled, p.FailureCause
 		return
 	}
 	j.state = fleet.StatePending
--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -44,7 +44,7 @@
 	format := Format{
 		DeadlineHeader: "Deadline-Ms", KeyHeader: "X-Api-Key", ValidID: func(string) bool { return true },
 		ParseSubmission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
-		FormatState:     func(fleet.State) ([]byte, error) { return []byte("{}"), nil },
+		FormatStatus:    func(fleet.Status) ([]byte, error) { return []byte("{}"), nil },
 	}
 	h := NewHandler(format, testLimits, view, store, nil, events, tally.NoopScope)
 	r := httptest.NewRequest(method, "http://example.com/keyed/1", strings.NewReader("{}"))
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -30,7 +30,7 @@
 	KeyHeader         string // name of the header with the API key
 	ValidID           func(id string) bool
 	ParseSubmission   func(id string, body []byte) (fleet.Submission, error)
-	FormatState       func(fleet.State) ([]byte, error)
+	FormatStatus      func(fleet.Status) ([]byte, error)
 	FormatQueueLength func(int) ([]byte, error)
 }
 
@@ -224,7 +224,7 @@
 		h.events.Record(event.SubmissionUnknown, id)
 		return writeResponse(w, http.StatusGone, nil)
 	}
-	body, err := h.format.FormatState(status.State)
+	body, err := h.format.FormatStatus(status)
 	if err != nil {
 		return h.reject(w, r, string(id), http.StatusInternalServerError, "encode", err)
 	}
--- a/internal/fleet/submission.go
+++ b/internal/fleet/submission.go
@@ -93,6 +93,7 @@
 type Status struct {
 	State   State
 	Account string // that handed it in; empty: none
+	Cause   string // why it has failed; empty in all other states
 }
 
 // VisibleTo reports whether a caller with the account, empty for none, may see the submission.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -61,6 +61,7 @@
 type stateResponse struct {
 	State   fleet.State `json:"state"`
 	Account string      `json:"account,omitempty"`
+	Cause   string      `json:"cause,omitempty"`
 }
 
 type commitRequest struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -276,7 +276,7 @@
 	}
 	var reply stateResponse
 	err := n.opts.PeerClient.Call(ctx, address, methodState, stateRequest{ID: id, AllowStale: allowStale}, &reply)
-	return fleet.Status{State: reply.State, Account: reply.Account}, err
+	return fleet.Status{State: reply.State, Account: reply.Account, Cause: reply.Cause}, err
 }
 
 var errNoOwner = errors.New("node: no owner is known")
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -97,7 +97,7 @@
 		return stateResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM does not decide", Verdict: verdict.NotRun}
 	}
 	status, err := o.SubmissionStatus(ctx, r.ID)
-	return stateResponse{State: status.State, Account: status.Account}, err
+	return stateResponse{State: status.State, Account: status.Account, Cause: status.Cause}, err
 }
 
 func (n *Node) serveCommit(ctx context.Context, r commitRequest) (commitResponse, error) {
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -98,7 +98,7 @@
 		}
 		status := fleet.Status{State: fleet.StateRunning, Account: p.Account}
 		if p.State.Final() {
-			status.State = p.State
+			status.State, status.Cause = p.State, p.FailureCause
 		}
 		return status, nil
 	}
