dispatch, owner: the capacity of a worker is known in time, also through outages of the store

Cause, by tests that failed before: a worker that had grown was tried again only when a run ended there; a worker that was restarted got runs by the entry of its previous incarnation; entries that had expired in an outage of the store were used with their old capacity for 2.2 s after it, and a list of any age while the owner's lease was renewed; the bound of what unknown runs of an earlier owner may hold was the capacity that a worker has now. Change: capacity.go applies entries; runs are started by a list that is not older than contact-ms, and not by outdated entries. While the store does not give the list, and until its entries are written again, the owner reads the capacities of the machine control plane, which can only reduce them. The durable list of workers has the largest capacity of each, and a larger one is recorded before it is used. The fixtures of three tests list a restarted worker with its new incarnation, or record the larger capacities, as the platform does.

--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -106,7 +106,7 @@
 }
 
 // possibleUnknownUsage returns the most that runs of an earlier owner can hold which this owner does
-// not know of: all capacity of the workers that have not reported yet.
+// not know of: the largest capacity that the workers which have not reported yet have had.
 func (d *Dispatcher) possibleUnknownUsage() model.Resources {
 	var unknown, largest model.Resources
 	if d.recovered {
@@ -114,11 +114,8 @@
 	}
 	unlisted := 0
 	for _, w := range d.workerList {
-		c := w.entry.Capacity
-		largest = model.Resources{
-			MilliCPU: max(largest.MilliCPU, c.MilliCPU), MemoryMiB: max(largest.MemoryMiB, c.MemoryMiB),
-			Accelerators: max(largest.Accelerators, c.Accelerators),
-		}
+		c := w.entry.Capacity.Max(w.peakCapacity)
+		largest = largest.Max(c)
 		if !w.recordedByPrevious || w.reported {
 			continue
 		}
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -26,7 +26,7 @@
 	d.checkRecovered(now)
 	d.sendStops(now)
 	d.sendRenewals(now)
-	if now >= d.passDue {
+	if now >= d.passDue && d.listIsCurrent(now) {
 		d.passDue = now + passIntervalPerJob*time.Duration(len(d.activeJobs))
 		d.placeWaiting(now)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	// unknownUsage bounds what runs of an earlier owner hold that this owner does not know of.
 	unknownUsage model.Resources
 	capacity     model.Resources // of the cluster at the last pass
+	listedAt     time.Duration   // when the last list of workers was requested
 	heldBack     []*worker       // for tasks that are started in isolation
 	// crashesByAddress counts the crashes of the workers at each address.
 	crashesByAddress map[string]addressCrashes
@@ -111,6 +112,7 @@
 	for _, r := range recorded {
 		w := d.ensureWorker(model.WorkerID(r.ID))
 		w.recordedByPrevious = true
+		w.peakCapacity = r.Capacity
 		if w.entry.Address == "" {
 			w.entry.Address = r.Address
 		}
@@ -136,8 +138,9 @@
 	return w
 }
 
-// SetWorkers applies the platform's complete list of workers.
-func (d *Dispatcher) SetWorkers(now time.Duration, entries []fleet.WorkerEntry) {
+// SetWorkers applies the platform's complete list of workers, which was requested at readAt.
+func (d *Dispatcher) SetWorkers(now, readAt time.Duration, entries []fleet.WorkerEntry) {
+	d.listedAt = max(d.listedAt, readAt)
 	listed := make(map[model.WorkerID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -158,8 +161,7 @@
 			d.markFreed(w)
 		}
 		w.retired = w.retired && e.Incarnation == w.retiredIncarnation
-		w.entry, w.listed = e, true
-		d.freeWorkers.update(w)
+		d.setEntry(w, e)
 		if w.recorded == w.drained() {
 			d.workerListDirty = true
 		}
--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -14,6 +14,7 @@
 	t.Helper()
 	h := newHarness(t, workers)
 	h.listWorkers(workers, makeAcceleratorWorker)
+	h.commitAll() // the larger capacities
 	return h
 }
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -80,7 +80,7 @@
 		}
 		entries = append(entries, e)
 	}
-	h.d.SetWorkers(h.now, entries)
+	h.d.SetWorkers(h.now, h.now, entries)
 }
 
 // commitAll writes all pending records.
--- a/internal/dispatch/lost_response_test.go
+++ b/internal/dispatch/lost_response_test.go
@@ -126,6 +126,9 @@
 	h.decide()
 	h.acceptStarts(h.starts)
 	h.d.HandleReport(h.now, h.now, workerID(0), false, fleet.Report{Incarnation: 2, Clock: 5})
+	h.listWorkers(1, func(_ int, e *fleet.WorkerEntry) { e.Incarnation = 2 })
+	h.commitAll()
+	h.advance(time.Millisecond)
 	h.decide()
 	if len(h.starts) != 1 {
 		t.Fatalf("%d starts after the worker was restarted, want 1", len(h.starts))
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -43,6 +43,8 @@
 type RecordedWorker struct {
 	ID      string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
+	// Capacity is the most that runs on the worker may hold; zero in records of earlier releases.
+	Capacity model.Resources `cbor:"3,keyasint"`
 }
 
 // Record is one change to be made durable: a job's progress or removal, the worker list, or a
@@ -183,7 +185,7 @@
 		keep := (w.listed || w.recordedByPrevious || len(w.runs) > 0) && !w.drained()
 		w.recorded = w.recorded && keep
 		if keep {
-			rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address})
+			rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address, Capacity: w.peakCapacity})
 		}
 	}
 	return rec
@@ -232,7 +234,7 @@
 func (d *Dispatcher) markRecorded(workers []RecordedWorker) {
 	for _, r := range workers {
 		if w := d.workers[model.WorkerID(r.ID)]; w != nil {
-			w.recorded = true
+			w.recorded = w.peakCapacity.FitsIn(r.Capacity)
 			d.markFreed(w)
 		}
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -151,6 +151,7 @@
 		w.backoffUntil = max(w.backoffUntil, w.ackLostAt+maxCommandDelay)
 	}
 	w.consecutiveFailures, w.probing = 0, false
+	d.markFreed(w)
 	w.speed = speedMean{}
 }
 
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -35,6 +35,8 @@
 	}
 	h.advance(time.Millisecond)
 	h.d.HandleReport(h.now, h.now, workerID(0), false, fleet.Report{Incarnation: 9, Clock: 5})
+	h.listWorkers(1, func(_ int, e *fleet.WorkerEntry) { e.Incarnation = 9 })
+	h.commitAll()
 	h.submit("quick", "b", tasks(2, 4))
 	h.advance(sweepInterval)
 	h.decide()
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -384,7 +384,7 @@
 			entries = append(entries, w.entry)
 		}
 	}
-	h.d.SetWorkers(h.now, entries)
+	h.d.SetWorkers(h.now, h.now, entries)
 }
 
 func (h *simHistory) every(d time.Duration, until time.Duration, do func()) {
--- a/internal/dispatch/speculate.go
+++ b/internal/dispatch/speculate.go
@@ -18,6 +18,9 @@
 // startCopies starts a second run of tasks in speculative steps. While steps wait for capacity,
 // only runs that may be lost are copied.
 func (d *Dispatcher) startCopies(now time.Duration) {
+	if !d.listIsCurrent(now) {
+		return
+	}
 	for _, r := range d.runList {
 		t := r.task
 		s := t.step
--- a/internal/dispatch/wave_test.go
+++ b/internal/dispatch/wave_test.go
@@ -49,7 +49,7 @@
 			entries = append(entries, e)
 		}
 	}
-	h.d.SetWorkers(h.now, entries)
+	h.d.SetWorkers(h.now, h.now, entries)
 }
 
 // tick advances the time by one sweep and returns the maintenance commands.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -67,6 +67,10 @@
 	retired            bool  // its machine was taken down, which ends this incarnation
 	retiredIncarnation int64 // that incarnation, as registered
 
+	// peakCapacity is the largest capacity of this incarnation, and of the one that an earlier owner recorded. Runs on
+	// the worker may hold that much, whatever its capacity is now.
+	peakCapacity model.Resources
+
 	exposures     []*exposure   // of runs, if it may have crashed
 	isolated      *run          // on probation; no other run is started beside it; nil: none
 	heldBackFor   *task         // the only task that may be started; nil: any
@@ -141,7 +145,7 @@
 
 // acceptsRuns reports whether the state of the worker itself allows new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.listed && w.recorded && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
+	return w.listed && w.recorded && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
 }
 
 // estimatedClock estimates the worker's clock in ms.
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -166,6 +166,14 @@
 		Summary: "A run ended with its worker, without a result. The proof is a new incarnation, another worker at the address, or the expiry of the lease. The age is that of the run when the worker last responded.",
 		Action:  "Look at the worker. If runs of one submission are lost on several workers, look at the submission.",
 		Keys:    []string{"worker", "task", "run", "proof", "age", "silent_for"}})
+	WorkerCapacityChanged = Define(Definition{ID: 2162, Name: "worker-capacity-changed", Level: Info,
+		Summary: "The capacity of a worker has shrunk or grown while it runs. Runs that exceed it continue; none is started until it has room again.",
+		Action:  "Nothing.",
+		Keys:    []string{"worker", "before", "now", "used"}})
+	CapacityReadFailed = Define(Definition{ID: 2163, Name: "capacity-read-failed", Level: Warn,
+		Summary: "The store does not give the workers' entries, or they may be from before an outage, and the machine control plane did not give the capacities either. No runs are started on workers whose capacity is not known; recorded once for a series of failures.",
+		Action:  "Check the store and the control plane.",
+		Keys:    []string{"error"}})
 	WorkerCrashed = Define(Definition{ID: 2159, Name: "worker-crashed", Level: Warn,
 		Summary: "A worker has crashed: it responds with a new incarnation, or another worker responds at its address, and it had not announced that it leaves. Runs that had just begun there are suspected.",
 		Action:  "Look at crash-counted for the tasks. Without suspected runs, check the worker.",
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"filbertcross/internal/model"
 )
 
 // MachineID identifies the hardware that a worker runs on. It outlives the worker: after its
@@ -37,4 +39,6 @@
 type MachineClient interface {
 	// StartMaintenance starts the maintenance of a machine. A repeated request succeeds without effect.
 	StartMaintenance(ctx context.Context, m MaintenanceRequest) error
+	// Capacities returns the capacities of the machines that run workers, by worker.
+	Capacities(ctx context.Context) (map[model.WorkerID]model.Resources, error)
 }
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -14,10 +14,11 @@
 	Address        string
 	Domain         model.FailureDomain
 	Draining       bool
-	DrainRemaining time.Duration // minimum time until a draining worker stops
-	Capacity       model.Resources
-	Labels         []string // kind and rack
-	Incarnation    int64    // start time in Unix milliseconds
+	DrainRemaining time.Duration   // minimum time until a draining worker stops
+	Capacity       model.Resources // may shrink and grow while the worker runs
+	Outdated       bool            // the capacity may have shrunk since; set by the owner
+	Labels         []string        // kind and rack
+	Incarnation    int64           // start time in Unix milliseconds
 	Machine        MachineID
 }
 
--- a/internal/model/resources.go
+++ b/internal/model/resources.go
@@ -34,6 +34,20 @@
 		r.Accelerators <= capacity.Accelerators
 }
 
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		MilliCPU: max(r.MilliCPU, o.MilliCPU), MemoryMiB: max(r.MemoryMiB, o.MemoryMiB), Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller amount of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		MilliCPU: min(r.MilliCPU, o.MilliCPU), MemoryMiB: min(r.MemoryMiB, o.MemoryMiB), Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
 func (r Resources) IsZero() bool { return r == Resources{} }
 
 func (r Resources) HasNegative() bool {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -84,8 +84,9 @@
 			Accept: platform.Milliseconds(max(s.Bounds.ConfigApplyMS, s.Bounds.RevokeMS)),
 		},
 		Owner: owner.Options{
-			LeaseTTL: ownerLease,
-			Store:    store, Workers: platform.NewWorkerClient(),
+			LeaseTTL:  ownerLease,
+			Heartbeat: platform.Milliseconds(s.HeartbeatMS),
+			Store:     store, Workers: platform.NewWorkerClient(),
 			Machines: platform.NewMachineClient(s.Machines.Address, s.NodeName), Events: events, Scope: metrics.Scope, Clock: bootClock,
 			Codec: owner.Codec{
 				WorkerPrefix: platform.WorkerPrefix, Worker: platform.ParseWorkerEntry,
@@ -97,6 +98,7 @@
 				RateBurst:         admission.Burst{Window: seconds(max(s.Bounds.RateWindowS, 1)), Slack: s.Bounds.RateSlack},
 				Lease:             lease,
 				MaxInheritedLease: lease + ownerLease + renewalGrace,
+				MaxListAge:        platform.Milliseconds(s.Bounds.ContactMS) - dispatch.CommandTimeout,
 				RenewGrace:        renewalGrace,
 				StopTimeout:       platform.Milliseconds(s.Bounds.StopTimeoutMS),
 				Retention:         seconds(s.Bounds.FinalStateRetentionS) + retentionMargin,
--- a/internal/owner/command_test.go
+++ b/internal/owner/command_test.go
@@ -43,7 +43,10 @@
 }
 
 // maintenanceCounter counts the maintenance commands sent to the control plane.
-type maintenanceCounter struct{ calls int }
+type maintenanceCounter struct {
+	fleet.MachineClient
+	calls int
+}
 
 func (m *maintenanceCounter) StartMaintenance(context.Context, fleet.MaintenanceRequest) error {
 	m.calls++
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -26,6 +26,7 @@
 	workersRevision   int64            // of workersRecord; 0: there is none
 	progressRevisions map[string]int64 // by key
 	workers           []fleet.WorkerEntry
+	workersReadAt     time.Duration // when they were requested
 	configuration     *fleet.Configuration
 	waves             []fleet.MaintenanceWave
 	waveProgress      map[int64]*dispatch.WaveProgress // by wave number
@@ -48,6 +49,7 @@
 	loadPart("progress", func(ctx context.Context) error { return o.loadProgress(ctx, &state) })
 	loadPart("recorded workers", func(ctx context.Context) error { return o.loadWorkersRecord(ctx, &state) })
 	loadPart("workers", func(ctx context.Context) (err error) {
+		state.workersReadAt = o.opts.Clock()
 		state.workers, err = o.readWorkers(ctx)
 		return err
 	})
@@ -155,7 +157,7 @@
 	if state.workersRevision != 0 {
 		o.revisions[workersKey] = state.workersRevision
 	}
-	d.SetWorkers(now, state.workers)
+	d.SetWorkers(now, state.workersReadAt, state.workers)
 	for _, wave := range state.waves {
 		d.SetWave(now, time.Now(), wave, state.waveProgress[wave.Number])
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,7 @@
 	Clock         Clock
 	Codec         Codec
 	LeaseTTL      time.Duration    // of the owner key
+	Heartbeat     time.Duration    // interval in which workers write their entries
 	Dispatch      dispatch.Options // New sets Fence
 }
 
@@ -176,7 +177,7 @@
 		group.Go(func() error { return o.watchForHandover(ctx) })
 		group.Go(func() error { o.awaitPreviousOwner(ctx, state.workersRecord.Owner); return nil })
 		group.Go(func() error { o.watchIntake(ctx, state.intakeRevision); return nil })
-		group.Go(func() error { o.listWorkers(ctx); return nil })
+		group.Go(func() error { o.listWorkers(ctx, state.workers, state.workersReadAt); return nil })
 		group.Go(func() error { o.publishAccounts(ctx); return nil })
 		return o.runLoop(ctx)
 	})
