soak: tasks that crash their workers, and workers whose capacity shrinks

Cause: no run of ours had a task that crashes its workers or a worker that shrinks, so neither fault could be found here.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -94,6 +94,12 @@
 		time.AfterFunc(d, w.Restart)
 		return fmt.Sprint("worker ", i)
 	}},
+	{"worker-shrinks", func(r *soakRun, rng *rand.Rand, d time.Duration) string {
+		i, w := r.randomWorker(rng)
+		w.SetCPU(int64(1000 * (4 + rng.IntN(12))))
+		time.AfterFunc(d, func() { w.SetCPU(standin.WorkerCPU) })
+		return fmt.Sprint("worker ", i)
+	}},
 	{"worker-cut", func(r *soakRun, rng *rand.Rand, d time.Duration) string {
 		i, modes := rng.IntN(len(r.proxies)), []ProxyMode{StallAll, StallResponses, StallRequests, Reset}
 		m := modes[rng.IntN(len(modes))]
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -19,7 +19,9 @@
 	// maxCancelDelay is the time after a confirmed cancellation from which no task of the
 	// submission may start. Faults delay the moment at which the owner learns of it.
 	maxCancelDelay = 15 * time.Second
-	lostAfter      = 10 * time.Second // an accepted submission that is unknown after this time counts as lost
+	// crashingInterval is the number of submissions of which one has a task that crashes its workers.
+	crashingInterval = 40
+	lostAfter        = 10 * time.Second // an accepted submission that is unknown after this time counts as lost
 )
 
 // submission is a submission that a caller has sent.
@@ -51,7 +53,11 @@
 	default:
 		s.spec = fmt.Sprintf("ms=%d", 50+rng.IntN(900))
 	}
-	sub := standin.SingleStep(s.spec, 1+rng.IntN(4), 1000*(1+rng.IntN(6)))
+	tasks := 1 + rng.IntN(4)
+	if n%crashingInterval == crashingInterval-1 {
+		s.spec, tasks = standin.CrashSpec, 1
+	}
+	sub := standin.SingleStep(s.spec, tasks, 1000*(1+rng.IntN(6)))
 	if rng.IntN(3) == 0 {
 		second := sub.Steps[0]
 		second.After = []int{0}
@@ -131,6 +137,10 @@
 	switch {
 	case final == "":
 		return false
+	case final == "failed" && s.spec == standin.CrashSpec:
+		r.checkCrashes(s)
+	case final == "completed" && s.spec == standin.CrashSpec:
+		r.platform.Checker.AddViolation("MIXED: %s is reported as completed, but its task crashes its workers", s.id)
 	case final == "failed" && !strings.HasPrefix(s.spec, "fail"):
 		r.platform.Checker.AddViolation("LOST: %s is reported as failed, but its tasks do not fail", s.id)
 	case final == "completed" && strings.HasPrefix(s.spec, "fail"):
@@ -141,6 +151,17 @@
 	return true
 }
 
+// checkCrashes checks that a task of a failed submission has crashed two workers. Its steps have one task each.
+func (r *soakRun) checkCrashes(s *submission) {
+	crashes := 0
+	for step := range 2 {
+		crashes = max(crashes, r.platform.Checker.Crashes(fmt.Sprintf("%s.0.%d.0", s.id, step)))
+	}
+	if crashes < 2 {
+		r.platform.Checker.AddViolation("LOST: %s is reported as failed after %d crashes", s.id, crashes)
+	}
+}
+
 // checkConfigurations checks that every VM serves the last queue of the newest configuration and not
 // the first one that it does not have.
 func (r *soakRun) checkConfigurations(ctx context.Context) {
