dispatch: a worker with results that are not durable stays in the list for the next owner

Cause: class of fault: a record that lets a successor forget a worker is written before what the worker has told. i-632015dcf5 was cut off from the store, so its entry had expired at 11.5 s; its last run ended at 12.00 s, when the store was down. At 16.2 s the list of workers was written without it, as it had no runs, before the progress with the result; the owner handed over, and the next one did not wait for that worker. Change: results that are not durable keep a worker in the list. Result: TestWorkerWithUnwrittenResultsStaysRecorded failed before.

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -178,11 +178,11 @@
 	return batch
 }
 
-// workerListRecord lists the workers that may have runs or may be given some.
+// workerListRecord lists the workers that may have runs, may be given some, or have results that are not durable.
 func (d *Dispatcher) workerListRecord() Record {
 	rec := Record{IsWorkerList: true}
 	for _, w := range d.workerList {
-		keep := (w.listed || w.recordedByPrevious || len(w.runs) > 0) && !w.drained()
+		keep := (w.listed || w.recordedByPrevious || len(w.runs) > 0 || len(w.pendingAcks) > 0) && !w.drained()
 		w.recorded = w.recorded && keep
 		if keep {
 			rec.Workers = append(rec.Workers, RecordedWorker{ID: string(w.entry.ID), Address: w.entry.Address, Capacity: w.peakCapacity})
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// A worker's entry expires while it is cut off from the store, its last run ends, and the store goes down before that is written
+// (deadly-among-faults). The next owner has to wait for the worker, which still has the result: the task ran twice.
+func TestWorkerWithUnwrittenResultsStaysRecorded(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("quick", "a", tasks(1, 4))
+	h.decide()
+	first := h.starts[0]
+	h.acceptStarts(h.starts)
+	h.report(first.To.ID)
+	h.listWorkers(0)
+	h.report(first.To.ID, h.runResult(first, fleet.OutcomeDone))
+	h.d.workerListDirty = true
+	for _, rec := range h.d.NextBatch(h.now, 30) {
+		if rec.IsWorkerList && (len(rec.Workers) != 1 || rec.Workers[0].ID != string(first.To.ID)) {
+			t.Fatalf("recorded workers %v, want %s", rec.Workers, first.To.ID)
+		}
+	}
+}
+
 // Workers were drained and have left before the owner is lost (scale_in, then power_off_all). The
 // new owner must not wait for them.
 func TestEmptyDrainingWorkerIsNotRecorded(t *testing.T) {
