dispatch: the wait of a suspected task for a worker without runs has an end

Cause: the wait was counted for each worker that was held back. Its tickets are valid for 2 s, as long as the wait, so the task gave up one worker after the other and never started. Change: the wait is counted once for the task. After it, the task starts on the best worker that it fits on. A crash there is held against it alone only if no other run had just begun.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -48,8 +48,9 @@
 	exposed  []*exposure
 	version  int64 // of the job's progress that contains the counted crashes
 	// suspects is the number of runs that are suspected in the last crash, this task's included; 0: none yet.
-	suspects int
-	heldBack *worker // kept free of other new runs for the task; nil: none
+	suspects     int
+	waitingSince time.Duration // when a worker was first sought that is not without runs; 0: none is sought
+	heldBack     *worker       // kept free of other new runs for the task; nil: none
 }
 
 // exposure is a run on a worker that may have crashed: it stopped responding, and it is not known yet whether it
@@ -132,7 +133,7 @@
 	}
 	r.exposed = true
 	e := &exposure{
-		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now, isolated: r.isolated && !d.crashesRepeatedly(now, r.worker),
+		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now, isolated: r.isolated && suspects <= 1 && !d.crashesRepeatedly(now, r.worker),
 		early: early, prompt: prompt, confirmed: r.confirmedAt != 0,
 	}
 	d.addExposure(e)
--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -212,6 +212,28 @@
 	}
 }
 
+// Tickets for a worker expire before its runs have ended, and the next ones are for another worker. A suspected task held back one
+// worker after the other and started on none (LOST on salnorte-fc, deadly-among-faults, seed 2).
+func TestSuspectedTaskStartsThoughItsTicketsExpire(t *testing.T) {
+	f := newCrashFleet(t, 4)
+	f.ticketValidity = isolationWait - 500*time.Millisecond
+	s := tasks(16, 7)
+	s.Estimate = 60 * time.Second
+	f.submit("quick", "busy", s)
+	f.pass(600*time.Millisecond, func() bool { return false })
+	f.submit("advised", "a", tasks(1, 4))
+	f.pass(time.Second, func() bool { return f.starts[taskID("a", 0)] == 1 })
+	for r := range f.d.runs {
+		if r.Task.Job == "a" {
+			f.crash(f.d.runs[r].worker.entry.ID)
+			break
+		}
+	}
+	if !f.pass(restartTime+2*isolationWait, func() bool { return f.starts[taskID("a", 0)] == 2 }) {
+		t.Fatalf("the task was not started again %v after its worker was back", 2*isolationWait)
+	}
+}
+
 // A run was started and confirmed after the worker's last report, by the new incarnation: it is running there. handleRestart
 // must neither end it nor count the crash of the previous incarnation against it.
 func TestRunConfirmedByTheNewIncarnationContinues(t *testing.T) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -24,12 +24,14 @@
 	silentUntil map[model.WorkerID]time.Duration // its responses are lost until then
 	crashDelay  time.Duration                    // from the start of a crashing task to the crash
 	storeDown   bool
-	stored      map[fleet.JobID]*Progress
-	recorded    []RecordedWorker
-	incarnation map[model.WorkerID]int64
-	startedAt   map[fleet.RunID]time.Duration
-	runs        map[model.WorkerID]map[fleet.RunID]bool
-	results     map[model.WorkerID][]fleet.RunResult
+	// ticketValidity is that of the answers to advice calls, which allow every worker.
+	ticketValidity time.Duration
+	stored         map[fleet.JobID]*Progress
+	recorded       []RecordedWorker
+	incarnation    map[model.WorkerID]int64
+	startedAt      map[fleet.RunID]time.Duration
+	runs           map[model.WorkerID]map[fleet.RunID]bool
+	results        map[model.WorkerID][]fleet.RunResult
 }
 
 func newCrashFleet(t *testing.T, workers int, crashing ...fleet.TaskID) *crashFleet {
@@ -90,6 +92,13 @@
 		for _, c := range f.stops {
 			f.stop(c)
 		}
+		for _, c := range f.adviceCalls {
+			tickets := map[model.WorkerID]string{}
+			for _, id := range c.Workers {
+				tickets[id] = "ticket"
+			}
+			f.d.HandleAdvice(f.now, c.Step, c.Workers, tickets, f.ticketValidity, nil)
+		}
 		f.advance(25 * time.Millisecond)
 		f.crashDue()
 		for _, c := range f.renewals {
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -11,9 +11,9 @@
 // A task that may crash its worker is started on a worker without other runs if possible, and no run is started
 // beside it while it is on probation. So its crash ends nothing else, and shows which task is the cause.
 const (
-	// isolationWait is how long a worker is kept free of new runs for a task; for one of 2n suspects in a crash it is an n-th
-	// of that. If older runs continue there after that, the task is started beside them: a suspected task that crashes
-	// nothing must not wait for long.
+	// isolationWait is how long a task waits for a worker without runs, which is kept free of new ones meanwhile; one of 2n
+	// suspects in a crash waits an n-th of that. Afterwards it is started beside older runs: a suspected task that
+	// crashes nothing must not wait for long.
 	isolationWait = 2 * time.Second
 	// workersPerHeldBack is the number of workers for each that may be held back at a time.
 	workersPerHeldBack = 8
@@ -23,15 +23,40 @@
 // isolatedWorker returns the worker on which to start a task in isolation, or nil if it has to wait. It may hold
 // back a worker for the task.
 func (d *Dispatcher) isolatedWorker(now time.Duration, s *step, t *task) *worker {
-	if w := t.history.heldBack; w != nil {
-		if d.canIsolate(now, s, w) {
-			if reservedCapacity(s.def).FitsIn(w.free()) && (len(w.runs) == 0 || now-w.heldBackSince >= t.isolationWait()) {
-				return w
-			}
+	h, demand := &t.history, reservedCapacity(s.def)
+	overdue := h.waitingSince != 0 && now-h.waitingSince >= t.isolationWait()
+	if w := h.heldBack; w != nil {
+		switch {
+		case !d.canIsolate(now, s, w):
+			d.endHoldBack(w)
+		case !demand.FitsIn(w.free()):
+			return nil
+		case len(w.runs) == 0 || overdue:
+			return w
+		default:
 			return nil
 		}
-		d.endHoldBack(w)
 	}
+	best := d.bestForIsolation(now, s, overdue)
+	if best == nil {
+		return nil
+	}
+	if demand.FitsIn(best.free()) && (len(best.runs) == 0 || overdue) {
+		return best
+	}
+	if h.waitingSince == 0 {
+		h.waitingSince = now
+	}
+	if len(d.heldBack) < max(minHeldBack, len(d.workerList)/workersPerHeldBack) {
+		best.heldBackFor, best.heldBackSince, h.heldBack = t, now, best
+		d.heldBack = append(d.heldBack, best)
+	}
+	return nil
+}
+
+// bestForIsolation returns the worker on which a task of the step ends the fewest runs if it crashes, or nil. A task that is
+// overdue gets one that it fits on at once, if there is any.
+func (d *Dispatcher) bestForIsolation(now time.Duration, s *step, overdue bool) *worker {
 	var best *worker
 	var bestCost isolationCost
 	candidates := d.startCandidates(s)
@@ -40,22 +65,18 @@
 		if w.heldBackFor != nil || !d.canIsolate(now, s, w) {
 			continue
 		}
-		if cost := d.isolationCost(now, w); best == nil || cost.compare(bestCost) < 0 {
+		cost := d.isolationCost(now, w)
+		if overdue && !reservedCapacity(s.def).FitsIn(w.free()) {
+			cost.full = 1
+		}
+		if best == nil || cost.compare(bestCost) < 0 {
 			best, bestCost = w, cost
 		}
 	}
-	switch {
-	case best == nil || len(best.runs) == 0:
-		return best
-	case len(d.heldBack) >= max(minHeldBack, len(d.workerList)/workersPerHeldBack):
-		return nil
-	}
-	best.heldBackFor, best.heldBackSince, t.history.heldBack = t, now, best
-	d.heldBack = append(d.heldBack, best)
-	return nil
+	return best
 }
 
-// isolationWait is how long a worker is held back for the task.
+// isolationWait is how long the task waits for a worker without runs.
 func (t *task) isolationWait() time.Duration {
 	if t.history.crashes >= suspectCrashes {
 		return isolationWait
@@ -73,13 +94,14 @@
 
 // isolationCost rates a worker for a task in isolation, lower being better.
 type isolationCost struct {
+	full      int           // 1: an overdue task does not fit now
 	crashes   int           // 1: workers crash at its address repeatedly
 	remaining int           // runs that are likely to continue after isolationWait
 	vacant    time.Duration // until the others have ended
 }
 
 func (c isolationCost) compare(other isolationCost) int {
-	return cmp.Or(cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
+	return cmp.Or(cmp.Compare(c.full, other.full), cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
 }
 
 func (d *Dispatcher) isolationCost(now time.Duration, w *worker) isolationCost {
@@ -131,6 +153,7 @@
 	if held := r.task.history.heldBack; held != nil {
 		d.endHoldBack(held)
 	}
+	r.task.history.waitingSince = 0
 	r.isolated, w.isolated = true, r
 	d.events.Record(event.RunIsolated, w.entry.ID, r.id.Task, r.id.Run, r.task.history.crashes, len(w.runs)-1)
 }
