dispatch: a gang is placed on workers that were freed before its next attempt

What callers saw: a gang that waits on an idle cluster starts up to 2 s late, for instance after a change of owner. Cause: a gang is tried every 50 ms at most. Workers that become usable in between are in the list of one pass only, which skips the gang, and nothing lets it examine all workers afterwards. Change: a skipped gang examines all workers at its next attempt. Found by the test of crashes under gangs.

--- a/internal/dispatch/gang_test.go
+++ b/internal/dispatch/gang_test.go
@@ -328,6 +328,18 @@
 	}
 }
 
+// Workers become usable between two attempts to place a gang, and nothing else changes. The gang started 2 s later, when the
+// workers' idle polls ended.
+func TestGangStartsOnWorkersThatWereFreedBeforeItsNextAttempt(t *testing.T) {
+	f := newCrashFleet(t, 4)
+	gang := tasks(2, 20)
+	gang.Gang = true
+	f.restart(nil, nil, &fleet.Submission{ID: "gang", Queue: "quick", Service: "pool", Steps: []fleet.Step{gang}})
+	if !f.pass(200*time.Millisecond, func() bool { return f.starts[taskID("gang", 1)] == 1 }) {
+		t.Fatal("the gang has not started 200 ms after a takeover with free workers")
+	}
+}
+
 // The runs on the reserved workers take longer than declared. The reservation outlasts them.
 func TestReservationOutlastsRunsThatOverrunTheirEstimates(t *testing.T) {
 	h, starts := gangHarness(t)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -59,6 +59,7 @@
 	adviceDue       time.Duration // time of the next check whether advice is needed
 	reservation     *reservation  // of a gang that waits for capacity
 	reserveDue      time.Duration // time of the next choice of workers to reserve
+	missedFreed     bool          // workers had freed capacity before retryDue
 	postponed       bool          // the last pass left the search for its workers to the next one
 	waitRecorded    bool          // an event says that the gang waits
 }
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -106,11 +106,18 @@
 
 // placeStep places what it can of a step, within the share of its account if withinShare is set.
 func (p *placementPass) placeStep(s *step, withinShare bool) {
+	if s.missedFreed && p.now >= s.retryDue {
+		s.tryAllWorkers, s.missedFreed = true, false
+	}
 	candidates := p.freed
 	if all := p.d.startCandidates(s); s.tryAllWorkers || len(all) < len(candidates) {
 		candidates = all
 	}
-	if len(candidates) == 0 || s.def.Gang && !s.tryAllWorkers && p.now < s.retryDue {
+	if len(candidates) == 0 {
+		return
+	}
+	if s.def.Gang && !s.tryAllWorkers && p.now < s.retryDue {
+		s.missedFreed = true
 		return
 	}
 	if s.postponed = s.def.Gang && !p.d.mayStartSearch(); s.postponed {
