dispatch: the durable part of crash histories in a file of its own; more tests of isolation and gangs

Change: crash_progress.go; decisive in place of prompt for a crash that suffices at the second. No decision is changed. Tests that nothing starts beside a suspected task, and that crashes of a gang are counted once for a run and outlive owners.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -8,7 +8,6 @@
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
-	"filbertcross/internal/model"
 )
 
 // Attribution of worker crashes to tasks. A task that crashes its workers does so soon after its start, so a
@@ -65,7 +64,7 @@
 	run         int64
 	origin      *run // nil: it was started by an earlier owner
 	early       bool // the run is suspected, as it was among the youngest
-	prompt      bool // the worker's first crash, and the connection was lost within decisiveCrash after the start
+	decisive    bool // the connection was lost within decisiveCrash after the start, and it is no repeated crash at its address
 	isolated    bool
 	confirmed   bool // the run had started
 	since       time.Duration
@@ -129,15 +128,15 @@
 
 // exposeRun records that a run's worker may have crashed at the given time. Older runs than crashWindow, and gangs that did
 // not just begin, are not counted.
-func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, prompt bool, suspects int) {
+func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, decisive bool, suspects int) {
 	j := r.task.step.job
 	if r.exposed || r.released || j.closed() || crashedAt-r.startSentAt >= crashWindow || r.task.step.def.Gang && !early {
 		return
 	}
 	r.exposed = true
 	e := &exposure{
-		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now, isolated: r.isolated && suspects <= 1,
-		early: early, prompt: prompt && !d.crashesRepeatedly(now, r.worker), confirmed: r.confirmedAt != 0,
+		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now,
+		isolated: r.isolated && suspects <= 1, early: early, decisive: decisive && !d.crashesRepeatedly(now, r.worker), confirmed: r.confirmedAt != 0,
 	}
 	d.addExposure(e)
 	if e.early {
@@ -211,7 +210,7 @@
 	h.version = j.version
 	d.events.Record(event.CrashCounted, e.worker.entry.ID, t.id(), e.run, h.crashes, h.possible, e.early, e.isolated)
 	limit := crashesToFailLate
-	if e.prompt {
+	if e.decisive {
 		limit = crashesToFail
 	}
 	if e.isolated && e.confirmed && h.crashes >= limit || h.crashes+h.possible >= maxCrashes {
@@ -281,58 +280,3 @@
 	c := d.crashesByAddress[w.entry.Address]
 	return c.count > 1 && now-c.last < repeatedCrashTime
 }
-
-// CrashProgress is the durable part of a task's crash history.
-type CrashProgress struct {
-	Crashes   int                `cbor:"1,keyasint,omitempty"`
-	Suspect   bool               `cbor:"2,keyasint,omitempty"`
-	Exposures []ExposureProgress `cbor:"3,keyasint,omitempty"`
-	Possible  int                `cbor:"4,keyasint,omitempty"`
-	Suspects  int                `cbor:"5,keyasint,omitempty"`
-}
-
-// ExposureProgress is a run on a worker that may have crashed, or a start in isolation that may have happened.
-type ExposureProgress struct {
-	Worker      string `cbor:"1,keyasint"`
-	Address     string `cbor:"2,keyasint"`
-	Incarnation int64  `cbor:"3,keyasint"`
-	Run         int64  `cbor:"4,keyasint"`
-	Isolated    bool   `cbor:"5,keyasint,omitempty"`
-	Confirmed   bool   `cbor:"6,keyasint,omitempty"`
-	Prompt      bool   `cbor:"7,keyasint,omitempty"`
-}
-
-// snapshot returns the durable part, nil if there is none.
-func (h *crashHistory) snapshot() *CrashProgress {
-	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect, Suspects: h.suspects}
-	for _, e := range h.exposed {
-		if e.early {
-			p.Exposures = append(p.Exposures, ExposureProgress{
-				Worker: string(e.worker.entry.ID), Address: e.worker.entry.Address, Incarnation: e.incarnation, Run: e.run, Isolated: e.isolated, Confirmed: e.confirmed, Prompt: e.prompt,
-			})
-		}
-	}
-	if w := h.planned; w != nil && !slices.ContainsFunc(h.exposed, func(e *exposure) bool { return e.worker == w }) {
-		p.Exposures = append(p.Exposures, ExposureProgress{Worker: string(w.entry.ID), Address: w.entry.Address, Incarnation: w.incarnation, Isolated: true, Confirmed: true})
-	}
-	if p.Crashes+p.Possible == 0 && !p.Suspect && len(p.Exposures) == 0 {
-		return nil
-	}
-	return p
-}
-
-// restoreCrashes applies a stored crash history to a task.
-func (d *Dispatcher) restoreCrashes(t *task, p *CrashProgress) {
-	if p == nil {
-		return
-	}
-	t.history.crashes, t.history.possible, t.history.suspect, t.history.suspects = p.Crashes, p.Possible, p.Suspect, p.Suspects
-	t.step.hasSuspects = true
-	for _, e := range p.Exposures {
-		w := d.ensureWorker(model.WorkerID(e.Worker))
-		if w.entry.Address == "" {
-			w.entry.Address = e.Address
-		}
-		d.addExposure(&exposure{task: t, worker: w, incarnation: e.Incarnation, run: e.Run, early: true, isolated: e.Isolated, confirmed: e.Confirmed, prompt: e.Prompt, since: d.startedAt})
-	}
-}
--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -285,3 +285,55 @@
 		t.Errorf("suspected %v, %d crashes after the worker responded", task.needsIsolation(), task.history.crashes)
 	}
 }
+
+// No other run is started beside a task that may crash its worker, until its run has outlived its probation.
+func TestNothingStartsBesideASuspectedTask(t *testing.T) {
+	deadly := taskID("deadly", 0)
+	f := newCrashFleet(t, 2, deadly)
+	f.submit("quick", "deadly", tasks(1, 4))
+	f.pass(time.Second, func() bool { return f.crashes[deadly] == 1 })
+	f.crashing[deadly] = false // it crashed for another reason
+	long := tasks(1, 4)
+	long.Estimate = 20 * time.Second
+	f.d.findTask(deadly).step.def.Estimate = 20 * time.Second
+	f.pass(10*time.Second, func() bool { return f.starts[deadly] == 2 })
+	var suspected *run
+	for _, r := range f.d.runs {
+		suspected = r
+	}
+	f.submit("quick", "a", tasks(12, 4))
+	f.pass(startupWindow-100*time.Millisecond, func() bool { return false })
+	if n := len(suspected.worker.runs); n != 1 {
+		t.Fatalf("%d runs on the worker of a suspected task, want only its own", n)
+	}
+	f.pass(startupWindow+200*time.Millisecond, func() bool { return false })
+	if n := len(suspected.worker.runs); n == 1 {
+		t.Fatal("no run is started beside the task after its probation")
+	}
+}
+
+// The crashes under a gang outlive a change of owner, and one run of it is counted once, however many members run on workers
+// that crash.
+func TestCrashesOfAGangAreCountedByRun(t *testing.T) {
+	gang := tasks(2, 20)
+	gang.Gang = true
+	f := newCrashFleet(t, 4)
+	sub := &fleet.Submission{ID: "gang", Queue: "quick", Service: "pool", Steps: []fleet.Step{gang}}
+	f.restart(nil, nil, sub)
+	f.pass(2*time.Second, func() bool { return f.starts[taskID("gang", 1)] == 1 })
+	for _, w := range f.d.workerList {
+		if len(w.runs) > 0 {
+			f.crash(w.entry.ID)
+		}
+	}
+	counted := func() int { return len(f.d.findTask(taskID("gang", 0)).step.gangCrashedRuns) }
+	f.pass(restartTime+time.Second, func() bool { return counted() > 0 })
+	f.pass(200*time.Millisecond, func() bool { return false })
+	if counted() != 1 {
+		t.Fatalf("%d crashes counted for one run of the gang, want 1", counted())
+	}
+	f.restart(f.stored, f.recorded, sub)
+	if counted() != 1 {
+		t.Fatalf("%d crashes known to the next owner, want 1", counted())
+	}
+}
--- a/internal/dispatch/crash_simulation_test.go
+++ b/internal/dispatch/crash_simulation_test.go
@@ -75,3 +75,15 @@
 		h.checkFailed()
 	}
 }
+
+// crash ends the incarnation; the next one is up after the given time.
+func (w *simWorker) crash(down time.Duration) {
+	if c := w.h.crashing; c != nil {
+		for id := range w.runs {
+			c.under[id]++
+		}
+	}
+	w.up = false
+	w.startIncarnation()
+	w.h.schedule(down, func() { w.up = true })
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -120,18 +120,6 @@
 	w.entry.Incarnation++
 }
 
-// crash ends the incarnation; the next one is up after the given time.
-func (w *simWorker) crash(down time.Duration) {
-	if c := w.h.crashing; c != nil {
-		for id := range w.runs {
-			c.under[id]++
-		}
-	}
-	w.up = false
-	w.startIncarnation()
-	w.h.schedule(down, func() { w.up = true })
-}
-
 // advance ends the runs that are due and those whose lease has expired.
 func (w *simWorker) advance() {
 	for id, r := range w.runs {
