dispatch: tests of recorded starts and of copies in isolation

Change: two tests for changes that no test had shown. Result: without the recorded start, and with copies anywhere, a test fails.

--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -337,3 +337,44 @@
 		t.Fatalf("%d crashes known to the next owner, want 1", counted())
 	}
 }
+
+// The owner is lost after it has started a suspected task, before it notices the crash. The start is in the store, so that the next
+// owner counts the crash.
+func TestCrashAfterARecordedStartIsCountedByTheNextOwner(t *testing.T) {
+	deadly := taskID("deadly", 0)
+	f := newCrashFleet(t, 6, deadly)
+	sub := &fleet.Submission{ID: "deadly", Queue: "quick", Service: "pool", Steps: []fleet.Step{tasks(1, 4)}}
+	f.restart(nil, nil, sub)
+	f.pass(20*time.Second, func() bool { return f.starts[deadly] == 2 })
+	f.restart(f.stored, f.recorded, sub)
+	f.pass(restartTime+time.Second, func() bool { return f.d.findTask(deadly).history.crashes == 2 })
+	if n := f.d.findTask(deadly).history.crashes; n != 2 {
+		t.Fatalf("%d crashes known to the next owner, want 2", n)
+	}
+}
+
+// A speculative step copies a run on a worker that stopped responding. If the run had just begun, the copy must not take other work with
+// it: it went to a worker with many runs, and crashed that, too (incident BUDGET).
+func TestCopyOfASuspectedRunIsIsolated(t *testing.T) {
+	deadly := taskID("deadly", 0)
+	f := newCrashFleet(t, 3, deadly)
+	s := tasks(1, 4)
+	s.Speculative = true
+	f.submit("quick", "deadly", s)
+	if !f.pass(restartTime, func() bool { return f.starts[deadly] == 2 }) {
+		t.Fatal("the run was not copied while its worker did not respond")
+	}
+	var copied *run
+	for _, r := range f.d.runs {
+		if copied == nil || r.id.Run > copied.id.Run {
+			copied = r
+		}
+	}
+	if !copied.isolated {
+		t.Errorf("the copy %v on %s is not isolated", copied.id, copied.worker.entry.ID)
+	}
+	f.pass(20*time.Second, func() bool { return f.state("deadly").Final() })
+	if f.state("deadly") != fleet.StateFailed || f.crashes[deadly] > 3 {
+		t.Errorf("the submission is %v after %d crashes, want it failed after 3 at the most", f.state("deadly"), f.crashes[deadly])
+	}
+}
