dispatch: the test of copies in isolation checks where the copy is started

Cause: a copy on a busy worker was marked as isolated, too, so the test passed without the change that it is for.

--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -357,9 +357,13 @@
 // it: it went to a worker with many runs, and crashed that, too (incident BUDGET).
 func TestCopyOfASuspectedRunIsIsolated(t *testing.T) {
 	deadly := taskID("deadly", 0)
-	f := newCrashFleet(t, 3, deadly)
+	f := newCrashFleet(t, 6, deadly) // workers 4 and 5 are in rack r1
+	busy := tasks(2, 4)
+	busy.PreferredRack, busy.Estimate = "r1", 20*time.Second
+	f.submit("quick", "busy", busy)
+	f.pass(time.Second, func() bool { return false })
 	s := tasks(1, 4)
-	s.Speculative = true
+	s.Speculative, s.PreferredRack = true, "r1"
 	f.submit("quick", "deadly", s)
 	if !f.pass(restartTime, func() bool { return f.starts[deadly] == 2 }) {
 		t.Fatal("the run was not copied while its worker did not respond")
@@ -370,8 +374,8 @@
 			copied = r
 		}
 	}
-	if !copied.isolated {
-		t.Errorf("the copy %v on %s is not isolated", copied.id, copied.worker.entry.ID)
+	if len(copied.worker.runs) > 1 {
+		t.Errorf("the copy is started on %s, which has %d runs", copied.worker.entry.ID, len(copied.worker.runs))
 	}
 	f.pass(20*time.Second, func() bool { return f.state("deadly").Final() })
 	if f.state("deadly") != fleet.StateFailed || f.crashes[deadly] > 3 {
