dispatch: a recorded start that may not have crashed its worker is a possible crash only

Cause: a start of a suspected task is recorded before it is sent, and the next owner counted a crash of that worker in full. Change: such a crash counts as possible. It makes the task suspected, and counts towards the five crashes that fail it in any case.

--- a/internal/dispatch/crash_progress.go
+++ b/internal/dispatch/crash_progress.go
@@ -39,7 +39,7 @@
 	}
 	if w := h.planned; w != nil && !slices.ContainsFunc(h.exposed, func(e *exposure) bool { return e.worker == w }) {
 		p.Exposures = append(p.Exposures, ExposureProgress{
-			Worker: string(w.entry.ID), Address: w.entry.Address, Incarnation: w.incarnation, Isolated: true, Confirmed: true,
+			Worker: string(w.entry.ID), Address: w.entry.Address, Incarnation: w.incarnation, Isolated: true,
 		})
 	}
 	if p.Crashes+p.Possible == 0 && !p.Suspect && len(p.Exposures) == 0 {
