dispatch: only a list of workers that cannot be read stops starts by its age

Cause: an owner with 0.4 of a core takes seconds to read a list of 3,000 entries, so that it was older than contact-ms most of the time, and nothing was started. Change: the limit holds while reads of the list fail, and the control plane does not give the capacities either. Result: TestNothingIsStartedByAnOldList with a list that cannot be read. Open: at that size the list is older than the bounds of DRAIN and LIMIT assume, as before; a watch in place of reads would mend it.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -8,7 +8,8 @@
 )
 
 // The capacity of a worker may shrink and grow while it runs. Its entry in the platform's list shows that, so runs are
-// started only by a list that is not older than Options.MaxListAge, and by the entry of the incarnation that responds.
+// started only by the entry of the incarnation that responds and, while the list cannot be read, only until the last one is
+// older than Options.MaxListAge.
 
 // capacityKnown reports whether the worker's entry is that of the incarnation that responds, and is not outdated. An entry
 // without incarnation is taken for that of any.
@@ -18,9 +19,12 @@
 
 // listIsCurrent reports whether runs may be started by the last list of workers.
 func (d *Dispatcher) listIsCurrent(now time.Duration) bool {
-	return d.opts.MaxListAge == 0 || now-d.listedAt <= d.opts.MaxListAge
+	return !d.listFailing || now-d.listedAt <= d.opts.MaxListAge
 }
 
+// SetListFailing states that the list of workers cannot be read. The next SetWorkers ends that.
+func (d *Dispatcher) SetListFailing() { d.listFailing = true }
+
 // setEntry applies the worker's entry in the platform's list.
 func (d *Dispatcher) setEntry(w *worker, e fleet.WorkerEntry) {
 	before, had := w.entry, w.listed
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -88,6 +88,7 @@
 	h := newHarness(t, 1)
 	h.d.opts.MaxListAge = 2 * time.Second
 	h.listWorkers(1)
+	h.d.SetListFailing()
 	h.advance(3 * time.Second)
 	h.report(workerID(0))
 	h.submit("quick", "a", tasks(1, 8))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	unknownUsage model.Resources
 	capacity     model.Resources // of the cluster at the last pass
 	listedAt     time.Duration   // when the last list of workers was requested
+	listFailing  bool            // the list has not been read since
 	heldBack     []*worker       // for tasks that are started in isolation
 	// crashesByAddress counts the crashes of the workers at each address.
 	crashesByAddress map[string]addressCrashes
@@ -140,7 +141,7 @@
 
 // SetWorkers applies the platform's complete list of workers, which was requested at readAt.
 func (d *Dispatcher) SetWorkers(now, readAt time.Duration, entries []fleet.WorkerEntry) {
-	d.listedAt = max(d.listedAt, readAt)
+	d.listedAt, d.listFailing = max(d.listedAt, readAt), false
 	listed := make(map[model.WorkerID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -14,7 +14,7 @@
 	MaxInheritedLease time.Duration // longest remaining lease granted by earlier owners, counted from this owner's election
 	RenewGrace        time.Duration // how long leases are still renewed after this owner can no longer prove its authority
 	StopTimeout       time.Duration // maximum time a worker takes to end a stopped run
-	MaxListAge        time.Duration // age of the list of workers up to which runs are started by it; 0: any
+	MaxListAge        time.Duration // age of the list of workers up to which runs are started by it while it cannot be read
 	Retention         time.Duration // how long final states are kept
 
 	MaintenanceTime time.Duration // from the maintenance command until the machine has a worker again
--- a/internal/owner/worker_list.go
+++ b/internal/owner/worker_list.go
@@ -119,6 +119,7 @@
 			capacitiesFailing = err != nil
 		}
 		if l.failing && capacities == nil {
+			o.post(ctx, func(time.Duration) { o.dispatcher.SetListFailing() })
 			continue
 		}
 		current := l.current(o.opts.Clock(), capacities)
