dispatch: a gang is given up after five crashes under it, not three

Cause: a gang is not isolated, and three crashes under it in a row were taken for its own. Change: five, the number of starts that the platform tolerates. Open: a gang beside others that crash five workers under it in a row is still given up.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,9 +30,9 @@
 	promptCrash = 150 * time.Millisecond
 	// maxCrashes is the number of crashes in a row, with possible ones, that fails the submission in any case.
 	maxCrashes = 5
-	// maxGangCrashes is the same for a gang, which is not isolated: the runs of a gang shortly after whose start a
-	// worker of a member crashed.
-	maxGangCrashes = 3
+	// maxGangCrashes is the same for a gang, as runs shortly after whose start a worker of a member crashed. A gang is not
+	// isolated, so crashes under it may well be caused by others.
+	maxGangCrashes = 5
 	// settleWait is how long a task that has crashed a worker waits to learn whether the next one crashed, too.
 	settleWait = 6 * time.Second
 	// exposureTimeout is how long an unresponsive worker may still prove to have crashed.
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -13,5 +13,6 @@
 	243:  "two listeners of a VM had the same port (bug in the harness)",
 	104:  "a delayed acknowledgement of one incarnation was executed by the next",
 	5042: "a suspected task was done, its owner and its worker were lost, and the next owner failed its submission for the crash",
+	6013: "a gang was given up after three crashes that tasks beside it had caused",
 	902:  "an account at its quota was flooded, and its submissions had no final state 40 s after the last fault: nothing was refused",
 }
