dispatch: a gang is given up after four crashes under it

Cause: its first crash was not counted, as the owner was lost before it saw a failed response, and five counted ones are six then. Change: four, which leaves room for one that is not counted. Open: gangs are not isolated.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,8 +31,8 @@
 	// maxCrashes is the number of crashes in a row, with possible ones, that fails the submission in any case.
 	maxCrashes = 5
 	// maxGangCrashes is the same for a gang, as runs shortly after whose start a worker of a member crashed. A gang is not
-	// isolated, so crashes under it may well be caused by others.
-	maxGangCrashes = 5
+	// isolated, so crashes under it may well be caused by others, and one may not have been counted.
+	maxGangCrashes = 4
 	// settleWait is how long a task that has crashed a worker waits to learn whether the next one crashed, too.
 	settleWait = 6 * time.Second
 	// exposureTimeout is how long an unresponsive worker may still prove to have crashed.
