storehealth: writes are held back as soon as the store is suspected not to answer

Callers saw: for 0.8 s after the store stopped answering, submissions were sent to it and had an unknown outcome. After its return the VMs noticed it 0.04 to 0.9 s later, because each probe waited for the one before, which had been sent during the outage; the election waited for reads in flight in the same way.

The circuit breaker of package entry becomes package storehealth: a detector without I/O and a monitor. New: a store without a response for longer than its usual latency is suspect; writes wait for the answer to a probe, and are rejected as not sent once the store counts as unavailable. A store that rejects calls is told from a silent one and holds nothing back. Probes overlap. When the store answers again, election reads in flight are abandoned. Unavailable on both paths, a caller is rejected without further attempts. State is not read from a store that is known not to answer.

--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/storehealth"
 	"filbertcross/internal/verdict"
 )
 
@@ -21,10 +22,7 @@
 
 // Committer writes to the store, directly or through another VM. It must be safe for concurrent
 // use.
-type Committer interface {
-	// Commit returns the revision of the write, or a *fleet.ConflictError if a condition is not met.
-	Commit(ctx context.Context, t fleet.Txn) (int64, error)
-}
+type Committer = storehealth.Committer
 
 // WriteResult is the result of a write for a caller.
 type WriteResult struct {
@@ -39,18 +37,21 @@
 // createKey stores a key on condition that it is absent. A key that exists already counts as
 // stored, as it is derived from the caller's own id. While an attempt has no response, further
 // ones are made; the condition makes repetition harmless. Attempts alternate between direct and
-// relay, as the store may reject calls from this VM only; relay may be nil.
+// relay, as the store may reject calls from this VM only; relay may be nil. A direct path that is known
+// to be unavailable is not tried again, so that the caller is told at once that nothing was written.
 func createKey(ctx context.Context, direct, relay Committer, t fleet.Txn) WriteResult {
 	type outcome struct {
+		relayed  bool
 		revision int64
 		err      error
 	}
 	r := WriteResult{Verdict: verdict.NotRun}
 	outcomes := make(chan outcome, maxAttempts)
 	inFlight, rejected := 0, 0
+	directUnavailable := false
 	startAttempt := func() {
-		committer := direct
-		if r.Attempts%2 == 1 && relay != nil {
+		committer, relayed := direct, relay != nil && (r.Attempts%2 == 1 || directUnavailable)
+		if relayed {
 			committer = relay
 		}
 		r.Attempts++
@@ -59,7 +60,7 @@
 			ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			defer cancel()
 			revision, err := committer.Commit(ctx, t)
-			outcomes <- outcome{revision, err}
+			outcomes <- outcome{relayed, revision, err}
 		}()
 	}
 	startAttempt()
@@ -79,14 +80,22 @@
 				return r
 			case fleet.IsNotRun(attempt.err):
 				rejected++
+				directUnavailable = directUnavailable || !attempt.relayed && storehealth.IsUnavailable(attempt.err)
 			default:
 				r.Verdict = verdict.MayHaveRun
 			}
 			r.Err = attempt.err
-			if inFlight == 0 && r.Verdict == verdict.NotRun && rejected >= minRejectedAttempts {
-				return r
+			if inFlight > 0 {
+				continue
 			}
-			if inFlight == 0 {
+			bothRejected := directUnavailable && (attempt.relayed || relay == nil)
+			switch {
+			case r.Verdict == verdict.NotRun && (bothRejected || rejected >= minRejectedAttempts):
+				return r
+			case directUnavailable && !attempt.relayed:
+				startAttempt()
+				timer.Reset(hedgeDelay)
+			default:
 				timer.Reset(rejectedRetryDelay)
 			}
 		case <-timer.C:
--- a/internal/entry/create_test.go
+++ b/internal/entry/create_test.go
@@ -8,6 +8,7 @@
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/storehealth"
 	"filbertcross/internal/verdict"
 )
 
@@ -108,41 +109,15 @@
 	}
 }
 
-func TestCircuitBreakerStaysClosedForSlowStoreAndOpensForSilentOne(t *testing.T) {
-	var mu sync.Mutex
-	latency := 500 * time.Millisecond
-	s := &fakeStore{respond: func(ctx context.Context, _ int) error {
-		mu.Lock()
-		d := latency
-		mu.Unlock()
-		return respondAfter(ctx, d)
-	}}
-	b := NewCircuitBreaker(s, func(ctx context.Context) error { return s.respond(ctx, 0) }, event.Discard{})
-	write := func(wait time.Duration) error {
-		ctx, cancel := context.WithTimeout(context.Background(), wait)
-		defer cancel()
-		_, err := b.Commit(ctx, fleet.Txn{})
-		return err
-	}
-	var group sync.WaitGroup
-	for range 8 {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			if err := write(time.Second); err != nil {
-				t.Errorf("write to a slow store: %v", err)
-			}
-		}()
-		time.Sleep(100 * time.Millisecond)
-	}
-	group.Wait()
-	mu.Lock()
-	latency = time.Hour
-	mu.Unlock()
-	go func() { _ = write(2 * time.Second) }()
-	time.Sleep(breakerThreshold + 50*time.Millisecond)
-	start := time.Now()
-	if err := write(time.Second); !fleet.IsNotRun(err) || time.Since(start) > 100*time.Millisecond {
-		t.Fatalf("write to a silent store: %v after %v, want a rejection at once", err, time.Since(start))
+// The store is down for all VMs: callers must learn within milliseconds that nothing was written.
+func TestCreateKeyRejectsAtOnceWhileBothPathsAreUnavailable(t *testing.T) {
+	silent := &fakeStore{respond: func(ctx context.Context, _ int) error { <-ctx.Done(); return errNoResponse }}
+	health := storehealth.NewMonitor(silent, func(ctx context.Context) error { return silent.respond(ctx, 0) }, nil, event.Discard{})
+	ctx, cancel := context.WithTimeout(context.Background(), storehealth.UnavailableAfter+100*time.Millisecond)
+	defer cancel()
+	_, _ = health.Commit(ctx, fleet.Txn{}) // has no response, which makes the store unavailable
+	relay := &fakeStore{respond: func(context.Context, int) error { return errNotRun }}
+	if r, took := timedCreateKey(t, health, relay); r.Stored || r.Verdict != verdict.NotRun || took > 30*time.Millisecond {
+		t.Fatalf("%+v after %v", r, took)
 	}
 }
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -46,12 +46,16 @@
 
 // electionRound follows the current owner until it is lost, or campaigns if there is none.
 func (n *Node) electionRound(ctx context.Context) {
-	item, found, err := n.ownerItem(ctx)
+	answers := n.storeAnswersAgain()
+	var item fleet.Item
+	var found bool
+	var err error
+	interrupted := !waitFor(ctx, answers, func() { item, found, err = n.ownerItem(ctx) })
 	switch {
-	case ctx.Err() != nil:
+	case interrupted:
 	case err != nil:
 		n.followThroughPeers(ctx)
-		pause.For(ctx, electionRetryDelay)
+		waitFor(ctx, answers, func() { pause.For(ctx, electionRetryDelay) })
 	case !found:
 		n.campaignAfterDelay(ctx, 0, "no VM is the owner")
 	default:
@@ -122,31 +126,63 @@
 }
 
 // watchOwner waits until the owner's key changes or ownerWatchTime has passed, and reports whether
-// it changed. The store client ends a call only at its deadline, so the watch runs on a goroutine
-// of its own and is abandoned once ctx is done.
+// it changed. It also ends when the store answers again, as the watch may have been sent before.
 func (n *Node) watchOwner(ctx context.Context, revision int64) bool {
-	changed := make(chan bool, 1)
-	go func() {
+	var changed bool
+	ended := waitFor(ctx, n.storeAnswersAgain(), func() {
 		ctx, cancel := context.WithTimeout(ctx, ownerWatchTime+storeTimeout)
 		defer cancel()
 		items, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatchTime)
 		if err != nil {
 			pause.For(ctx, electionRetryDelay)
 		}
-		changed <- len(items) > 0
+		changed = len(items) > 0
+	})
+	return ended && changed
+}
+
+// waitFor runs f and reports whether it ended before ctx was done and interrupt was closed. The
+// store client ends a call only at its deadline, so f runs on a goroutine of its own and is
+// abandoned. What f assigns may be read only if waitFor returns true.
+func waitFor(ctx context.Context, interrupt <-chan struct{}, f func()) bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f()
 	}()
 	select {
-	case c := <-changed:
-		return c
+	case <-ended:
+		return ctx.Err() == nil
+	case <-interrupt:
 	case <-ctx.Done():
-		return false
 	}
+	return false
+}
+
+// storeAnswersAgain returns a channel that is closed when the store answers after an outage. Calls
+// sent before that have no response.
+func (n *Node) storeAnswersAgain() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeAnswers
+}
+
+func (n *Node) announceStoreAnswers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.storeAnswers)
+	n.storeAnswers = make(chan struct{})
 }
 
 func (n *Node) ownerItem(ctx context.Context) (fleet.Item, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, found, _, err := n.opts.Store.Get(ctx, owner.Key)
+	var item fleet.Item
+	var found bool
+	err := n.storeHealth.Observe(func() (err error) {
+		item, found, _, err = n.opts.Store.Get(ctx, owner.Key)
+		return err
+	})
 	return item, found, err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
 	"filbertcross/internal/peer"
+	"filbertcross/internal/storehealth"
 	"filbertcross/internal/transfer"
 )
 
@@ -63,7 +64,7 @@
 	storeReads        *readSeries // of the configuration
 	ownerReads        *readSeries
 	advisors          *advisorPool
-	breaker           *entry.CircuitBreaker // for writes of callers of this VM, and for writes relayed for other VMs
+	storeHealth       *storehealth.Monitor // passes writes of callers of this VM, and writes relayed for other VMs
 	stopping          atomic.Bool
 	currentOwner      atomic.Pointer[owner.Owner]
 	lostOwnerRevision int64        // revision of the key of the last lost owner; only for the goroutine of runElection
@@ -89,6 +90,7 @@
 	ownerAddress   string             // peer address of the owner that this VM follows; "": none
 	lastOwner      string             // peer address of the last owner that this VM followed; retained when it is lost
 	stopFollowing  context.CancelFunc // interrupts the current election round
+	storeAnswers   chan struct{}      // closed when the store answers again after an outage
 	resign         context.CancelFunc // ends this VM's ownership; nil: it is not the owner
 	electedAt      time.Time
 	attachedAt     time.Time
@@ -99,7 +101,7 @@
 
 // New returns a node. It registers the handlers of the calls between VMs at opts.PeerServer.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
+	n := &Node{opts: opts, started: opts.Owner.Clock(), storeAnswers: make(chan struct{}), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
 	n.configReadSuperseded = make(chan struct{}, 1)
 	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
 	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
@@ -108,7 +110,7 @@
 	n.opts.Owner.PreviousOwner = n
 	n.opts.Owner.Successor = n
 	n.opts.Owner.Configuration = n
-	n.breaker = n.newBreaker()
+	n.storeHealth = n.newStoreMonitor()
 	n.register(opts.PeerServer)
 	return n
 }
@@ -117,7 +119,7 @@
 // the error of the failed server.
 func (n *Node) Run(ctx context.Context) error {
 	servers := []*http.Server{
-		n.newServer(n.opts.CallerAddress, entry.NewHandler(n.opts.Format, n.opts.AgeLimits, n, n.breaker, relayCommitter{n}, n.opts.Events, n.opts.Scope)),
+		n.newServer(n.opts.CallerAddress, entry.NewHandler(n.opts.Format, n.opts.AgeLimits, n, n.storeHealth, relayCommitter{n}, n.opts.Events, n.opts.Scope)),
 		n.newServer(n.opts.ReadyAddress, http.HandlerFunc(n.serveReady)),
 		n.newServer(n.opts.MetricsAddress, n.opts.MetricsHandler),
 	}
@@ -199,12 +201,13 @@
 	n.opts.Events.Record(event.NodeStopped, time.Since(start))
 }
 
-// newBreaker returns the circuit breaker for callers' writes; its probe reads the owner key.
-func (n *Node) newBreaker() *entry.CircuitBreaker {
-	return entry.NewCircuitBreaker(n.opts.Store, func(ctx context.Context) error {
+// newStoreMonitor returns the monitor for callers' writes; its probe reads the owner key. When the
+// store answers again, the election does not wait for its reads in flight, which have no response.
+func (n *Node) newStoreMonitor() *storehealth.Monitor {
+	return storehealth.NewMonitor(n.opts.Store, func(ctx context.Context) error {
 		_, _, _, err := n.opts.Store.Get(ctx, owner.Key)
 		return err
-	}, n.opts.Events)
+	}, n.announceStoreAnswers, n.opts.Events)
 }
 
 // serveReady handles the health check of the entry balancer.
@@ -242,7 +245,10 @@
 	if status, err := n.ownerSubmissionStatus(ctx, id, false); err == nil && status.State != fleet.StateUnknown {
 		return status, nil
 	}
-	status, err := n.storedSubmissionStatus(ctx, id)
+	status, err := fleet.Status{}, errStoreUnavailable
+	if n.storeHealth.Available() {
+		status, err = n.storedSubmissionStatus(ctx, id)
+	}
 	if err != nil {
 		if stale, staleErr := n.ownerSubmissionStatus(ctx, id, true); staleErr == nil && stale.State != fleet.StateUnknown {
 			return stale, nil
@@ -279,7 +285,10 @@
 	return fleet.Status{State: reply.State, Account: reply.Account, Cause: reply.Cause}, err
 }
 
-var errNoOwner = errors.New("node: no owner is known")
+var (
+	errNoOwner          = errors.New("node: no owner is known")
+	errStoreUnavailable = errors.New("node: the store does not answer this VM")
+)
 
 // QueueLength implements entry.ClusterView with the number that the owner counts.
 func (n *Node) QueueLength(queue string) (int, bool) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -66,7 +66,7 @@
 	n, _, metrics := Build(Settings{MetricsPort: metricsPort}, settings, newFailureLog(t, name))
 	for _, c := range change {
 		c(&n.opts)
-		n.breaker = n.newBreaker()
+		n.storeHealth = n.newStoreMonitor()
 	}
 	v.node = n
 	ctx, cancel := context.WithCancel(context.Background())
@@ -249,7 +249,7 @@
 	c.submit(v, jobID(1), "lasts")
 	eventually(t, "the tasks run", 5*time.Second, func() bool { _, n := testPlatform.Checker.Violations(); return n == 2 })
 	testPlatform.Store.SetFaults(standin.Faults{Unresponsive: true})
-	c.do(http.MethodPost, v, standin.QueuePrefix+jobID(2), standin.SingleStep("ms=50", 1, 1000).Body()) // opens the breaker
+	c.do(http.MethodPost, v, standin.QueuePrefix+jobID(2), standin.SingleStep("ms=50", 1, 1000).Body()) // makes the store unavailable
 	testPlatform.Checker.RecordSubmission(jobID(3), standin.SingleStep("ms=50", 1, 1000))
 	start := time.Now()
 	status, _ := c.do(http.MethodPost, v, standin.QueuePrefix+jobID(3), standin.SingleStep("ms=50", 1, 1000).Body())
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -101,7 +101,7 @@
 }
 
 func (n *Node) serveCommit(ctx context.Context, r commitRequest) (commitResponse, error) {
-	revision, err := n.breaker.Commit(ctx, r.Txn)
+	revision, err := n.storeHealth.Commit(ctx, r.Txn)
 	reply := commitResponse{Revision: revision}
 	var conflict *fleet.ConflictError
 	switch {
