owner: after an outage in which its lease expired, the owner takes its key again

Meanwhile the old owner was alive with all its state, and its followers had left it 1.2 s into the outage.

The key is written again on condition that it is absent and that the record of workers is this owner's. Every other owner would have replaced that record with its first write (the first flush is now alone in flight, so that this holds), before it starts a run or grants a lease. The fencing token stays that of the election. While renewals have no answer they are sent every 0.1 s; when one is answered again, reads of the list of workers and of the intake that were sent during the outage are repeated at once.

--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -10,6 +10,10 @@
 		Summary: "Every run that a previous owner started has been adopted or is proved not to be running.",
 		Action:  "If recovery takes longer than the lease, look for workers that do not respond.",
 		Keys:    []string{"fence", "took", "workers", "runs", "submissions"}})
+	OwnerKeyReacquired = Define(Definition{ID: 2164, Name: "owner-key-reacquired", Level: Info,
+		Summary: "The lease of the owner had ended, no other VM was the owner meanwhile, and the owner took its key again with its state.",
+		Action:  "Look for an outage of the store just before.",
+		Keys:    []string{"fence", "revision", "took"}})
 	HandoverFailed = Define(Definition{ID: 2156, Name: "hand-over-failed", Level: Warn,
 		Summary: "The VM that was to receive ownership did not respond; another owner is elected when the lease expires.",
 		Action:  "Check the network links between the VMs.",
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -28,13 +28,18 @@
 	campaignJitter         = 30 * time.Millisecond  // random, so that not all VMs campaign at once
 	ownerLoadingRetryDelay = 40 * time.Millisecond  // while the new owner loads the stored state, which takes about 100 ms
 	ownerLoadingAttempts   = 12
+
+	// reacquisitionTime is how long a follower of a suspended owner leaves it the time to reacquire an
+	// absent key: the owner's next renewal shows it the loss, and two store calls follow.
+	reacquisitionTime      = 500 * time.Millisecond
+	suspendedCheckInterval = 150 * time.Millisecond
 )
 
 // runElection keeps this VM either the owner or a follower until ctx is done.
 func (n *Node) runElection(ctx context.Context) {
 	for ctx.Err() == nil {
-		if fence := n.takeoverFence.Swap(0); fence != 0 {
-			n.campaign(ctx, fence, "the owner handed over")
+		if revision := n.takeoverRevision.Swap(0); revision != 0 {
+			n.campaign(ctx, revision, "the owner handed over")
 			continue
 		}
 		roundCtx, cancel := context.WithCancel(ctx)
@@ -46,16 +51,16 @@
 
 // electionRound follows the current owner until it is lost, or campaigns if there is none.
 func (n *Node) electionRound(ctx context.Context) {
-	answers := n.storeAnswersAgain()
+	answers := n.storeAnswers.Next() // reads sent before the store answers again have no response
 	var item fleet.Item
 	var found bool
 	var err error
-	interrupted := !waitFor(ctx, answers, func() { item, found, err = n.ownerItem(ctx) })
+	interrupted := !pause.WaitFor(ctx, answers, func() { item, found, err = n.ownerItem(ctx) })
 	switch {
 	case interrupted:
 	case err != nil:
 		n.followThroughPeers(ctx)
-		waitFor(ctx, answers, func() { pause.For(ctx, electionRetryDelay) })
+		pause.WaitFor(ctx, answers, func() { pause.For(ctx, electionRetryDelay) })
 	case !found:
 		n.campaignAfterDelay(ctx, 0, "no VM is the owner")
 	default:
@@ -129,7 +134,7 @@
 // it changed. It also ends when the store answers again, as the watch may have been sent before.
 func (n *Node) watchOwner(ctx context.Context, revision int64) bool {
 	var changed bool
-	ended := waitFor(ctx, n.storeAnswersAgain(), func() {
+	ended := pause.WaitFor(ctx, n.storeAnswers.Next(), func() {
 		ctx, cancel := context.WithTimeout(ctx, ownerWatchTime+storeTimeout)
 		defer cancel()
 		items, _, err := n.opts.Store.Watch(ctx, owner.Key, revision, ownerWatchTime)
@@ -141,39 +146,6 @@
 	return ended && changed
 }
 
-// waitFor runs f and reports whether it ended before ctx was done and interrupt was closed. The
-// store client ends a call only at its deadline, so f runs on a goroutine of its own and is
-// abandoned. What f assigns may be read only if waitFor returns true.
-func waitFor(ctx context.Context, interrupt <-chan struct{}, f func()) bool {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f()
-	}()
-	select {
-	case <-ended:
-		return ctx.Err() == nil
-	case <-interrupt:
-	case <-ctx.Done():
-	}
-	return false
-}
-
-// storeAnswersAgain returns a channel that is closed when the store answers after an outage. Calls
-// sent before that have no response.
-func (n *Node) storeAnswersAgain() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.storeAnswers
-}
-
-func (n *Node) announceStoreAnswers() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	close(n.storeAnswers)
-	n.storeAnswers = make(chan struct{})
-}
-
 func (n *Node) ownerItem(ctx context.Context) (fleet.Item, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -270,6 +242,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer n.detach()
+	suspended := newSuspendedOwnerWatch(n, cancel)
 	for attached := false; ctx.Err() == nil; {
 		sent := n.opts.Owner.Clock()
 		reply, err := n.attach(ctx, address)
@@ -291,6 +264,7 @@
 			attached = true
 			n.opts.Events.Record(event.OwnerFound, address, address, reply.Fence)
 		}
+		suspended.update(ctx, address, reply.Suspended)
 		n.applyAnnouncement(ctx, address, reply)
 		n.confirmAnnounced(sent, reply)
 	}
@@ -304,7 +278,7 @@
 	var reply attachResponse
 	request := attachRequest{
 		Name: n.opts.Name, Address: n.opts.PeerAddress, ElectionDelay: n.opts.ElectionDelay,
-		Configuration: max(n.configurations.version(), n.transfer.announced()), AcceptsChunks: true, JudgesAge: true,
+		Configuration: max(n.configurations.version(), n.transfer.announced()), AcceptsChunks: true, JudgesAge: true, AcceptsSuspended: true,
 		Arrivals: n.gate.TakeArrivals(),
 	}
 	if n.currentOwnerAddress() != address {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -38,7 +38,7 @@
 // FindSuccessor implements owner.SuccessorClient. Of the followers that can take over it returns
 // the one with the shortest election delay, that is the largest. It queries the largest ones and
 // a few others, as the store may not answer the former.
-func (n *Node) FindSuccessor(ctx context.Context, fence int64) (string, bool) {
+func (n *Node) FindSuccessor(ctx context.Context, keyRevision int64) (string, bool) {
 	peers := takeoverCandidates(n.advisors.followersByElectionDelay())
 	type candidate struct {
 		address  string
@@ -48,7 +48,7 @@
 	for _, address := range peers {
 		go func() {
 			var reply takeoverCheckResponse
-			if err := n.opts.PeerClient.Call(ctx, address, methodTakeoverCheck, takeoverRequest{Fence: fence}, &reply); err != nil {
+			if err := n.opts.PeerClient.Call(ctx, address, methodTakeoverCheck, takeoverRequest{KeyRevision: keyRevision}, &reply); err != nil {
 				reply.CanTakeOver = false // this VM cannot request its takeover
 			}
 			candidates <- candidate{address, reply}
@@ -85,8 +85,8 @@
 }
 
 // RequestTakeover implements owner.SuccessorClient.
-func (n *Node) RequestTakeover(ctx context.Context, address string, fence int64) error {
-	return n.opts.PeerClient.Call(ctx, address, methodTakeover, takeoverRequest{Fence: fence}, nil)
+func (n *Node) RequestTakeover(ctx context.Context, address string, keyRevision int64) error {
+	return n.opts.PeerClient.Call(ctx, address, methodTakeover, takeoverRequest{KeyRevision: keyRevision}, nil)
 }
 
 // serveTakeoverCheck reports whether this VM could take over: the store answers it and has the
@@ -96,12 +96,12 @@
 		return takeoverCheckResponse{}, nil
 	}
 	item, found, err := n.ownerItem(ctx)
-	return takeoverCheckResponse{CanTakeOver: err == nil && found && item.Revision == r.Fence, ElectionDelay: n.opts.ElectionDelay}, nil
+	return takeoverCheckResponse{CanTakeOver: err == nil && found && item.Revision == r.KeyRevision, ElectionDelay: n.opts.ElectionDelay}, nil
 }
 
 // serveTakeover makes this VM campaign to replace an owner that has ended.
 func (n *Node) serveTakeover(_ context.Context, r takeoverRequest) (struct{}, error) {
-	n.takeoverFence.Store(r.Fence)
+	n.takeoverRevision.Store(r.KeyRevision)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.stopFollowing != nil && n.currentOwner.Load() == nil {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -31,6 +31,8 @@
 	ElectionDelay time.Duration `json:"rank"`          // how long the follower waits before it campaigns
 	// JudgesAge is set by a follower that decides by ConfigurationAge whether to rely on the owner.
 	JudgesAge bool `json:"judges_age,omitempty"`
+	// AcceptsSuspended is set by a follower that stays with a suspended owner, see attachResponse.
+	AcceptsSuspended bool `json:"suspended,omitempty"`
 	// Arrivals are the submissions that arrived at the follower since its last poll.
 	Arrivals map[admission.Stream]int `json:"arrivals,omitempty"`
 }
@@ -47,6 +49,10 @@
 	ConfigurationAge time.Duration `json:"age,omitempty"`
 	Held             time.Duration `json:"held,omitempty"`
 
+	// Suspended is set while the owner cannot be sure that it still holds its lease. The follower stays
+	// with it unless another VM may be elected.
+	Suspended bool `json:"suspended,omitempty"`
+
 	QueueLengths map[string]int `json:"waiting"`
 	Peers        []string       `json:"peers"`
 	// Limits are the follower's parts of the limits of streams.
@@ -109,9 +115,9 @@
 	Stopped     bool   `json:"ended"`       // the process makes no decisions under a lower fencing token
 }
 
-// takeoverRequest names an owner by its fencing token, which is the revision of its key.
+// takeoverRequest names an owner by the revision of its key.
 type takeoverRequest struct {
-	Fence int64 `json:"fence"`
+	KeyRevision int64 `json:"fence"`
 }
 
 type takeoverCheckResponse struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/owner"
+	"filbertcross/internal/pause"
 	"filbertcross/internal/peer"
 	"filbertcross/internal/storehealth"
 	"filbertcross/internal/transfer"
@@ -64,11 +65,12 @@
 	storeReads        *readSeries // of the configuration
 	ownerReads        *readSeries
 	advisors          *advisorPool
+	storeAnswers      pause.Signal         // when the store answers again after an outage
 	storeHealth       *storehealth.Monitor // passes writes of callers of this VM, and writes relayed for other VMs
 	stopping          atomic.Bool
 	currentOwner      atomic.Pointer[owner.Owner]
 	lostOwnerRevision int64        // revision of the key of the last lost owner; only for the goroutine of runElection
-	takeoverFence     atomic.Int64 // fencing token of an owner that handed over to this VM; 0: none
+	takeoverRevision  atomic.Int64 // revision of the key of an owner that handed over to this VM; 0: none
 	openConnections   atomic.Int64 // of callers and of the platform
 	// configConfirmedAt is the clock reading of the last successful read of the configuration.
 	configConfirmedAt atomic.Int64
@@ -90,7 +92,6 @@
 	ownerAddress   string             // peer address of the owner that this VM follows; "": none
 	lastOwner      string             // peer address of the last owner that this VM followed; retained when it is lost
 	stopFollowing  context.CancelFunc // interrupts the current election round
-	storeAnswers   chan struct{}      // closed when the store answers again after an outage
 	resign         context.CancelFunc // ends this VM's ownership; nil: it is not the owner
 	electedAt      time.Time
 	attachedAt     time.Time
@@ -101,7 +102,7 @@
 
 // New returns a node. It registers the handlers of the calls between VMs at opts.PeerServer.
 func New(opts Options) *Node {
-	n := &Node{opts: opts, started: opts.Owner.Clock(), storeAnswers: make(chan struct{}), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
+	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
 	n.configReadSuperseded = make(chan struct{}, 1)
 	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
 	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
@@ -207,7 +208,7 @@
 	return storehealth.NewMonitor(n.opts.Store, func(ctx context.Context) error {
 		_, _, _, err := n.opts.Store.Get(ctx, owner.Key)
 		return err
-	}, n.announceStoreAnswers, n.opts.Events)
+	}, n.storeAnswers.Broadcast, n.opts.Events)
 }
 
 // serveReady handles the health check of the entry balancer.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -49,17 +49,28 @@
 	return o, nil
 }
 
+// attachableOwner returns the owner that runs on this VM, also a suspended one if the follower accepts
+// that, or an error with code peer.CodeNotOwner.
+func (n *Node) attachableOwner(r attachRequest) (*owner.Owner, error) {
+	if o := n.currentOwner.Load(); o != nil && r.AcceptsSuspended && !o.Ended() {
+		return o, nil
+	}
+	return n.activeOwner()
+}
+
 // serveAttach responds to a follower when the configuration is newer than the one that the follower
 // knows of, or after attachPollTime. The response does not contain the configuration, so that a
 // large one delays neither the next poll nor other calls on the connection.
 func (n *Node) serveAttach(ctx context.Context, r attachRequest) (attachResponse, error) {
 	arrived := n.opts.Owner.Clock()
-	o, err := n.activeOwner()
+	o, err := n.attachableOwner(r)
 	if err != nil {
 		return attachResponse{}, err
 	}
 	n.advisors.recordFollower(r.Address, r.ElectionDelay)
-	n.resignToLargerVM(r.ElectionDelay)
+	if o.HoldsLease() {
+		n.resignToLargerVM(r.ElectionDelay)
+	}
 	n.divider.Report(r.Address, r.Arrivals, arrived)
 	_, _, changed := n.configurations.snapshot()
 	if !r.JudgesAge && n.opts.Owner.Clock()-time.Duration(n.configConfirmedAt.Load()) > configMaxAge {
@@ -73,14 +84,14 @@
 		case <-ctx.Done():
 		}
 	}
-	if n.currentOwner.Load() != o || !o.HoldsLease() {
+	if current, err := n.attachableOwner(r); err != nil || current != o {
 		return attachResponse{}, &peer.Error{Code: peer.CodeNotOwner, Message: "this VM decides no more", Verdict: verdict.NotRun}
 	}
 	load, err := o.Load(ctx)
 	if err != nil {
 		return attachResponse{}, err
 	}
-	reply := attachResponse{Fence: o.Fence(), QueueLengths: load.QueueLengths, Limits: n.partsOfLimits(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
+	reply := attachResponse{Fence: o.Fence(), Suspended: !o.HoldsLease(), QueueLengths: load.QueueLengths, Limits: n.partsOfLimits(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
 	reply.OperatorRevision, reply.ConfigurationAge = n.operatorRevision.Load(), n.ConfigurationAge() // before the version, which is at least as new
 	reply.Held = n.opts.Owner.Clock() - arrived
 	version, raw := n.configurations.activeBytes()
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -24,6 +24,8 @@
 	}
 	urgent := o.dispatcher.HasUrgentRecord()
 	switch {
+	case o.flushesInFlight > 0 && o.workersRevision.Load() == 0:
+		return // the first write that takes effect must contain the record of workers, see reacquire.go
 	case o.flushesInFlight == 0 && (urgent || now >= o.nextFlushAt):
 	case urgent && o.flushesInFlight < maxConcurrentFlushes && now >= o.lastFlushAt+minFlushInterval:
 	default:
@@ -61,6 +63,9 @@
 	case err == nil:
 		for _, w := range txn.Set {
 			o.revisions[w.Key] = revision
+			if w.Key == workersKey {
+				o.workersRevision.Store(revision)
+			}
 		}
 		for _, key := range txn.Remove {
 			delete(o.revisions, key)
@@ -75,18 +80,26 @@
 }
 
 // resolveConflict records the revisions made by an earlier write of this owner whose outcome was
-// unknown. If the owner key is missing or has another revision, this VM has lost ownership.
+// unknown. If the owner key is absent, this owner tries to take it again; if it is another owner's,
+// this VM has lost ownership.
 func (o *Owner) resolveConflict(conflict *fleet.ConflictError) {
-	lost := true
+	keyFound := false
 	for _, item := range conflict.Current {
-		if item.Key == Key {
-			lost = item.Revision != o.ownership.Fence
+		if item.Key != Key {
+			o.revisions[item.Key] = item.Revision
+			continue
+		}
+		if item.Revision == 0 {
 			continue
 		}
-		o.revisions[item.Key] = item.Revision
+		keyFound = true
+		if record, err := ParseRecord(item.Value); err != nil || record != o.ownership.record {
+			o.group.Go(func() error { return errors.Wrap(errOwnershipLost, "the owner key has been replaced") })
+		}
 	}
-	if lost {
-		o.group.Go(func() error { return errors.Wrap(errOwnershipLost, "the owner key has been replaced") })
+	if !keyFound {
+		o.flushRetryAt = o.opts.Clock() + flushRetryDelay
+		o.ownership.reportKeyMissing()
 	}
 }
 
@@ -94,7 +107,7 @@
 // unchanged and each record has its last known revision: a write that the store executes late
 // must not overwrite a newer one.
 func (o *Owner) progressTxn(batch []dispatch.Record) (fleet.Txn, error) {
-	txn := fleet.Txn{If: []fleet.Condition{{Key: Key, Revision: o.ownership.Fence}}}
+	txn := fleet.Txn{If: []fleet.Condition{{Key: Key, Revision: o.ownership.KeyRevision()}}}
 	set := func(key string, value any) error {
 		data, err := encoding.Marshal(value)
 		txn.If = append(txn.If, fleet.Condition{Key: key, Revision: o.revisions[key]})
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -23,11 +23,11 @@
 // SuccessorClient calls the VMs that could take over from this owner.
 type SuccessorClient interface {
 	// FindSuccessor returns the peer address of a VM that the store answers and that reads the
-	// owner key with this fencing token there.
-	FindSuccessor(ctx context.Context, fence int64) (address string, ok bool)
-	// RequestTakeover requests that the VM replaces the key of the owner with this fencing
-	// token. That owner must have stopped making decisions.
-	RequestTakeover(ctx context.Context, address string, fence int64) error
+	// owner key with this revision there.
+	FindSuccessor(ctx context.Context, keyRevision int64) (address string, ok bool)
+	// RequestTakeover requests that the VM replaces the owner key with this revision. That owner
+	// must have stopped making decisions.
+	RequestTakeover(ctx context.Context, address string, keyRevision int64) error
 }
 
 // errHandedOver ends Run.
@@ -41,7 +41,7 @@
 			continue
 		}
 		findCtx, cancel := context.WithTimeout(ctx, findSuccessorTimeout)
-		address, ok := o.opts.Successor.FindSuccessor(findCtx, o.ownership.Fence)
+		address, ok := o.opts.Successor.FindSuccessor(findCtx, o.ownership.KeyRevision())
 		cancel()
 		if ok {
 			o.successorAddress.Store(&address)
@@ -63,7 +63,7 @@
 	o.ownership.heldUntil.Store(0)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeoverTimeout)
 	defer cancel()
-	if err := o.opts.Successor.RequestTakeover(ctx, *address, o.ownership.Fence); err != nil {
+	if err := o.opts.Successor.RequestTakeover(ctx, *address, o.ownership.KeyRevision()); err != nil {
 		o.opts.Events.Record(event.HandoverFailed, *address, err) // the lease of the key expires
 	}
 }
--- a/internal/owner/intake.go
+++ b/internal/owner/intake.go
@@ -16,7 +16,12 @@
 func (o *Owner) watchIntake(ctx context.Context, after int64) {
 	failing := false
 	for ctx.Err() == nil {
-		items, next, err := o.readIntakeChanges(ctx, after)
+		var items []fleet.Item
+		var next int64
+		var err error
+		if !pause.WaitFor(ctx, o.ownership.storeAnswers.Next(), func() { items, next, err = o.readIntakeChanges(ctx, after) }) {
+			continue // sent during an outage
+		}
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				o.opts.Events.Record(event.StoreCallFailed, "watch intake", err)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -115,6 +115,7 @@
 	successorAddress atomic.Pointer[string] // of the VM that takes over; nil: none, an election follows
 
 	revisions        map[string]int64 // last known revision of each record that this owner writes, by key
+	workersRevision  atomic.Int64     // of the record of workers that this owner wrote; 0: not written yet
 	flushesInFlight  int
 	nextFlushAt      time.Duration
 	lastFlushAt      time.Duration
@@ -154,7 +155,7 @@
 func (o *Owner) Run(ctx context.Context, reason string) error {
 	group, ctx := errgroup.WithContext(ctx)
 	o.group = group
-	group.Go(func() error { return o.ownership.KeepAlive(ctx) })
+	group.Go(func() error { return o.ownership.KeepAlive(ctx, o.reacquire) })
 	group.Go(func() error {
 		select {
 		case <-o.stepDown:
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -8,12 +8,14 @@
 	"github.com/cockroachdb/errors"
 
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/pause"
 )
 
 // Timing of the owner's lease in the store.
 const (
 	LeaseTTL            = 1500 * time.Millisecond // bounds the time without an owner after the owner's VM fails silently
 	renewInterval       = 300 * time.Millisecond  // three consecutive renewals may fail
+	renewRetryInterval  = 100 * time.Millisecond  // after longer than renewInterval without a confirmation
 	renewTimeout        = 900 * time.Millisecond  // a slow store takes about 400 ms; the next renewal does not wait for this one
 	leaseSafetyMargin   = 200 * time.Millisecond  // unused end of the lease: covers late timers and commands in flight
 	confirmationMaxAge  = 500 * time.Millisecond  // one and a half renewal intervals; shorter than the election of a successor
@@ -23,17 +25,22 @@
 // Clock is a monotonic clock that also counts the time while the machine was suspended.
 type Clock func() time.Duration
 
-// Ownership is the right to schedule, held as a key under a lease in the store. Its fencing
-// token is the revision that created the key. It is safe for concurrent use.
+// Ownership is the right to schedule, held as a key under a lease in the store. It is safe for
+// concurrent use.
 type Ownership struct {
+	// Fence is the fencing token: the revision that created the key when this VM was elected. It does
+	// not change when the key is reacquired.
 	Fence          int64
+	keyRevision    atomic.Int64 // of the key; Fence until it is reacquired
 	record         Record
-	lease          int64
+	lease          atomic.Int64
 	ttl            time.Duration
-	heldUntil      atomic.Int64 // clock reading until which the lease is known to be held
-	lastConfirmed  atomic.Int64 // clock reading when the last successful lease call was sent
-	storeLatency   atomic.Int64 // of the last successful renewal, in nanoseconds
-	failedRenewals atomic.Int32 // consecutive
+	heldUntil      atomic.Int64  // clock reading until which the lease is known to be held
+	lastConfirmed  atomic.Int64  // clock reading when the last successful lease call was sent
+	storeLatency   atomic.Int64  // of the last successful renewal, in nanoseconds
+	failedRenewals atomic.Int32  // consecutive
+	keyMissing     chan struct{} // signals that a write found the key absent
+	storeAnswers   pause.Signal  // when a lease call succeeds again after an outage
 	store          fleet.Store
 	clock          Clock
 }
@@ -64,12 +71,12 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &Ownership{record: record, lease: lease, ttl: ttl, store: store, clock: clock}
-	o.heldUntil.Store(int64(sent + ttl - leaseSafetyMargin))
-	o.lastConfirmed.Store(int64(sent))
+	o := &Ownership{record: record, ttl: ttl, store: store, clock: clock, keyMissing: make(chan struct{}, 1)}
+	o.hold(lease, sent)
 	o.Fence, err = callStore(ctx, func(ctx context.Context) (int64, error) {
 		return store.Commit(ctx, txn)
 	})
+	o.keyRevision.Store(o.Fence)
 	if err == nil {
 		return o, nil
 	}
@@ -77,6 +84,7 @@
 		item, found, getErr := getOwnerItem(ctx, store)
 		if getErr == nil && found && item.Lease == lease {
 			o.Fence = item.Revision
+			o.keyRevision.Store(o.Fence)
 			return o, nil
 		}
 	}
@@ -88,6 +96,26 @@
 	return nil, err
 }
 
+// hold records a lease whose grant or renewal was sent at the given clock reading.
+func (o *Ownership) hold(lease int64, sent time.Duration) {
+	answersAgain := o.silent(sent)
+	o.lease.Store(lease)
+	storeMax(&o.heldUntil, int64(sent+o.ttl-leaseSafetyMargin))
+	storeMax(&o.lastConfirmed, int64(sent))
+	o.failedRenewals.Store(0)
+	if answersAgain {
+		o.storeAnswers.Broadcast()
+	}
+}
+
+// silent reports whether the store has not answered the renewals that were due before now.
+func (o *Ownership) silent(now time.Duration) bool {
+	return now-time.Duration(o.lastConfirmed.Load()) > renewInterval+renewRetryInterval
+}
+
+// KeyRevision returns the revision of the owner key.
+func (o *Ownership) KeyRevision() int64 { return o.keyRevision.Load() }
+
 func callStore[T any](ctx context.Context, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, electionCallTimeout)
 	defer cancel()
@@ -116,23 +144,40 @@
 	return o.failedRenewals.Load() >= maxFailedRenewals || o.clock()-time.Duration(o.lastConfirmed.Load()) > maxRenewalSilence
 }
 
-// KeepAlive renews the lease until ctx is done, or returns an error once the lease has ended.
-// Renewals that fail for other reasons are retried. A renewal in flight does not delay the next.
-func (o *Ownership) KeepAlive(ctx context.Context) error {
-	ticker := time.NewTicker(renewInterval)
+// KeepAlive renews the lease until ctx is done. Renewals that fail are retried; one in flight does
+// not delay the next. When the lease has ended or a write has found the key absent, it calls
+// reacquire, and returns its error.
+func (o *Ownership) KeepAlive(ctx context.Context, reacquire func(context.Context) error) error {
+	ticker := time.NewTicker(renewRetryInterval)
 	defer ticker.Stop()
-	ended := make(chan error, 1)
+	ended := make(chan int64, 1) // the lease
+	lastSent := o.clock()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case err := <-ended:
-			return err
+		case lease := <-ended:
+			if lease != o.lease.Load() {
+				continue // a late response: it has been replaced
+			}
+			if err := reacquire(ctx); err != nil {
+				return err
+			}
+		case <-o.keyMissing:
+			if err := reacquire(ctx); err != nil {
+				return err
+			}
 		case <-ticker.C:
+			now := o.clock()
+			if now-lastSent < renewInterval && !o.silent(now) {
+				continue
+			}
+			lastSent = now
 			go func() {
-				if err := o.renewLease(ctx); errors.Is(err, fleet.ErrLeaseEnded) {
+				lease := o.lease.Load()
+				if err := o.renewLease(ctx, lease); errors.Is(err, fleet.ErrLeaseEnded) {
 					select {
-					case ended <- err:
+					case ended <- lease:
 					default: // already reported
 					}
 				}
@@ -141,17 +186,26 @@
 	}
 }
 
-func (o *Ownership) renewLease(ctx context.Context) error {
+// reportKeyMissing makes KeepAlive reacquire the key.
+func (o *Ownership) reportKeyMissing() {
+	o.heldUntil.Store(0)
+	select {
+	case o.keyMissing <- struct{}{}:
+	default: // already reported
+	}
+}
+
+func (o *Ownership) renewLease(ctx context.Context, lease int64) error {
 	sent := o.clock()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	err := o.store.RenewLease(ctx, o.lease)
-	if err != nil {
+	err := o.store.RenewLease(ctx, lease)
+	switch {
+	case lease != o.lease.Load():
+	case err != nil:
 		o.failedRenewals.Add(1)
-	} else {
-		o.failedRenewals.Store(0)
-		storeMax(&o.heldUntil, int64(sent+o.ttl-leaseSafetyMargin))
-		storeMax(&o.lastConfirmed, int64(sent))
+	default:
+		o.hold(lease, sent)
 		o.storeLatency.Store(int64(o.clock() - sent))
 	}
 	return err
@@ -169,7 +223,11 @@
 // release revokes the lease, so that a successor does not wait for its expiry.
 func (o *Ownership) release(ctx context.Context) {
 	o.heldUntil.Store(0)
+	o.revoke(ctx, o.lease.Load())
+}
+
+func (o *Ownership) revoke(ctx context.Context, lease int64) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), electionCallTimeout)
 	defer cancel()
-	_ = o.store.RevokeLease(ctx, o.lease) // on failure the lease expires
+	_ = o.store.RevokeLease(ctx, lease) // on failure the lease expires
 }
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -80,6 +80,19 @@
 // may be stale.
 func (o *Owner) HoldsLease() bool { return o.ownership.HeldAt(o.opts.Clock()) }
 
+// KeyRevision returns the revision of the owner key that this owner wrote last.
+func (o *Owner) KeyRevision() int64 { return o.ownership.KeyRevision() }
+
+// Ended reports whether the owner makes no more decisions and answers no more queries.
+func (o *Owner) Ended() bool {
+	select {
+	case <-o.decisionsStopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // Done returns a channel that is closed when the owner has stopped making decisions and has given
 // up ownership.
 func (o *Owner) Done() <-chan struct{} { return o.done }
--- a/internal/owner/worker_list.go
+++ b/internal/owner/worker_list.go
@@ -91,8 +91,7 @@
 	l := &workerList{maxAge: o.opts.Dispatch.MaxListAge, heartbeat: o.opts.Heartbeat, entries: loaded, readAt: loadedAt}
 	capacitiesFailing := false
 	for pause.For(ctx, workerListInterval(len(l.entries))) {
-		sent := o.opts.Clock()
-		entries, err := o.readWorkers(fleet.WithResponseTimeout(ctx, listResponseTimeout))
+		sent, entries, err := o.pollWorkers(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -127,6 +126,25 @@
 	}
 }
 
+// pollWorkers reads the worker entries and returns when the read was requested. A read that was sent
+// during an outage of the store is repeated when the store answers again.
+func (o *Owner) pollWorkers(ctx context.Context) (sent time.Duration, entries []fleet.WorkerEntry, err error) {
+	for {
+		sent := o.opts.Clock()
+		var entries []fleet.WorkerEntry
+		var err error
+		ended := pause.WaitFor(ctx, o.ownership.storeAnswers.Next(), func() {
+			entries, err = o.readWorkers(fleet.WithResponseTimeout(ctx, listResponseTimeout))
+		})
+		switch {
+		case ended:
+			return sent, entries, err
+		case ctx.Err() != nil:
+			return sent, nil, ctx.Err()
+		}
+	}
+}
+
 // workerListInterval is longer for many workers, as each entry takes about 300 bytes.
 func workerListInterval(workers int) time.Duration {
 	if workers > largeWorkerCount {
--- a/internal/storehealth/monitor.go
+++ b/internal/storehealth/monitor.go
@@ -9,6 +9,7 @@
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/pause"
 	"filbertcross/internal/verdict"
 )
 
@@ -38,8 +39,8 @@
 	mu       sync.Mutex
 	detector *Detector
 	probing  bool
-	reported bool          // the outage was recorded as an event
-	changed  chan struct{} // closed when the state may have changed
+	reported bool         // the outage was recorded as an event
+	changed  pause.Signal // when the state may have changed
 	onAnswer func()
 }
 
@@ -49,7 +50,7 @@
 func NewMonitor(store Committer, probe func(ctx context.Context) error, onAnswer func(), events event.Recorder) *Monitor {
 	return &Monitor{
 		store: store, probe: probe, events: events, start: time.Now(),
-		detector: NewDetector(), changed: make(chan struct{}), onAnswer: onAnswer,
+		detector: NewDetector(), onAnswer: onAnswer,
 	}
 }
 
@@ -90,7 +91,7 @@
 func (m *Monitor) admit(ctx context.Context) (call int, err error) {
 	for {
 		m.mu.Lock()
-		state, changed := m.state(), m.changed
+		state, changed := m.state(), m.changed.Next()
 		if state == Answering {
 			call = m.detector.Begin(m.now())
 		}
@@ -133,7 +134,7 @@
 		m.events.Record(event.StoreCallRecovered, "commit")
 	}
 	if outcome != Unanswered {
-		m.announce()
+		m.changed.Broadcast()
 	}
 	m.mu.Unlock()
 	if recovered && m.onAnswer != nil {
@@ -141,12 +142,6 @@
 	}
 }
 
-// announce wakes the writes that wait for a change of the state. The caller holds mu.
-func (m *Monitor) announce() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
 // state returns the state of the store. If the store does not answer, it starts to probe it. The
 // caller holds mu.
 func (m *Monitor) state() State {
@@ -175,7 +170,7 @@
 			m.mu.Unlock()
 			return
 		}
-		m.announce() // it may have become unavailable
+		m.changed.Broadcast() // it may have become unavailable
 		m.mu.Unlock()
 	}
 }
