dispatch: an owner that the store does not answer starts tasks for the time of its grace

The argument (suspension.go): a successor starts nothing older than its token before every recorded worker has reported to it, which fences it, or all leases have expired that could have been granted until the end of the previous owner's grace; that wait already counted the grace. So a suspended owner may start tasks of submissions that are older than any successor, on recorded workers whose incarnation it knew with authority, with a deadline that counts from the decision, and only if no run of the submission was lost meanwhile. The first condition needs no clock: a write on condition of the owner key shows that the key was held at its revision.

Checked by simulated histories in which owners are suspended, decide on beside their successors, and workers are cut off from one of the two.

--- a/internal/dispatch/advice_simulation_test.go
+++ b/internal/dispatch/advice_simulation_test.go
@@ -40,14 +40,14 @@
 
 // answerAdvice answers a call after its latency, or loses it. Each step may use three of five workers.
 func (h *simHistory) answerAdvice(c AdviseCommand) {
-	generation, d := h.ownerGeneration, h.d
+	owner, d := h.owner, h.owner.d
 	latency := costPolicy.Latency(len(c.Workers)) + h.jitter(20*time.Millisecond)
 	var lost error
 	if h.rng.Float64() < h.lossRate {
 		latency, lost = 500*time.Millisecond, errNoResponse
 	}
 	h.schedule(latency, func() {
-		if h.ownerGeneration != generation {
+		if h.owner != owner {
 			return
 		}
 		allowed := map[model.WorkerID]string{}
--- a/internal/dispatch/command.go
+++ b/internal/dispatch/command.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"filbertcross/internal/fleet"
 	"filbertcross/internal/model"
 )
@@ -22,6 +24,9 @@
 type StartCommand struct {
 	To    fleet.Target
 	Start fleet.StartRequest
+	// SuspendedUntil is set if it was decided without authority: when the owner must no longer send
+	// it. Otherwise it may be sent only while the owner's lease is held.
+	SuspendedUntil time.Duration
 }
 
 // StopCommand stops a run; its response goes to HandleStopResponse.
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -9,15 +9,20 @@
 )
 
 // Decide returns the commands to execute now; wall is the wall-clock time, which schedules
-// refer to. Without authority, when the owner's lease may have expired, it only renews worker
-// leases during Options.RenewGrace.
+// refer to. Without authority, when the owner's lease may have expired, it does only what
+// suspension.go describes.
 func (d *Dispatcher) Decide(now time.Duration, wall time.Time, authorized bool) []Command {
-	if !authorized {
-		d.renewWithoutAuthority(now)
-		out := d.commands
-		d.commands = nil
-		return out
+	if authorized {
+		d.decideAuthorized(now, wall)
+	} else {
+		d.decideSuspended(now)
 	}
+	out := d.commands
+	d.commands = nil
+	return out
+}
+
+func (d *Dispatcher) decideAuthorized(now time.Duration, wall time.Time) {
 	d.authorizedAt = now
 	if now >= d.sweepDue {
 		d.sweepDue = now + sweepInterval
@@ -26,13 +31,15 @@
 	d.checkRecovered(now)
 	d.sendStops(now)
 	d.sendRenewals(now)
+	d.placeIfDue(now)
+}
+
+// placeIfDue makes a placement pass if it is due and the list of workers is current.
+func (d *Dispatcher) placeIfDue(now time.Duration) {
 	if now >= d.passDue && d.listIsCurrent(now) {
 		d.passDue = now + passIntervalPerJob*time.Duration(len(d.activeJobs))
 		d.placeWaiting(now)
 	}
-	out := d.commands
-	d.commands = nil
-	return out
 }
 
 // markFreed records that a worker may have more free capacity than at the last pass.
@@ -140,7 +147,9 @@
 // eligible reports whether no unknown run of the job can be running. An earlier owner's
 // authority had ended when this owner's fencing token was created, so submissions accepted
 // after that have no earlier runs.
-func (d *Dispatcher) eligible(j *job) bool { return d.recovered || j.revision > d.opts.Fence }
+func (d *Dispatcher) eligible(j *job) bool {
+	return (d.recovered || j.revision > d.opts.Fence) && (!d.suspended || d.eligibleWhileSuspended(j))
+}
 
 // sendStops sends the stop commands that are due. A confirmed stop does not release the task:
 // the run may have completed before the stop, which only the next report shows.
@@ -220,12 +229,3 @@
 	w.statusQueryInFlight, w.statusQueryDue = true, now+statusQueryInterval
 	d.emit(RenewCommand{To: w.target(), Renew: fleet.RenewRequest{Fence: d.opts.Fence}, StatusOnly: true})
 }
-
-// renewWithoutAuthority renews leases for Options.RenewGrace after authority was last held, so
-// that runs survive an outage of the store. A new owner allows for this in
-// Options.MaxInheritedLease.
-func (d *Dispatcher) renewWithoutAuthority(now time.Duration) {
-	if now < d.authorizedAt+d.opts.RenewGrace {
-		d.sendRenewals(now)
-	}
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,6 +61,10 @@
 	recovered     bool
 	lostOwnership bool
 	authorizedAt  time.Duration // time of the last Decide call with authority
+	suspended     bool          // during a Decide call without authority
+	// provenRevision is the highest revision of the store at which this owner is known to have held the
+	// owner key. Every successor's fencing token is higher.
+	provenRevision int64
 
 	kindSpeeds     map[string]*speedMean // by kind of worker
 	recordedSpeeds map[string]float64    // slowdowns in events, by kind of worker
@@ -77,7 +81,7 @@
 // New returns a dispatcher without workers and jobs.
 func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, events: events, startedAt: now, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
+		opts: opts, events: events, startedAt: now, provenRevision: opts.Fence, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
 		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, noVictims: failedDemands{}, jobs: map[fleet.JobID]*job{},
 		crashesByAddress: map[string]addressCrashes{}, runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
 		workerListDirty: true,
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -76,7 +76,8 @@
 	started      bool          // a task has started
 	steps        [][]*step     // by occurrence; nil until the occurrence is due
 	finishedAt   time.Duration
-	nextRun      int64 // number of run numbers issued by this owner
+	nextRun      int64         // number of run numbers issued by this owner
+	runLostAt    time.Duration // when a run was last found to have ended without a result; see suspension.go
 
 	version        int64 // increases with every change of the progress
 	durableVersion int64 // latest version in the store
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -179,8 +179,12 @@
 		w.renewDue = now
 	}
 	d.events.Record(event.RunPlaced, w.entry.ID, r.id.Task, number, now-s.job.arrivedAt, now-w.lastReportAt, w.free().MilliCPU)
-	d.emit(StartCommand{To: w.target(), Start: fleet.StartRequest{
+	command := StartCommand{To: w.target(), Start: fleet.StartRequest{
 		RunID: r.id, Spec: s.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: s.advice.ticket(w.entry.ID),
 		Fence: d.opts.Fence, Deadline: deadline,
-	}})
+	}}
+	if d.suspended {
+		command.SuspendedUntil = d.suspensionEnd()
+	}
+	d.emit(command)
 }
--- a/internal/dispatch/placement_pass.go
+++ b/internal/dispatch/placement_pass.go
@@ -37,7 +37,9 @@
 	}
 	d.markUnreserved(cleared)
 	p.wakeExhausted()
-	d.preempt(now, p.unplaced)
+	if !d.suspended {
+		d.preempt(now, p.unplaced)
+	}
 }
 
 // placementPass is one pass over the ready steps.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -92,6 +92,9 @@
 	}
 	failedRenewals := w.failedRenewals
 	w.renewInFlight, w.failedRenewals, w.lastReportAt = false, 0, now
+	if !w.reported || w.incarnation != rep.Incarnation {
+		w.incarnationSince = now
+	}
 	if w.reported && w.incarnation != rep.Incarnation {
 		d.handleRestart(now, w, rep.Incarnation, failedRenewals)
 	} else if w.ackUncertainAt != 0 {
@@ -134,7 +137,7 @@
 	d.noteCrash(now, w, lostByRestart)
 	for _, r := range dead {
 		if r.confirmedAt == 0 {
-			r.stopConfirmedAt = 0
+			r.stopConfirmedAt, r.task.step.job.runLostAt = 0, now
 			d.requestStop(now, r, "its worker restarted before the start was confirmed")
 			continue
 		}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -61,6 +61,16 @@
 	lastResult      int64
 	expiredResult   int64 // highest result number when the lease expired; acknowledging results up to it later has no effect
 	up, partitioned bool
+	separatedFrom   *simOwner // does not reach the worker; nil: none
+}
+
+// simOwner is the process of an owner, to which responses are delivered while it is alive.
+type simOwner struct {
+	d     *Dispatcher
+	alive bool
+	// suspended is set while the store does not answer the owner.
+	suspended bool
+	previous  *simOwner
 }
 
 // testFailer is the part of testing.TB that a history uses.
@@ -79,8 +89,9 @@
 	seq             int
 	lossRate        float64
 	workers         []*simWorker
-	d               *Dispatcher
-	ownerGeneration int // messages in flight to an earlier owner are dropped
+	d               *Dispatcher // of the owner
+	owner           *simOwner
+	suspensions     *simSuspensions // nil: owners always have authority
 	fence           int64
 	jobs            map[fleet.JobID]*fleet.Submission
 	revisions       map[fleet.JobID]int64
@@ -91,6 +102,7 @@
 	jobQueue        string                // of all submissions
 	accounts        *fleet.Accounts       // of the submissions in turn, checked against their quotas; nil: none
 	starts          int
+	revision        int64          // of the last submission
 	crashing        *crashingTasks // nil: no task crashes its worker
 	failures        map[fleet.TaskID]int
 }
@@ -231,11 +243,11 @@
 
 // sendCommand delivers a command to a worker and its response back, loses one of them, or executes
 // the command late.
-func (h *simHistory) sendCommand(w *simWorker, do func() error, respond func(err error), timeout time.Duration) {
-	generation, incarnation := h.ownerGeneration, w.entry.Incarnation
+func (h *simHistory) sendCommand(owner *simOwner, w *simWorker, do func() error, respond func(err error), timeout time.Duration) {
+	incarnation := w.entry.Incarnation
 	reply := func(d time.Duration, err error) {
 		h.schedule(d, func() {
-			if h.ownerGeneration == generation {
+			if owner.alive {
 				respond(err)
 			}
 		})
@@ -260,7 +272,7 @@
 			reply(time.Millisecond, &fleet.CallError{Op: "order", Verdict: verdict.MayHaveRun, Cause: fleet.ErrConnectionLost})
 			return
 		}
-		if !w.up || w.partitioned || w.entry.Incarnation != incarnation { // a crash breaks its connections
+		if !w.up || w.partitioned || w.separatedFrom == owner || w.entry.Incarnation != incarnation { // a crash breaks its connections
 			reply(timeout, lost)
 			return
 		}
@@ -280,15 +292,26 @@
 }
 
 func (h *simHistory) decide() {
-	d := h.d
-	for _, c := range d.Decide(h.now, time.Unix(0, 0), true) {
+	h.decideAs(h.owner)
+	if !h.owner.suspended {
+		h.writeBatch()
+	}
+}
+
+// decideAs makes the decisions of an owner and delivers its commands.
+func (h *simHistory) decideAs(owner *simOwner) {
+	d := owner.d
+	for _, c := range d.Decide(h.now, time.Unix(0, 0), !owner.suspended) {
 		switch c := c.(type) {
 		case StartCommand:
+			if owner.suspended {
+				h.suspensions.starts++
+			}
 			w := h.worker(c.To.ID)
-			h.sendCommand(w, func() error { return w.start(c.Start) }, func(err error) { d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, err) }, CommandTimeout)
+			h.sendCommand(owner, w, func() error { return w.start(c.Start) }, func(err error) { d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, err) }, CommandTimeout)
 		case StopCommand:
 			w := h.worker(c.To.ID)
-			h.sendCommand(w, func() error {
+			h.sendCommand(owner, w, func() error {
 				if c.Fence < w.fence {
 					return rejection(fleet.RejectedStaleFence)
 				}
@@ -304,7 +327,7 @@
 		case RenewCommand:
 			w, sent := h.worker(c.To.ID), h.now
 			var rep fleet.Report
-			h.sendCommand(w, func() (err error) { rep, err = w.renew(c.Renew); return err }, func(err error) {
+			h.sendCommand(owner, w, func() (err error) { rep, err = w.renew(c.Renew); return err }, func(err error) {
 				switch {
 				case err == nil:
 					d.HandleReport(h.now, sent, c.To.ID, c.StatusOnly, rep)
@@ -316,7 +339,6 @@
 			}, CommandTimeout)
 		}
 	}
-	h.writeBatch()
 }
 
 // writeBatch writes a batch; the write may fail.
@@ -329,9 +351,9 @@
 		return
 	}
 	h.batchInFlight = true
-	generation, d, ok := h.ownerGeneration, h.d, h.rng.IntN(20) != 0
+	owner, ok := h.owner, h.rng.IntN(20) != 0
 	h.schedule(h.jitter(10*time.Millisecond), func() {
-		if h.ownerGeneration != generation {
+		if h.owner != owner {
 			return // the new owner's fencing token makes the write's condition fail
 		}
 		h.batchInFlight = false
@@ -342,26 +364,36 @@
 				h.store[rec.Job] = rec.Progress
 			}
 		}
-		d.HandleBatchResult(h.now, batch, ok)
+		if ok && owner.alive {
+			owner.d.ProveOwnership(h.revision)
+		}
+		owner.d.HandleBatchResult(h.now, batch, ok)
 	})
 }
 
 // replaceOwner starts a new owner from the stored state.
 func (h *simHistory) replaceOwner() {
-	h.ownerGeneration++
-	h.fence += 1000
+	if h.owner != nil && !h.owner.suspended {
+		h.owner.alive = false
+	}
+	h.fence = max(h.fence+1000, h.revision+1)
 	h.batchInFlight = false
 	opts := testOptions()
 	opts.Fence = h.fence
-	h.d = New(h.now, opts, eventTracer{h})
+	h.d = New(h.now, opts, eventTracer{h, h.fence})
+	previous, owner := h.owner, &simOwner{d: h.d, alive: true, previous: h.owner}
+	h.owner = owner
 	conf := testConfiguration()
 	conf.Accounts = h.accounts
 	h.d.SetConfiguration(conf)
 	h.d.SetRecordedWorkers(h.recordedWorkers)
 	h.listWorkers()
-	if generation := h.ownerGeneration; h.peerRNG.IntN(2) == 0 { // the previous owner's VM responds
+	if h.peerRNG.IntN(2) == 0 { // the previous owner's VM responds
 		h.schedule(time.Duration(h.peerRNG.Int64N(int64(time.Second))), func() {
-			if h.ownerGeneration == generation {
+			if previous != nil {
+				previous.alive = false
+			}
+			if h.owner == owner {
 				h.d.PreviousOwnerStopped(h.now)
 			}
 		})
@@ -381,7 +413,9 @@
 			entries = append(entries, w.entry)
 		}
 	}
-	h.d.SetWorkers(h.now, h.now, entries)
+	for _, owner := range h.aliveOwners() {
+		owner.d.SetWorkers(h.now, h.now, entries)
+	}
 }
 
 func (h *simHistory) every(d time.Duration, until time.Duration, do func()) {
@@ -392,6 +426,10 @@
 
 // injectFault injects a random fault: an owner change, a worker crash, a partition or message loss.
 func (h *simHistory) injectFault() {
+	if h.suspensions != nil && h.rng.IntN(2) == 0 {
+		h.suspendOwner()
+		return
+	}
 	w := h.workers[h.rng.IntN(len(h.workers))]
 	switch h.rng.IntN(4) {
 	case 0:
@@ -435,9 +473,10 @@
 func (h *simHistory) run() {
 	h.replaceOwner()
 	loadEnd, end := h.now+20*time.Second, h.now+90*time.Second
-	revision := h.fence
+	h.revision = h.fence
 	h.every(150*time.Millisecond, loadEnd, func() {
-		revision = max(revision, h.fence) + 1
+		h.revision = max(h.revision, h.fence) + 1
+		revision := h.revision
 		id := simID(len(h.jobs))
 		step := tasks(1+h.rng.IntN(4), 1+h.rng.Int64N(8))
 		step.Estimate = 200*time.Millisecond + h.jitter(1500*time.Millisecond)
@@ -448,7 +487,9 @@
 			h.jobs[id].Account = simAccounts[len(h.jobs)%len(simAccounts)]
 		}
 		h.revisions[id] = revision
-		h.d.AddJob(h.now, h.jobs[id], revision, 0, nil)
+		for _, owner := range h.aliveOwners() {
+			owner.d.AddJob(h.now, h.jobs[id], revision, 0, nil)
+		}
 	})
 	h.every(900*time.Millisecond, loadEnd, h.injectFault)
 	h.every(500*time.Millisecond, end, h.listWorkers)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -10,7 +10,10 @@
 
 // eventTracer prints the events that contain the value of FILBERTCROSS_TRACE, to investigate a failed
 // history.
-type eventTracer struct{ h *simHistory }
+type eventTracer struct {
+	h     *simHistory
+	fence int64 // of the owner
+}
 
 func (tr eventTracer) Record(def *event.Definition, values ...any) {
 	want := os.Getenv("FILBERTCROSS_TRACE")
@@ -18,6 +21,6 @@
 		return
 	}
 	if line := fmt.Sprintln(values...); strings.Contains(line, want) {
-		fmt.Printf("%v owner generation %d %s %s", tr.h.now, tr.h.ownerGeneration, def.Name, line)
+		fmt.Printf("%v owner %d %s %s", tr.h.now, tr.fence, def.Name, line)
 	}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -16,11 +16,14 @@
 	recorded           bool // in the durable worker list; runs start only on workers that a new owner would know
 	recordedByPrevious bool // an earlier owner may have started runs there that are not known yet
 
-	incarnation   int64
-	reported      bool          // this incarnation has reported its runs
-	clock         int64         // ms on the worker's clock at clockAt
-	clockAt       time.Duration // when the report with the clock reading arrived
-	leaseDeadline int64         // latest deadline sent, in ms on the worker's clock; 0: none
+	incarnation int64
+	reported    bool // this incarnation has reported its runs
+	// incarnationSince is when this incarnation first reported.
+	incarnationSince time.Duration
+	unproven         bool          // the owner is suspended, and the incarnation is not known from before; see suspension.go
+	clock            int64         // ms on the worker's clock at clockAt
+	clockAt          time.Duration // when the report with the clock reading arrived
+	leaseDeadline    int64         // latest deadline sent, in ms on the worker's clock; 0: none
 
 	renewInFlight          bool
 	renewDue               time.Duration
@@ -145,7 +148,7 @@
 
 // acceptsRuns reports whether the state of the worker itself allows new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.listed && w.recorded && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
+	return w.listed && w.recorded && !w.unproven && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
 }
 
 // estimatedClock estimates the worker's clock in ms.
@@ -282,6 +285,7 @@
 // loseRun ends a run that was lost with its worker.
 func (d *Dispatcher) loseRun(now time.Duration, r *run, proof lossProof) {
 	w := r.worker
+	r.task.step.job.runLostAt = now
 	d.events.Record(event.RunLost, w.entry.ID, r.id.Task, r.id.Run, proof, max(w.lastReportAt-r.startSentAt, 0), now-w.lastReportAt)
 	d.endRun(r)
 }
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -61,6 +61,7 @@
 	var conflict *fleet.ConflictError
 	switch {
 	case err == nil:
+		o.dispatcher.ProveOwnership(revision)
 		for _, w := range txn.Set {
 			o.revisions[w.Key] = revision
 			if w.Key == workersKey {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -268,7 +268,7 @@
 	case dispatch.StartCommand:
 		sent := o.opts.Clock()
 		err := errLeaseNotHeld
-		if o.ownership.HeldAt(sent) { // the lease may have expired since the decision
+		if o.maySendStart(sent, c) { // the lease may have expired since the decision
 			_, err = sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
 				return o.opts.Workers.StartRun(ctx, c.To, c.Start)
 			})
@@ -302,6 +302,14 @@
 	return nil
 }
 
+// maySendStart reports whether a decision to start a run is still valid.
+func (o *Owner) maySendStart(now time.Duration, c dispatch.StartCommand) bool {
+	if c.SuspendedUntil != 0 {
+		return now < c.SuspendedUntil && !o.Ended()
+	}
+	return o.ownership.HeldAt(now)
+}
+
 // errLeaseNotHeld is the result of a command that was not sent because the lease may have expired
 // since the decision.
 var errLeaseNotHeld error = &fleet.CallError{Op: "command", Verdict: verdict.NotRun, Cause: errors.New("the owner lease may have expired")}
--- a/internal/owner/reacquire.go
+++ b/internal/owner/reacquire.go
@@ -37,7 +37,9 @@
 		var conflict *fleet.ConflictError
 		switch {
 		case err == nil:
-			o.opts.Events.Record(event.OwnerKeyReacquired, o.ownership.Fence, o.ownership.KeyRevision(), o.opts.Clock()-lostAt)
+			revision := o.ownership.KeyRevision()
+			o.opts.Events.Record(event.OwnerKeyReacquired, o.ownership.Fence, revision, o.opts.Clock()-lostAt)
+			o.post(ctx, func(time.Duration) { o.dispatcher.ProveOwnership(revision) })
 			return nil
 		case errors.As(err, &conflict):
 			own, ok := o.ownWorkersRevision(conflict)
