dispatch: a suspended owner does not repeat runs that its worker no longer lists

Any end without a result now keeps the submission from being started until the owner has authority again.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -244,6 +244,7 @@
 			if started && !stopped {
 				d.events.Record(event.RunMissing, w.entry.ID, r.id.Task, r.id.Run)
 			}
+			r.task.step.job.runLostAt = now
 			d.endRun(r)
 		}
 	}
--- a/internal/dispatch/suspension.go
+++ b/internal/dispatch/suspension.go
@@ -14,9 +14,9 @@
 //     the last write that the store made on condition that this owner holds the key;
 //   - on a worker of the durable list whose incarnation reported while the owner had authority: a
 //     restarted worker has lost the successor's token;
-//   - if no run of its submission was lost since the owner had authority. A restart of the worker or
-//     the expiry of its lease does not show how the run ended: a successor may have acknowledged its
-//     result before, or extended the lease;
+//   - if no run of its submission has ended without a result since the owner had authority. That the
+//     worker has restarted, does not list the run any more, or that its lease has expired does not show
+//     how the run ended: a successor may have acknowledged its result before, or extended the lease;
 //   - with a deadline that counts from the decision, so that a command that is sent or executed late
 //     grants nothing beyond the grace.
 //
--- a/internal/dispatch/suspension_test.go
+++ b/internal/dispatch/suspension_test.go
@@ -95,6 +95,9 @@
 		t.Fatalf("%v is started again without authority", starts[0].Start.Task)
 	}
 	h.decide()
+	h.commitAll() // a suspected task is started once that is durable
+	h.advance(100 * time.Millisecond)
+	h.decide()
 	if len(h.starts) != 1 {
 		t.Fatalf("%d starts with authority, want one", len(h.starts))
 	}
