dispatch: finished submissions are compacted in the store

3 s after the final state of a submission is durable, its entry is replaced by its id, queue, account and arrival, up to 15 in a write, on condition that its progress is unchanged. The key stays, so that a repeated request still finds it. A submission whose runs hold capacity is left until they have ended, as a new owner must account for them.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,7 @@
 	earlyCancels       map[earlyCancel]bool // cancellations of submissions that have not arrived yet
 
 	dirtyJobs         []*job
+	finishedJobs      []finishedJob // to be compacted in the store
 	removals          []removal
 	waves             []*wave
 	dirtyWaves        []*wave
@@ -181,7 +182,8 @@
 }
 
 // AddJob adds an accepted submission and reports whether it was unknown before. The store
-// accepted it at revision, age ago; p is its stored progress, or nil if there is none.
+// accepted it at revision, age ago; p is its stored progress, or nil if there is none. A compacted
+// submission requires a final state in p.
 func (d *Dispatcher) AddJob(now time.Duration, sub *fleet.Submission, revision int64, age time.Duration, p *Progress) bool {
 	if d.jobs[sub.ID] != nil {
 		return false
@@ -202,6 +204,7 @@
 	if j.state.Final() {
 		j.finishedAt = now
 		d.finalJobs = append(d.finalJobs, j)
+		d.queueCompaction(now, j)
 		return true
 	}
 	d.activeJobs = append(d.activeJobs, j)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -200,6 +200,9 @@
 		q = fleet.Queue{Name: j.sub.Queue, Service: j.sub.Service, MaxAttempts: defaultMaxAttempts, SlowdownFactor: 1}
 	}
 	j.queue = q
+	if j.sub.IsCompacted() {
+		return // it has ended
+	}
 	j.pathsToEnd = pathsToEnd(j.sub, q)
 	j.objective = time.Duration(float64(slices.Max(j.pathsToEnd))*max(q.SlowdownFactor, 1)) + q.TargetLatency
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -47,8 +47,8 @@
 	Capacity model.Resources `cbor:"3,keyasint"`
 }
 
-// Record is one change to be made durable: a job's progress or removal, the worker list, or a
-// wave's progress.
+// Record is one change to be made durable: a job's progress, compaction or removal, the worker list,
+// or a wave's progress.
 type Record struct {
 	Job          fleet.JobID
 	Progress     *Progress        // nil if this is another kind of record
@@ -57,6 +57,8 @@
 	Workers      []RecordedWorker // the complete worker list, if IsWorkerList
 	IsWorkerList bool
 	Wave         *WaveProgress
+	// Compacted replaces the submission in the store; its progress must have a final state there.
+	Compacted *fleet.Submission
 
 	wave    *wave
 	job     *job
@@ -175,7 +177,7 @@
 		d.removals = d.removals[1:]
 		limit -= keysPerRemoval - 1
 	}
-	return batch
+	return d.appendCompactions(now, batch, limit)
 }
 
 // workerListRecord lists the workers that may have runs, may be given some, or have results that are not durable.
@@ -217,8 +219,12 @@
 			if !ok {
 				d.removals = append(d.removals, removal{ID: rec.Job, Account: rec.Account})
 			}
+		case rec.Compacted != nil:
+			if !ok {
+				d.queueCompaction(now, rec.job)
+			}
 		default:
-			d.handleProgressWrite(rec, ok)
+			d.handleProgressWrite(now, rec, ok)
 		}
 	}
 	for _, w := range d.workerList {
@@ -241,7 +247,7 @@
 }
 
 // handleProgressWrite processes the result of writing a job's progress.
-func (d *Dispatcher) handleProgressWrite(rec Record, ok bool) {
+func (d *Dispatcher) handleProgressWrite(now time.Duration, rec Record, ok bool) {
 	j := rec.job
 	j.writing = false
 	switch {
@@ -249,6 +255,7 @@
 		j.durableVersion = max(j.durableVersion, rec.version)
 		if rec.Progress.State.Final() {
 			j.durableState = rec.Progress.State
+			d.queueCompaction(now, j)
 		}
 	case !j.inDirtyList:
 		j.inDirtyList = true
--- a/internal/fleet/submission.go
+++ b/internal/fleet/submission.go
@@ -86,6 +86,15 @@
 	return nil
 }
 
+// Compacted returns what is stored of the submission once its final state is stored: as much as is
+// needed to recognize a repeated request.
+func (s *Submission) Compacted() *Submission {
+	return &Submission{ID: s.ID, Queue: s.Queue, Service: s.Service, Received: s.Received, Account: s.Account}
+}
+
+// IsCompacted reports whether this is all that is stored of a finished submission.
+func (s *Submission) IsCompacted() bool { return s.ID != "" && len(s.Steps) == 0 }
+
 // HasSchedule reports whether the submission runs at given times.
 func (s *Submission) HasSchedule() bool { return s.Occurrences > 0 }
 
--- a/internal/owner/flush.go
+++ b/internal/owner/flush.go
@@ -127,6 +127,12 @@
 			}
 			err = set(waveKey(rec.Wave.Wave), rec.Wave)
 			txn.Set = append(txn.Set, fleet.Write{Key: o.opts.Codec.WaveStatusKey(rec.Wave.Wave), Value: o.opts.Codec.WaveState(state)})
+		case rec.Compacted != nil:
+			// Executed late, after the submission was removed, the write must not create its key again.
+			var data []byte
+			data, err = encoding.Marshal(rec.Compacted)
+			txn.If = append(txn.If, fleet.Condition{Key: ProgressKey(rec.Job), Revision: o.revisions[ProgressKey(rec.Job)]})
+			txn.Set = append(txn.Set, fleet.Write{Key: JobKey(rec.Job), Value: data})
 		case rec.Remove:
 			txn.Remove = append(txn.Remove, JobKey(rec.Job), CancelKey(rec.Job, rec.Account), ProgressKey(rec.Job))
 		default:
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -167,8 +167,8 @@
 	o.opts.Events.Record(event.OwnerElected, o.ownership.Fence, reason, len(state.intake), len(state.workers))
 }
 
-// decodeSubmission decodes and validates a stored submission. An invalid one would end every owner
-// that loads it.
+// decodeSubmission decodes and validates a stored submission, which may be compacted. An invalid one
+// would end every owner that loads it.
 func decodeSubmission(item fleet.Item, sub *fleet.Submission) error {
 	if err := cbor.Unmarshal(item.Value, sub); err != nil {
 		return err
@@ -176,9 +176,14 @@
 	if JobKey(sub.ID) != item.Key {
 		return errors.Newf("the entry contains submission %q", sub.ID)
 	}
+	if sub.IsCompacted() {
+		return nil
+	}
 	return sub.Validate()
 }
 
+var errCompactedWithoutFinalState = errors.New("the submission is compacted, but has no final state")
+
 // applyIntake passes submissions and cancellations to the dispatcher. progress is nil for items
 // that were received after the initial load.
 func (o *Owner) applyIntake(now time.Duration, items []fleet.Item, progress map[fleet.JobID]*dispatch.Progress) {
@@ -197,6 +202,12 @@
 				o.opts.Events.Record(event.StoredEntryInvalid, item.Key, err)
 				continue
 			}
+			if stored := progress[sub.ID]; sub.IsCompacted() && (stored == nil || !stored.State.Final()) {
+				if progress != nil {
+					o.opts.Events.Record(event.StoredEntryInvalid, item.Key, errCompactedWithoutFinalState)
+				}
+				continue // received by the watch: this owner has compacted it
+			}
 			age := max(time.Since(sub.Received), 0)
 			if progress == nil {
 				age = min(age, watchTimeout) // the clocks of VMs differ; the watch returns a new item within this time
