losses: a command that says which submissions missed their objectives, when and why

The command reads the logs of all VMs and prints a row for each interval, queue and reason: refused, outcome unknown, waited for an owner, for the first start, between steps, ended while the store did not answer, runs. Beside each count stands how many no decision could have served: the outage outlasted the patience of the caller, or the final state had to wait for the store. Objectives in the log are estimates from declared run times.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -27,6 +27,7 @@
 			serveCommand(),
 			nodeCommand(),
 			explainCommand(),
+			lossesCommand(),
 			sheetCommand(),
 			branchCommand(),
 			jobCommand(),
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -31,7 +31,7 @@
 		Action:  "Nothing for a single event. If it repeats, look for paused VMs or a slow store.",
 		Keys:    []string{"fence", "why"}})
 	OwnerLeaseUncertain = Define(Definition{ID: 2103, Name: "authority-lost", Level: Warn,
-		Summary: "The owner cannot be sure that it still holds its lease; it sends no commands until it can.",
+		Summary: "The owner cannot be sure that it still holds its lease; until it can, it only renews the leases of workers and starts tasks that were accepted before, for a limited time.",
 		Action:  "Check the store's response times and errors on this VM.",
 		Keys:    []string{"fence", "age"}})
 	OwnerLeaseConfirmed = Define(Definition{ID: 2104, Name: "authority-regained", Level: Info,
