--- a/internal/owner/reacquire_test.go
+++ b/internal/owner/reacquire_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"filbertcross/internal/dispatch"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 )
@@ -150,3 +151,22 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a start by a process that was paused between its decision and the call.
+func TestStartIsNotSentAfterItsPermissionHasEnded(t *testing.T) {
+	o := electedOwner(t, newMemoryStore(), firstVM)
+	now := o.opts.Clock()
+	o.ownership.heldUntil.Store(int64(now))
+	for _, c := range []struct {
+		until time.Duration
+		want  bool
+	}{{0, false}, {now + time.Millisecond, true}, {now, false}} {
+		if got := o.maySendStart(now, dispatch.StartCommand{SuspendedUntil: c.until}); got != c.want {
+			t.Errorf("suspended until %v, at %v: %v, want %v", c.until, now, got, c.want)
+		}
+	}
+	close(o.decisionsStopped)
+	if o.maySendStart(now, dispatch.StartCommand{SuspendedUntil: now + time.Millisecond}) {
+		t.Error("sent after the owner has stopped")
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,9 @@
 	return "store"
 }
 
+// maxKillAfterOutage is how long after an outage of the store a VM is killed at the latest.
+const maxKillAfterOutage = time.Second
+
 var faults = []fault{
 	{"kill", func(r *soakRun, rng *rand.Rand, d time.Duration) string {
 		v := r.randomVM(rng)
@@ -72,8 +75,14 @@
 	{"store-down", func(r *soakRun, _ *rand.Rand, d time.Duration) string {
 		return r.injectStoreFault(standin.Faults{Unavailable: true}, d)
 	}},
-	{"store-silent", func(r *soakRun, _ *rand.Rand, d time.Duration) string {
-		return r.injectStoreFault(standin.Faults{Unresponsive: true}, d)
+	{"store-silent", func(r *soakRun, rng *rand.Rand, d time.Duration) string {
+		return r.injectStoreFault(standin.Faults{Unresponsive: true, LeasesExpire: rng.IntN(2) == 0}, d)
+	}},
+	{"store-down-kill", func(r *soakRun, rng *rand.Rand, d time.Duration) string {
+		v := r.randomVM(rng)
+		killAt := d + time.Duration(rng.Int64N(int64(maxKillAfterOutage)))
+		time.AfterFunc(killAt, func() { v.sendSignal(syscall.SIGKILL, d/2) })
+		return r.injectStoreFault(standin.Faults{Unavailable: true, LeasesExpire: true}, d)
 	}},
 	{"store-lossy", func(r *soakRun, _ *rand.Rand, d time.Duration) string {
 		return r.injectStoreFault(standin.Faults{DropResponse: 0.3}, d)
