owner: reads of the list of workers are not abandoned on a slow VM

Since the owner reacquires its key, a confirmed renewal after 0.4 s of silence ended reads in flight. On an owner with 88% of its processor used every renewal takes that long, and a list of 3,000 entries takes longer still, so it was begun again and again.

The signal now needs an outage that has cost the authority, and a read that was sent before is not abandoned: another one is started, and the first to end counts.

--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -102,7 +102,7 @@
 
 // confirm records that the lease was granted or renewed by a call sent at the given clock reading.
 func (o *Ownership) confirm(sent time.Duration) {
-	answersAgain := o.silent(sent)
+	answersAgain := !o.HeldAt(o.clock())
 	storeMax(&o.heldUntil, int64(sent+o.ttl-leaseSafetyMargin))
 	storeMax(&o.lastConfirmed, int64(sent))
 	o.failedRenewals.Store(0)
--- a/internal/owner/worker_list.go
+++ b/internal/owner/worker_list.go
@@ -126,21 +126,36 @@
 	}
 }
 
-// pollWorkers reads the worker entries and returns when the read was requested. A read that was sent
-// during an outage of the store is repeated when the store answers again.
+// workerListRead is the result of a read of the worker entries.
+type workerListRead struct {
+	sent    time.Duration // when it was requested
+	entries []fleet.WorkerEntry
+	err     error
+}
+
+// pollWorkers reads the worker entries. When the store answers again after an outage, it starts
+// another read, as the first may have been sent during the outage; the first to end counts.
 func (o *Owner) pollWorkers(ctx context.Context) (sent time.Duration, entries []fleet.WorkerEntry, err error) {
+	results := make(chan workerListRead, 1)
+	read := func() {
+		r := workerListRead{sent: o.opts.Clock()}
+		r.entries, r.err = o.readWorkers(fleet.WithResponseTimeout(ctx, listResponseTimeout))
+		select {
+		case results <- r:
+		default: // the other read was faster
+		}
+	}
+	answers := o.ownership.storeAnswers.Next()
+	go read()
 	for {
-		sent := o.opts.Clock()
-		var entries []fleet.WorkerEntry
-		var err error
-		ended := pause.WaitFor(ctx, o.ownership.storeAnswers.Next(), func() {
-			entries, err = o.readWorkers(fleet.WithResponseTimeout(ctx, listResponseTimeout))
-		})
-		switch {
-		case ended:
-			return sent, entries, err
-		case ctx.Err() != nil:
-			return sent, nil, ctx.Err()
+		select {
+		case r := <-results:
+			return r.sent, r.entries, r.err
+		case <-answers:
+			answers = nil
+			go read()
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
 		}
 	}
 }
