--- a/review/_standins/cluster.go
+++ b/review/_standins/cluster.go
@@ -307,13 +307,6 @@
 // submit sends a submission until it is accepted, as a client does, and reports whether it was.
 func (c *cluster) submit(prefix, id string, advised bool, spec string, steps ...step) bool {
 	c.mu.Lock()
-	for i, s := range steps {
-		cpu := s.CPU
-		if s.Fills {
-			cpu = 0
-		}
-		c.demands[fmt.Sprintf("%s.0.%d", id, i)] = cpu
-	}
 	c.advised[id] = advised
 	c.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": steps})
--- a/review/_standins/executor.go
+++ b/review/_standins/executor.go
@@ -248,14 +248,6 @@
 	e.change = make(chan struct{})
 }
 
-func (e *executor) used() int64 {
-	var used int64
-	for task := range e.runs {
-		used += e.platform.demand(task)
-	}
-	return used
-}
-
 type order struct {
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
--- a/review/_standins/ledger.go
+++ b/review/_standins/ledger.go
@@ -24,7 +24,6 @@
 	done    []doneRun
 	starts  []start
 	failed  int
-	lastEnd time.Duration
 }
 
 type doneRun struct {
@@ -88,7 +87,6 @@
 	l.ends[how]++
 	t := l.task(r.task)
 	delete(t.running, r.run)
-	t.lastEnd = l.rec.now()
 	switch how {
 	case "done":
 		t.done = append(t.done, doneRun{run: r.run, executor: e.id, number: e.lastEnd, at: l.rec.now()})
--- a/review/_standins/platform.go
+++ b/review/_standins/platform.go
@@ -37,7 +37,6 @@
 	mu          sync.Mutex
 	storeDown   bool
 	entries     map[string]time.Time // last heartbeat of each entry of the store
-	demands     map[string]int64     // cpu of the tasks of each step, by ID.K.STEP
 	advised     map[string]bool      // submissions of queues with advice
 	tickets     map[string]time.Time // when each ticket ends, by step, executor and its life
 	failures    map[string]int       // failed runs given out, by task
@@ -61,7 +60,7 @@
 func newPlatform(rec *recorder, broken *violations, obs observer, executors int, cpu int64) (*platform, error) {
 	p := &platform{
 		rec: rec, broken: broken, store: standin.NewStore(1), observer: obs,
-		entries: map[string]time.Time{}, demands: map[string]int64{}, advised: map[string]bool{}, tickets: map[string]time.Time{},
+		entries: map[string]time.Time{}, advised: map[string]bool{}, tickets: map[string]time.Time{},
 		failures: map[string]int{}, waves: map[int64]*waveState{}, fences: map[string]int64{}, upkeepUntil: map[string]time.Time{},
 		done: map[string]map[int64]int{}, stop: make(chan struct{}),
 	}
@@ -175,12 +174,6 @@
 
 func stepOf(task string) string { return task[:strings.LastIndex(task, ".")] }
 
-func (p *platform) demand(task string) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.demands[stepOf(task)]
-}
-
 // failsNow reports whether the run that now starts ends as failed: the first runs of the tasks that fail do.
 func (p *platform) failsNow(task string, fails int) bool {
 	index, _ := strconv.Atoi(task[strings.LastIndex(task, ".")+1:])
