--- a/review/_standins2/trial/record.go
+++ b/review/_standins2/trial/record.go
@@ -64,7 +64,7 @@
 	defer r.mu.Unlock()
 	var list []start
 	for _, s := range r.starts {
-		if len(s.task) > len(id) && s.task[:len(id)] == id {
+		if len(s.task) >= len(id) && s.task[:len(id)] == id {
 			list = append(list, s)
 		}
 	}
--- a/review/_standins2/trial/scenarios.go
+++ b/review/_standins2/trial/scenarios.go
@@ -290,3 +290,56 @@
 	}
 	return "", nil
 }
+
+// isolate: one of eight executors crashes twice, with six tasks on it that last and that no other executor may run.
+func isolate(rec *record, trouble bool) (string, error) {
+	s, special, err := begin(rec, 7, 1)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return "", err
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.background(stop)
+	lasting := s.submit(lastingQueue, "lasts", step{Count: 6, CPU: 3000, Memory: 8192, Estimate: 400, Constraints: "b", Lasts: true})
+	if lasting == "" {
+		return "", fmt.Errorf("the submission was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		for range 2 {
+			special[0].crash()
+			time.Sleep(time.Second)
+			special[0].restart()
+			time.Sleep(4 * time.Second)
+		}
+	}
+	time.Sleep(40 * time.Second)
+	return s.longestAbsence(lasting, 6), nil
+}
+
+// longestAbsence returns what is wrong if one of the tasks of a lasting submission had nothing running for longer than
+// maxAway.
+func (s *system) longestAbsence(id string, tasks int) string {
+	longest, worst := time.Duration(0), ""
+	for i := range tasks {
+		task := fmt.Sprintf("%s.0.0.%d", id, i)
+		last := time.Duration(0)
+		for _, r := range s.record.of(task) {
+			if away := r.from - last; last != 0 && away > longest {
+				longest, worst = away, task
+			}
+			last = r.to
+		}
+		if away := s.record.now() - last; last != 0 && away > longest {
+			longest, worst = away, task
+		}
+	}
+	s.record.add("the longest time that a task which lasts was away is %v (%s)", longest, worst)
+	if longest > maxAway {
+		return fmt.Sprintf("LOST: %s, which lasts, had nothing running for %v; its executor was down for 1 s", worst, longest)
+	}
+	return ""
+}
