--- a/review/_standins2/trial/main.go
+++ b/review/_standins2/trial/main.go
@@ -11,11 +11,12 @@
 
 // scenarios are the cases, by name. Each returns what broke the rule; empty: it held.
 var scenarios = map[string]func(rec *record, trouble bool) (string, error){
-	"outage": outage,
-	"flap":   flap,
-	"late":   late,
-	"probe":  probe,
-	"ack":    ack,
+	"outage":  outage,
+	"flap":    flap,
+	"late":    late,
+	"probe":   probe,
+	"isolate": isolate,
+	"ack":     ack,
 }
 
 func main() {
