--- a/review/_standins2/trial/system.go
+++ b/review/_standins2/trial/system.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
+	processes.mu.Lock()
+	processes.dir = dir
+	processes.mu.Unlock()
 	s := &system{record: rec, store: standin.NewStore(1), queues: queues, dir: dir, client: &http.Client{Timeout: 3500 * time.Millisecond}}
 	return s, nil
 }
@@ -213,10 +216,11 @@
 	return nil
 }
 
-// processes are all that were started, for an interrupted case.
+// processes are all that were started, and the folder of their settings, for an interrupted case.
 var processes struct {
 	mu   sync.Mutex
 	list []*os.Process
+	dir  string
 }
 
 func killProcesses() {
@@ -225,6 +229,7 @@
 	for _, p := range processes.list {
 		_ = p.Kill() // fails if it has ended
 	}
+	_ = os.RemoveAll(processes.dir)
 }
 
 // close ends all processes and stand-ins.
