dispatch: each incarnation of a worker rejects commands to earlier ones

The worker crashed and was back under its ID; the old start was executed there 6 s after it was sent, beside the next run.

Cause: a confirmed stop, a report without the run and an expired lease prove something about one incarnation. The next one accepts the old start: its clock is below the deadline, and the fencing token is the present owner's. The same holds for acknowledgements, renewals and requests that were sent twice.

Change: an incarnation gets a higher token than all commands to earlier ones. The tokens of an owner are revisions at which it is known to have held the owner key, so a successor's is always higher. A rejection of an older token of its own does not depose an owner. The tokens of dropped workers are kept for as long as a command may be executed late.

--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -78,7 +78,8 @@
 // restart replaces the owner of a fleet by one that knows what is stored.
 func (f *crashFleet) restart(stored map[fleet.JobID]*Progress, recorded []RecordedWorker, subs ...*fleet.Submission) {
 	old := f.d.opts
-	old.Fence++
+	f.revision++
+	old.Fence = testFence + f.revision
 	f.d = New(f.now, old, event.Discard{})
 	f.d.SetConfiguration(testConfiguration())
 	f.d.SetRecordedWorkers(recorded)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -24,6 +24,9 @@
 	silentUntil map[model.WorkerID]time.Duration // its responses are lost until then
 	crashDelay  time.Duration                    // from the start of a crashing task to the crash
 	storeDown   bool
+	fence       map[model.WorkerID]int64 // highest that the incarnation has seen
+	loseStart   bool                     // the next start gets no response, and has not been executed yet
+	lostStart   StartCommand
 	// ticketValidity is that of the answers to advice calls, which allow every worker.
 	ticketValidity time.Duration
 	stored         map[fleet.JobID]*Progress
@@ -39,7 +42,7 @@
 	f := &crashFleet{
 		harness: newHarness(t, workers), crashing: map[fleet.TaskID]bool{}, crashes: map[fleet.TaskID]int{}, starts: map[fleet.TaskID]int{},
 		lost: map[fleet.TaskID]int{}, downUntil: map[model.WorkerID]time.Duration{}, silentUntil: map[model.WorkerID]time.Duration{}, stored: map[fleet.JobID]*Progress{}, incarnation: map[model.WorkerID]int64{},
-		startedAt: map[fleet.RunID]time.Duration{}, runs: map[model.WorkerID]map[fleet.RunID]bool{}, results: map[model.WorkerID][]fleet.RunResult{},
+		startedAt: map[fleet.RunID]time.Duration{}, runs: map[model.WorkerID]map[fleet.RunID]bool{}, fence: map[model.WorkerID]int64{}, results: map[model.WorkerID][]fleet.RunResult{},
 	}
 	for i := range workers {
 		f.incarnation[workerID(i)], f.runs[workerID(i)] = 1, map[fleet.RunID]bool{}
@@ -62,7 +65,7 @@
 	f.endGangs(id)
 	f.downUntil[id] = f.now + restartTime
 	f.incarnation[id]++
-	f.runs[id], f.results[id], f.resultNumbers[id] = map[fleet.RunID]bool{}, nil, 0
+	f.runs[id], f.results[id], f.resultNumbers[id], f.fence[id] = map[fleet.RunID]bool{}, nil, 0, 0
 }
 
 // endGangs ends the members on other workers of the gangs that run on a worker.
@@ -127,6 +130,8 @@
 			}
 		}
 		f.d.HandleBatchResult(f.now, batch, true)
+		f.revision++
+		f.d.ProveOwnership(testFence + f.revision)
 	}
 }
 
@@ -136,6 +141,12 @@
 		f.d.HandleStartResponse(f.now, c.Start.RunID, id, &fleet.CallError{Op: "start", Verdict: verdict.NotRun})
 		return
 	}
+	if f.loseStart {
+		f.loseStart, f.lostStart = false, c
+		f.d.HandleStartResponse(f.now, c.Start.RunID, id, errNoResponse)
+		return
+	}
+	f.fence[id] = max(f.fence[id], c.Start.Fence)
 	f.d.HandleStartResponse(f.now, c.Start.RunID, id, nil)
 	f.starts[c.Start.Task]++
 	f.runs[id][c.Start.RunID] = true
@@ -178,6 +189,7 @@
 		f.d.HandleRenewFailure(f.now, id, &fleet.CallError{Op: "hold", Verdict: verdict.MayHaveRun, Cause: fleet.ErrConnectionLost})
 		return
 	}
+	f.fence[id] = max(f.fence[id], c.Renew.Fence)
 	rep := fleet.Report{Incarnation: f.incarnation[id], Clock: f.now.Milliseconds()}
 	for run := range f.runs[id] {
 		age, estimate := f.now-f.startedAt[run], f.d.findTask(run.Task).step.def.Estimate
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -56,6 +56,7 @@
 	d.createDeferred()
 	d.createDueOccurrences(now, wall)
 	d.expireWorkers(now)
+	d.forgetDepartures(now)
 	d.endBackoffs(now)
 	d.dropOldExposures(now)
 	d.endUnusedHoldBacks(now)
@@ -89,6 +90,7 @@
 		left := !w.listed && len(w.runs) == 0 && len(w.exposures) == 0 && !w.recordedByPrevious && !w.renewInFlight && len(w.pendingAcks) == 0
 		if left {
 			delete(d.workers, w.entry.ID)
+			d.rememberDeparture(now, w)
 			d.freeWorkers.remove(w)
 			d.workerListDirty = true
 		}
@@ -146,7 +148,8 @@
 		}
 		if r.stopConfirmedAt == 0 && !r.stopInFlight && now >= r.stopDue {
 			r.stopInFlight = true
-			d.emit(StopCommand{To: r.worker.target(), Run: r.id, Fence: d.opts.Fence})
+			r.stopFence = r.worker.nextCommandFence()
+			d.emit(StopCommand{To: r.worker.target(), Run: r.id, Fence: r.stopFence})
 			d.events.Record(event.RunStopped, r.worker.entry.ID, r.id.Task, r.id.Run, r.stopReason)
 		}
 		if r.stopConfirmedAt != 0 {
@@ -163,12 +166,14 @@
 		if w.renewInFlight || now < w.renewDue || w.entry.Address == "" {
 			continue
 		}
-		req := fleet.RenewRequest{Fence: d.opts.Fence}
+		d.raiseFence(now, w)
+		req := fleet.RenewRequest{Fence: w.fence}
 		if w.reported && w.failedRenewals == 0 && d.ownerRecorded {
 			req.Acknowledged = w.nextAck()
+			w.commandFence = w.fence
 			req.Deadline = w.estimatedClock(now) + d.opts.Lease.Milliseconds()
 			w.leaseDeadline = max(w.leaseDeadline, req.Deadline)
-			if len(w.pendingAcks) == 0 {
+			if len(w.pendingAcks) == 0 && w.fenced(now) {
 				req.Wait = d.renewWait(w)
 			}
 		}
@@ -194,7 +199,7 @@
 // nextRenewal returns when to send the next renewal to a worker that has just responded.
 func (d *Dispatcher) nextRenewal(now time.Duration, w *worker) time.Duration {
 	switch {
-	case len(w.pendingAcks) > 0:
+	case len(w.pendingAcks) > 0 || w.staleFence >= d.provenRevision && !w.fenced(now):
 		return now + unackedPollInterval
 	case d.renewWait(w) == 0 && w.nextAck() == 0:
 		return now + idleRenewInterval
@@ -209,5 +214,5 @@
 		return
 	}
 	w.statusQueryInFlight, w.statusQueryDue = true, now+statusQueryInterval
-	d.emit(RenewCommand{To: w.target(), Renew: fleet.RenewRequest{Fence: d.opts.Fence}, StatusOnly: true})
+	d.emit(RenewCommand{To: w.target(), Renew: fleet.RenewRequest{Fence: w.fence}, StatusOnly: true})
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,7 +21,8 @@
 	config            *fleet.Configuration
 
 	workers     map[model.WorkerID]*worker
-	workerList  []*worker           // in order of first appearance, so that decisions are reproducible
+	workerList  []*worker // in order of first appearance, so that decisions are reproducible
+	departures  map[model.WorkerID]departure
 	freeWorkers freeIndex           // all workers
 	accounts    map[string]*account // with submissions, by name
 	settings    retainedSettings
@@ -85,7 +86,7 @@
 func New(now time.Duration, opts Options, events event.Recorder) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, events: events, startedAt: now, provenRevision: opts.Fence, inheritedLeaseEnd: leaseEnd(now, opts.MaxInheritedLease),
-		workers: map[model.WorkerID]*worker{}, accounts: map[string]*account{}, settings: newRetainedSettings(), kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, noVictims: failedDemands{}, jobs: map[fleet.JobID]*job{},
+		workers: map[model.WorkerID]*worker{}, departures: map[model.WorkerID]departure{}, accounts: map[string]*account{}, settings: newRetainedSettings(), kindSpeeds: map[string]*speedMean{}, recordedSpeeds: map[string]float64{}, noVictims: failedDemands{}, jobs: map[fleet.JobID]*job{},
 		crashesByAddress: map[string]addressCrashes{}, runs: map[fleet.RunID]*run{}, earlyCancels: map[earlyCancel]bool{}, adviceSlots: 1,
 		workerListDirty: true,
 	}
@@ -141,6 +142,7 @@
 	w := d.workers[id]
 	if w == nil {
 		w = &worker{slowdown: 1, entry: fleet.WorkerEntry{ID: id}, runs: map[fleet.RunID]*run{}, lastReportAt: d.startedAt}
+		d.returnOf(id, w)
 		d.workers[id] = w
 		d.workerList = append(d.workerList, w)
 		d.freeWorkers.add(w)
--- a/internal/dispatch/filler_pacing.go
+++ b/internal/dispatch/filler_pacing.go
@@ -68,6 +68,6 @@
 		}
 		r.paceInFlight, r.paceDue = true, now+paceInterval
 		d.events.Record(event.RunThrottled, w.entry.ID, r.id.Task, r.id.Run, next)
-		d.emit(PaceCommand{To: w.target(), Pace: fleet.PaceRequest{RunID: r.id, Percent: next, Fence: d.opts.Fence}})
+		d.emit(PaceCommand{To: w.target(), Pace: fleet.PaceRequest{RunID: r.id, Percent: next, Fence: w.nextCommandFence()}})
 	}
 }
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -23,7 +23,8 @@
 	paces         []PaceCommand
 	adviceCalls   []AdviseCommand
 	resultNumbers map[model.WorkerID]int64
-	progress      int // percent that runs have made beyond the 10 of a first report
+	revision      int64 // of the store, beyond testFence
+	progress      int   // percent that runs have made beyond the 10 of a first report
 }
 
 const (
@@ -87,6 +88,8 @@
 func (h *harness) commitAll() {
 	for batch := h.d.NextBatch(h.now, 30); len(batch) > 0; batch = h.d.NextBatch(h.now, 30) {
 		h.d.HandleBatchResult(h.now, batch, true)
+		h.revision++
+		h.d.ProveOwnership(testFence + h.revision)
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -165,7 +165,7 @@
 	s := t.step
 	r := &run{
 		id: fleet.RunID{Task: t.id(), Run: number}, task: t, worker: w, demand: reservedCapacity(s.def),
-		startSentAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPace,
+		startSentAt: now, startFence: w.nextCommandFence(), progressAt: now, checkpoint: t.checkpoint, pace: fullPace,
 		backfilled: w.reservedFor != nil && w.reservedFor.step != s,
 	}
 	d.addRun(r)
@@ -187,7 +187,7 @@
 	d.events.Record(event.RunPlaced, w.entry.ID, r.id.Task, number, now-s.job.arrivedAt, now-w.lastReportAt, w.free().MilliCPU)
 	command := StartCommand{To: w.target(), Start: fleet.StartRequest{
 		RunID: r.id, Spec: s.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: s.advice.ticket(w.entry.ID),
-		Fence: d.opts.Fence, Deadline: deadline,
+		Fence: r.startFence, Deadline: deadline,
 	}}
 	if d.suspended {
 		command.SuspendedUntil = d.suspensionEnd()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -105,6 +105,7 @@
 	}
 	d.settleExposures(now, w, rep.Incarnation)
 	w.incarnationConfirmedAt = max(w.incarnationConfirmedAt, sent)
+	w.seenFence = max(w.seenFence, w.fence)
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
 	d.applyReport(now, sent, w, rep)
 	w.renewDue = d.nextRenewal(now, w)
@@ -135,6 +136,7 @@
 // failedRenewals is the number of consecutive failed renewals before the restart was noticed.
 func (d *Dispatcher) handleRestart(now time.Duration, w *worker, incarnation int64, failedRenewals int) {
 	d.events.Record(event.WorkerIncarnationChanged, w.entry.ID, w.incarnation, incarnation, len(w.runs))
+	w.beginFencing(now)
 	// A run that was confirmed later may belong to the new incarnation; the next report shows it.
 	dead := slices.DeleteFunc(d.sortedRuns(w.runs), func(r *run) bool {
 		doubtful := r.confirmedAt > w.incarnationConfirmedAt
@@ -211,7 +213,7 @@
 	t := d.findTask(status.Task)
 	if t == nil {
 		d.events.Record(event.UnknownRunFound, w.entry.ID, status.Task, status.Run)
-		d.emit(StopCommand{To: w.target(), Run: status.RunID, Fence: d.opts.Fence})
+		d.emit(StopCommand{To: w.target(), Run: status.RunID, Fence: w.nextCommandFence()})
 		return nil
 	}
 	r := &run{id: status.RunID, task: t, worker: w, demand: reservedCapacity(t.step.def), phase: runRunning,
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -45,7 +45,7 @@
 	w := r.worker
 	switch reason {
 	case fleet.RejectedStaleFence:
-		d.lostOwnership = true
+		d.lostOwnership = d.lostOwnership || w.rejectsOwner(r.startFence)
 	case fleet.RejectedTicket:
 		r.task.step.advice.dropTicket(w.entry.ID)
 		backOffRejectedTickets(now, r)
@@ -95,7 +95,7 @@
 	r.stopInFlight = false
 	if err != nil {
 		r.stopDue = now + stopRetryDelay
-		if fleet.RejectReasonOf(err) == fleet.RejectedStaleFence {
+		if fleet.RejectReasonOf(err) == fleet.RejectedStaleFence && r.worker.rejectsOwner(r.stopFence) {
 			d.lostOwnership = true
 		}
 		return
--- a/internal/dispatch/simulation_command_test.go
+++ b/internal/dispatch/simulation_command_test.go
@@ -22,6 +22,7 @@
 	lost := &fleet.CallError{Op: "order", Verdict: verdict.MayHaveRun}
 	if h.rng.Float64() < h.lossRate {
 		reply(timeout, lost)
+		h.executeByLaterIncarnation(w, do)
 		if up := w.up; h.rng.IntN(2) == 0 {
 			// Only a command that reached a worker is executed late: a worker that was down had no
 			// connection (seed 782000096 had such a command).
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -60,7 +60,8 @@
 	lastResult      int64
 	expiredResult   int64 // highest result number when the lease expired; acknowledging results up to it later has no effect
 	up, partitioned bool
-	separatedFrom   *simOwner // does not reach the worker; nil: none
+	knownSince      time.Duration // when the incarnation first answered a renewal; 0: not yet
+	separatedFrom   *simOwner     // does not reach the worker; nil: none
 }
 
 // simOwner is the process of an owner, to which responses are delivered while it is alive.
@@ -104,6 +105,8 @@
 	revision        int64          // of the last submission
 	crashing        *crashingTasks // nil: no task crashes its worker
 	failures        map[fleet.TaskID]int
+	lateRNG         *rand.Rand // nil: no command is executed by a later incarnation of its worker; see late_command_test.go
+	lateCommands    int        // that were executed so
 }
 
 func (h *simHistory) schedule(d time.Duration, do func()) {
@@ -126,7 +129,7 @@
 
 // startIncarnation starts an incarnation without state.
 func (w *simWorker) startIncarnation() {
-	w.startedAt, w.fence, w.lease, w.results, w.lastResult, w.expiredResult = w.h.now, 0, 0, nil, 0, 0
+	w.knownSince, w.startedAt, w.fence, w.lease, w.results, w.lastResult, w.expiredResult = 0, w.h.now, 0, 0, nil, 0, 0
 	w.runs, w.highestRun = map[fleet.TaskID]*simRun{}, map[fleet.TaskID]int64{}
 	w.entry.Incarnation++
 }
@@ -223,6 +226,9 @@
 		return fleet.Report{}, rejection(fleet.RejectedStaleFence)
 	}
 	w.fence = req.Fence
+	if w.knownSince == 0 {
+		w.knownSince = w.h.now
+	}
 	w.recordLeaseExpiry()
 	if req.Deadline > 0 {
 		w.extend(req.Deadline)
@@ -264,6 +270,7 @@
 			}
 		}
 		if ok && owner.alive {
+			h.revision = max(h.revision, h.fence) + 1
 			owner.d.ProveOwnership(h.revision)
 		}
 		owner.d.HandleBatchResult(h.now, batch, ok)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -25,6 +25,13 @@
 	clockAt          time.Duration // when the report with the clock reading arrived
 	leaseDeadline    int64         // latest deadline sent, in ms on the worker's clock; 0: none
 
+	// Fencing tokens, see fencing.go. Invariant: seenFence and commandFence are not above fence.
+	fence        int64 // of the next command
+	seenFence    int64 // that this incarnation has answered
+	commandFence int64 // highest of a command that has an effect
+	staleFence   int64 // highest of the commands to earlier incarnations, which may be executed until staleUntil
+	staleUntil   time.Duration
+
 	renewInFlight          bool
 	renewDue               time.Duration
 	renewAddress           string        // destination of the last renewal
@@ -107,6 +114,8 @@
 	demand          model.Resources
 	phase           runPhase
 	startSentAt     time.Duration
+	startFence      int64         // fencing token of the start; 0: an earlier owner sent it
+	stopFence       int64         // fencing token of the last stop
 	confirmedAt     time.Duration // when the start was confirmed by its response or by a report; 0: not yet
 	checkpoint      string
 	percent         int
