dispatch: a probed worker opens whatever probes it

Cause: probing ended only with a run that was done, and a probed worker took a run only while it had none. A lasting task is never done. The same held for fillers, paused ones, members of gangs, tasks that fail everywhere and runs from before the quarantine; suspected tasks were not started on a probed worker at all.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,8 +9,11 @@
 	"filbertcross/internal/verdict"
 )
 
-// restartTime is how long a crashed worker of a crashFleet is down.
-const restartTime = 3200 * time.Millisecond
+// restartTime is how long a crashed worker of a crashFleet is down, startupTime the time until a lasting task is at work.
+const (
+	restartTime = 3200 * time.Millisecond
+	startupTime = 200 * time.Millisecond
+)
 
 // crashFleet answers the commands of a harness like workers that respond at once. A worker that starts
 // a task in crashing closes its connections and is down for restartTime.
@@ -22,7 +25,11 @@
 	lost        map[fleet.TaskID]int // runs that ended with their worker
 	downUntil   map[model.WorkerID]time.Duration
 	silentUntil map[model.WorkerID]time.Duration // its responses are lost until then
-	crashDelay  time.Duration                    // from the start of a crashing task to the crash
+	failing     map[model.WorkerID]bool          // every run that is started there fails
+	failAfter   time.Duration                    // age at which these runs fail
+	failsAlways map[fleet.TaskID]bool            // its runs fail everywhere
+	willFail    map[fleet.RunID]bool
+	crashDelay  time.Duration // from the start of a crashing task to the crash
 	storeDown   bool
 	fence       map[model.WorkerID]int64 // highest that the incarnation has seen
 	loseStart   bool                     // the next start gets no response, and has not been executed yet
@@ -42,7 +49,7 @@
 	f := &crashFleet{
 		harness: newHarness(t, workers), crashing: map[fleet.TaskID]bool{}, crashes: map[fleet.TaskID]int{}, starts: map[fleet.TaskID]int{},
 		lost: map[fleet.TaskID]int{}, downUntil: map[model.WorkerID]time.Duration{}, silentUntil: map[model.WorkerID]time.Duration{}, stored: map[fleet.JobID]*Progress{}, incarnation: map[model.WorkerID]int64{},
-		startedAt: map[fleet.RunID]time.Duration{}, runs: map[model.WorkerID]map[fleet.RunID]bool{}, fence: map[model.WorkerID]int64{}, results: map[model.WorkerID][]fleet.RunResult{},
+		startedAt: map[fleet.RunID]time.Duration{}, runs: map[model.WorkerID]map[fleet.RunID]bool{}, fence: map[model.WorkerID]int64{}, failing: map[model.WorkerID]bool{}, failsAlways: map[fleet.TaskID]bool{}, willFail: map[fleet.RunID]bool{}, results: map[model.WorkerID][]fleet.RunResult{},
 	}
 	for i := range workers {
 		f.incarnation[workerID(i)], f.runs[workerID(i)] = 1, map[fleet.RunID]bool{}
@@ -151,6 +158,7 @@
 	f.starts[c.Start.Task]++
 	f.runs[id][c.Start.RunID] = true
 	f.startedAt[c.Start.RunID] = f.now
+	f.willFail[c.Start.RunID] = f.failing[id] || f.failsAlways[c.Start.Task]
 }
 
 // crashDue crashes the workers on which a crashing task has run for crashDelay.
@@ -193,6 +201,15 @@
 	rep := fleet.Report{Incarnation: f.incarnation[id], Clock: f.now.Milliseconds()}
 	for run := range f.runs[id] {
 		age, estimate := f.now-f.startedAt[run], f.d.findTask(run.Task).step.def.Estimate
+		def := f.d.findTask(run.Task).step.def
+		if f.willFail[run] && age >= f.failAfter {
+			f.finish(id, run, fleet.OutcomeFailed)
+			continue
+		}
+		if def.LongRunning || def.Filler {
+			rep.Running = append(rep.Running, fleet.RunStatus{RunID: run, Percent: int(min(100*age/startupTime, 100))})
+			continue
+		}
 		if age >= estimate {
 			f.finish(id, run, fleet.OutcomeDone)
 			continue
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -58,6 +58,7 @@
 	d.expireWorkers(now)
 	d.forgetDepartures(now)
 	d.endBackoffs(now)
+	d.advanceProbes(now)
 	d.dropOldExposures(now)
 	d.endUnusedHoldBacks(now)
 	d.drainWorkers(now)
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -69,7 +69,7 @@
 		d.load.Examined += int64(len(candidates))
 		for _, w := range candidates {
 			if rack != "" && !slices.Contains(w.entry.Labels, rack) || !d.feasible(now, s, w, extra[w]) ||
-				s.def.MaxPerWorker > 0 && counts[w] >= s.def.MaxPerWorker ||
+				s.def.MaxPerWorker > 0 && counts[w] >= s.def.MaxPerWorker || w.probing && counts[w] > 0 ||
 				s.startsApart(now) && now-w.lastStartAt < startupWindow {
 				continue
 			}
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -110,7 +110,7 @@
 // canIsolate reports whether a task of the step may be started on the worker in isolation, at once or when its
 // runs have ended.
 func (d *Dispatcher) canIsolate(now time.Duration, s *step, w *worker) bool {
-	return w.acceptsRuns(now) && w.isolated == nil && !w.probing && d.satisfiesConstraints(s, w) &&
+	return w.acceptsRuns(now) && w.isolated == nil && w.mayProbe(s) && d.satisfiesConstraints(s, w) &&
 		reservedCapacity(s.def).FitsIn(w.entry.Capacity) && (w.reservedFor == nil || w.reservedFor.step == s) &&
 		(s.job.queue.Advice == nil || s.advice.hasTicket(now, w.entry.ID))
 }
@@ -118,13 +118,14 @@
 // isolationCost rates a worker for a task in isolation, lower being better.
 type isolationCost struct {
 	full      int           // 1: an overdue task does not fit now
+	probing   int           // 1: its runs have failed, and it is probed
 	crashes   int           // 1: workers crash at its address repeatedly
 	remaining int           // runs that are likely to continue after isolationWait
 	vacant    time.Duration // until the others have ended
 }
 
 func (c isolationCost) compare(other isolationCost) int {
-	return cmp.Or(cmp.Compare(c.full, other.full), cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
+	return cmp.Or(cmp.Compare(c.full, other.full), cmp.Compare(c.probing, other.probing), cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
 }
 
 func (d *Dispatcher) isolationCost(now time.Duration, w *worker) isolationCost {
@@ -132,6 +133,9 @@
 	if d.crashesRepeatedly(now, w) {
 		c.crashes = 1
 	}
+	if w.probing {
+		c.probing = 1
+	}
 	for _, r := range w.runs {
 		left := time.Duration(float64(r.task.step.def.Estimate)*float64(fullPace-r.percent)/fullPace) - (now - r.progressAt)
 		if r.task.step.def.LongRunning || left > isolationWait {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -111,7 +111,7 @@
 func (d *Dispatcher) feasible(now time.Duration, s *step, w *worker, extra model.Resources) bool {
 	return w.placeable(now) && d.satisfiesConstraints(s, w) &&
 		reservedCapacity(s.def).FitsIn(w.free().Sub(extra)) &&
-		(!w.probing || len(w.runs) == 0) && !d.blockedByReservation(now, s, w, extra) &&
+		w.mayProbe(s) && !d.blockedByReservation(now, s, w, extra) &&
 		(s.job.queue.Advice == nil || s.advice.hasTicket(now, w.entry.ID))
 }
 
@@ -170,6 +170,9 @@
 	}
 	d.addRun(r)
 	w.lastStartAt = now
+	if w.probing {
+		w.probe = r
+	}
 	if t.needsIsolation() && !s.def.Gang {
 		d.beginIsolation(r)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -165,7 +165,7 @@
 	if w.ackLostAt != 0 {
 		w.backoffUntil = max(w.backoffUntil, w.ackLostAt+maxCommandDelay)
 	}
-	w.consecutiveFailures, w.probing = 0, false
+	w.quarantine = quarantine{lastFailedJob: w.lastFailedJob}
 	d.markFreed(w)
 	w.speed = speedMean{}
 }
@@ -205,6 +205,7 @@
 	}
 	r.load, r.endedIncarnation = status.Load, 0
 	d.recordSurvival(sent, r)
+	d.recordProbe(sent, r)
 }
 
 // adoptRun adds a run that an earlier owner started, or a run that started on its worker after this
@@ -274,7 +275,8 @@
 	}
 	w.lastResult = result.Number
 	t := d.findTask(result.Task)
-	if r := w.runs[result.RunID]; r != nil {
+	r := w.runs[result.RunID]
+	if r != nil {
 		if result.Checkpoint != "" {
 			r.checkpoint = result.Checkpoint
 		}
@@ -293,7 +295,7 @@
 	}
 	j := t.step.job
 	d.events.Record(event.RunTerminated, w.entry.ID, result.Task, result.Run, result.Outcome)
-	d.applyOutcome(now, w, t, result)
+	d.applyOutcome(now, w, t, r, result)
 	if !j.state.Final() {
 		d.markDirty(j)
 	}
@@ -301,14 +303,15 @@
 	d.finishIfComplete(now, j)
 }
 
-// applyOutcome applies the outcome of a run to its task and worker.
-func (d *Dispatcher) applyOutcome(now time.Duration, w *worker, t *task, result fleet.RunResult) {
+// applyOutcome applies the outcome of a run to its task and worker; r is nil if this owner did not know the run.
+func (d *Dispatcher) applyOutcome(now time.Duration, w *worker, t *task, r *run, result fleet.RunResult) {
 	s := t.step
 	s.started, s.job.started = true, true
 	t.recordEndOfRun(result.Outcome)
 	switch result.Outcome {
 	case fleet.OutcomeDone:
-		w.consecutiveFailures, w.probing, w.consecutiveStalls = 0, false, 0
+		w.consecutiveStalls = 0
+		d.endQuarantine(w)
 		if s.def.LongRunning {
 			t.notBefore = now + taskRetryDelay
 			return
@@ -320,7 +323,7 @@
 			}
 		}
 	case fleet.OutcomeFailed:
-		d.recordFailure(now, w, t, result.Run)
+		d.recordFailure(now, w, t, result.Run, r)
 	case fleet.OutcomeGangIncomplete, fleet.OutcomeGangMemberEnded:
 		s.notBefore = max(s.notBefore, now+taskRetryDelay)
 	}
@@ -347,8 +350,9 @@
 	}
 }
 
-// recordFailure counts a failed run. A run is counted once, however often its result is reported.
-func (d *Dispatcher) recordFailure(now time.Duration, w *worker, t *task, number int64) {
+// recordFailure counts a failed run. A run is counted once, however often its result is reported. failed is nil if this owner
+// did not know the run.
+func (d *Dispatcher) recordFailure(now time.Duration, w *worker, t *task, number int64, failed *run) {
 	s, j := t.step, t.step.job
 	runs := &t.failedRuns
 	if s.def.Gang {
@@ -357,14 +361,7 @@
 	if slices.Contains(*runs, number) {
 		return
 	}
-	if w.lastFailedJob != j.sub.ID {
-		w.consecutiveFailures++
-	}
-	w.lastFailedJob = j.sub.ID
-	if w.probing || w.consecutiveFailures >= quarantineFailures {
-		w.backoffUntil, w.probing = now+quarantineTime, true
-		d.events.Record(event.WorkerQuarantined, w.entry.ID, w.consecutiveFailures, quarantineTime)
-	}
+	d.recordWorkerFailure(now, w, t, failed)
 	if !slices.Contains(t.failedOn, w.entry.ID) {
 		t.failedOn = append(t.failedOn, w.entry.ID)
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -58,17 +58,15 @@
 	ackUncertainAt time.Duration // when the last acknowledgement failed with an unknown outcome, until the worker reports; 0: none
 	ackLostAt      time.Duration // when an acknowledgement was last lost that may still arrive; 0: never
 
-	consecutiveFailures int // of different jobs, without a completed run in between
-	lastFailedJob       fleet.JobID
-	backoffUntil        time.Duration
-	probing             bool
-	lastStartAt         time.Duration // when a run was last started there
-	servingRuns         int           // runs with a latency target
-	fillerRuns          int
-	inFreedList         bool          // in Dispatcher.freedWorkers
-	inBackoff           bool          // backoffUntil was in the future at the last sweep
-	drainEnd            time.Duration // a draining worker remains at least until then
-	consecutiveStalls   int           // stalled runs since the last completed one
+	quarantine
+	backoffUntil      time.Duration
+	lastStartAt       time.Duration // when a run was last started there
+	servingRuns       int           // runs with a latency target
+	fillerRuns        int
+	inFreedList       bool          // in Dispatcher.freedWorkers
+	inBackoff         bool          // backoffUntil was in the future at the last sweep
+	drainEnd          time.Duration // a draining worker remains at least until then
+	consecutiveStalls int           // stalled runs since the last completed one
 
 	speed    speedMean // of its runs
 	slowdown float64   // expected duration of a run relative to other workers; 1: no known difference
@@ -254,6 +252,9 @@
 	}
 	r.removed = true
 	d.endIsolation(r)
+	if w.probe == r {
+		d.endProbe(w)
+	}
 	if a := s.job.account; a != nil {
 		a.usage = a.usage.Sub(s.def.Demand)
 		if r.phase == runStopping {
