dispatch: suspects that few workers may run are watched in groups

Cause: all runs that had just begun are suspected, and each was watched alone on the worker until a report that came up to 0.6 s late; after a second crash for 10 s each. The restart of a worker also counted its crash against runs that others, which had just begun, already explained.

Probations end with a report that is requested for them. Tasks that are not suspected come first, then those with the most crashes. If a run that had just begun or was on probation explains a crash, only such runs are counted. Only a late crash makes a probation last 10 s.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,6 +30,8 @@
 	promptCrash = 150 * time.Millisecond
 	// maxCrashes is the number of crashes in a row, with possible ones, that fails the submission in any case.
 	maxCrashes = 5
+	// maxEarlyCrashes is the same if all of them came soon after a start, so that the task was suspected in each.
+	maxEarlyCrashes = 4
 	// maxGangCrashes is the same for a gang, as runs shortly after whose start a worker of a member crashed. A gang is not
 	// isolated, so crashes under it may well be caused by others, and one may not have been counted.
 	maxGangCrashes = 4
@@ -45,17 +47,20 @@
 
 // crashHistory is what is known of crashes of workers under a task.
 type crashHistory struct {
-	crashes  int  // under runs whose start was confirmed, since a run last lived for crashWindow
-	doubtful int  // of crashes, under runs that may have ended before
-	possible int  // under runs that may not have been there, as the start got no response
-	suspect  bool // until a run in isolation outlives its probation
-	exposed  []*exposure
-	version  int64 // of the job's progress that contains the counted crashes
+	crashes   int  // under runs whose start was confirmed, since a run last lived for crashWindow
+	doubtful  int  // of crashes, under runs that may have ended before
+	possible  int  // under runs that may not have been there, as the start got no response
+	lateCrash bool // a counted crash came later than startupWindow after the start, or its age is not known
+	suspect   bool // until a run in isolation outlives its probation
+	exposed   []*exposure
+	version   int64 // of the job's progress that contains the counted crashes
 	// suspects is the number of runs that are suspected in the last crash, this task's included; 0: none yet.
-	suspects     int
-	waitingSince time.Duration // when a worker was first sought that is not without runs; 0: none is sought
-	planned      *worker       // for the next start in isolation, and while that run is on probation; nil: none
-	heldBack     *worker       // kept free of other new runs for the task; nil: none
+	suspects      int
+	waitingSince  time.Duration // when a worker was first sought that is not without runs; 0: none is sought
+	planned       *worker       // for the next start in isolation, and while that run is on probation; nil: none
+	heldBack      *worker       // kept free of other new runs for the task; nil: none
+	heldBackSince time.Duration
+	groupLimit    int // size of a group that the task may be in, at the last attempt to start it
 }
 
 // exposure is a run on a worker that may have crashed: it stopped responding, and it is not known yet whether it
@@ -73,6 +78,7 @@
 	// connectionLost is set if the connection was lost when the worker stopped responding. A worker that responds lists an end
 	// at once, so the run had not ended by then.
 	connectionLost bool
+	together       int // runs that are exposed by the same event
 	since          time.Duration
 }
 
@@ -91,7 +97,7 @@
 
 // probation is the age up to which a run in isolation is watched.
 func (t *task) probation() time.Duration {
-	if t.history.crashes >= suspectCrashes {
+	if t.history.crashes >= suspectCrashes && t.history.lateCrash {
 		return crashWindow
 	}
 	return startupWindow
@@ -104,7 +110,7 @@
 // is 0, at any time since its last report. A worker that announced that it leaves, or whose machine was taken down,
 // does not crash.
 func (d *Dispatcher) exposeRuns(now, connectionLostAt time.Duration, w *worker, runs []*run) {
-	if w.leaving() {
+	if w.leaving() || w.crashExplained {
 		return
 	}
 	crashedAt := max(connectionLostAt, w.lastReportAt)
@@ -113,8 +119,12 @@
 	}
 	isEarly, isPrompt := early(startupWindow), early(promptCrash)
 	prompt := connectionLostAt != 0 && slices.ContainsFunc(runs, isPrompt)
-	if prompt {
+	watched := !prompt && w.group.closed() && slices.ContainsFunc(runs, (*run).onProbation)
+	switch {
+	case prompt:
 		isEarly = isPrompt
+	case watched:
+		isEarly = (*run).onProbation
 	}
 	suspects := 0
 	for _, r := range runs {
@@ -122,10 +132,11 @@
 			suspects++
 		}
 	}
+	if w.crashExplained = prompt || watched; w.crashExplained {
+		runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !isEarly(r) })
+	}
 	for _, r := range runs {
-		if isEarly(r) || !prompt { // a run that had just begun explains the crash
-			d.exposeRun(now, crashedAt, r, isEarly(r), prompt && crashedAt-r.startSentAt < decisiveCrash, suspects, connectionLostAt != 0)
-		}
+		d.exposeRun(now, crashedAt, r, isEarly(r), prompt, suspects, len(runs), connectionLostAt != 0)
 	}
 }
 
@@ -134,7 +145,7 @@
 
 // exposeRun records that a run's worker may have crashed at the given time. Older runs than crashWindow, and gangs that did
 // not just begin, are not counted.
-func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, decisive bool, suspects int, connectionLost bool) {
+func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, prompt bool, suspects, together int, connectionLost bool) {
 	j := r.task.step.job
 	if r.exposed || r.released || j.closed() || crashedAt-r.startSentAt >= crashWindow || r.task.step.def.Gang && !early {
 		return
@@ -142,8 +153,8 @@
 	r.exposed = true
 	e := &exposure{
 		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now,
-		isolated: r.isolated && suspects <= 1, early: early, decisive: decisive && !d.crashesRepeatedly(now, r.worker), confirmed: r.confirmedAt != 0,
 		connectionLost: connectionLost,
+		isolated:       suspects <= 1 && (r.isolated && prompt || r.watchedAlone()), early: early, together: together, decisive: prompt && crashedAt-r.startSentAt < decisiveCrash && !d.crashesRepeatedly(now, r.worker), confirmed: r.confirmedAt != 0,
 	}
 	d.addExposure(e)
 	if e.early {
@@ -169,7 +180,7 @@
 // those of other incarnations.
 func (d *Dispatcher) settleExposures(now time.Duration, w *worker, incarnation int64) {
 	exposures := w.exposures
-	w.exposures = nil
+	w.exposures, w.crashExplained = nil, false
 	for _, e := range exposures {
 		d.dropExposure(e)
 		switch {
@@ -220,6 +231,10 @@
 		h.possible++
 	}
 	h.suspect = h.suspect || e.early || h.crashes >= suspectCrashes
+	h.lateCrash = h.lateCrash || !e.early
+	if !e.early {
+		h.suspects = e.together
+	}
 	t.step.hasSuspects = true
 	d.markDirty(j)
 	h.version = j.version
@@ -228,7 +243,11 @@
 	if e.decisive && h.crashes-h.doubtful >= crashesToFail {
 		limit = crashesToFail
 	}
-	if e.isolated && e.confirmed && h.crashes >= limit || h.crashes+h.possible >= maxCrashes {
+	limitInAll := maxCrashes
+	if !h.lateCrash {
+		limitInAll = maxEarlyCrashes
+	}
+	if e.isolated && e.confirmed && h.crashes >= limit || h.crashes+h.possible >= limitInAll {
 		d.finishJob(now, j, fleet.StateFailed, fmt.Sprintf("task %v crashed %d workers", t.id(), h.crashes+h.possible))
 	}
 }
@@ -241,7 +260,7 @@
 	}
 	d.countCrash(now, &exposure{
 		task: r.task, worker: r.worker, incarnation: r.endedIncarnation, run: r.id.Run, origin: r, since: now,
-		isolated: r.isolated, confirmed: true,
+		isolated: r.watchedAlone(), confirmed: true,
 	})
 }
 
@@ -272,7 +291,7 @@
 	if age < crashWindow {
 		return
 	}
-	t.history.crashes, t.history.doubtful, t.history.possible = 0, 0, 0
+	t.history.crashes, t.history.doubtful, t.history.possible, t.history.lateCrash = 0, 0, 0, false
 	t.step.gangCrashedRuns = nil
 }
 
--- a/internal/dispatch/crash_progress.go
+++ b/internal/dispatch/crash_progress.go
@@ -13,6 +13,7 @@
 	Exposures []ExposureProgress `cbor:"3,keyasint,omitempty"`
 	Possible  int                `cbor:"4,keyasint,omitempty"`
 	Suspects  int                `cbor:"5,keyasint,omitempty"`
+	LateCrash bool               `cbor:"6,keyasint,omitempty"`
 	Doubtful  int                `cbor:"7,keyasint,omitempty"`
 }
 
@@ -33,7 +34,7 @@
 	if h.crashes+h.possible == 0 && !h.suspect && len(h.exposed) == 0 && h.planned == nil {
 		return nil
 	}
-	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect, Suspects: h.suspects, Doubtful: h.doubtful}
+	p := &CrashProgress{Crashes: h.crashes, Possible: h.possible, Suspect: h.suspect, Suspects: h.suspects, LateCrash: h.lateCrash, Doubtful: h.doubtful}
 	for _, e := range h.exposed {
 		if e.early {
 			p.Exposures = append(p.Exposures, ExposureProgress{
@@ -59,7 +60,7 @@
 		return
 	}
 	t.history.crashes, t.history.possible, t.history.suspect, t.history.suspects = p.Crashes, p.Possible, p.Suspect, p.Suspects
-	t.history.doubtful = p.Doubtful
+	t.history.lateCrash, t.history.doubtful = p.LateCrash, p.Doubtful
 	t.step.hasSuspects = true
 	for _, e := range p.Exposures {
 		w := d.ensureWorker(model.WorkerID(e.Worker))
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,10 +9,12 @@
 	"filbertcross/internal/verdict"
 )
 
-// restartTime is how long a crashed worker of a crashFleet is down, startupTime the time until a lasting task is at work.
+// Times of a crashFleet.
 const (
 	restartTime = 3200 * time.Millisecond
 	startupTime = 200 * time.Millisecond
+	// listInterval is the time between two lists of the workers.
+	listInterval = 500 * time.Millisecond
 )
 
 // crashFleet answers the commands of a harness like workers that respond at once. A worker that starts
@@ -31,6 +33,8 @@
 	willFail    map[fleet.RunID]bool
 	crashDelay  time.Duration // from the start of a crashing task to the crash
 	storeDown   bool
+	relist      func()                   // lists the workers as they are now; called every listInterval; nil: never
+	subs        []*fleet.Submission      // that a later owner restores
 	fence       map[model.WorkerID]int64 // highest that the incarnation has seen
 	loseStart   bool                     // the next start gets no response, and has not been executed yet
 	lostStart   StartCommand
@@ -94,6 +98,9 @@
 // pass lets time pass until the end of d or until the condition holds, and reports whether it does.
 func (f *crashFleet) pass(d time.Duration, until func() bool) bool {
 	for end := f.now + d; f.now < end; {
+		if f.relist != nil && f.now >= f.d.listedAt+listInterval {
+			f.relist()
+		}
 		f.decide()
 		f.write()
 		for _, c := range f.harness.starts {
@@ -189,6 +196,10 @@
 
 func (f *crashFleet) renew(c RenewCommand) {
 	id := c.To.ID
+	if c.StatusOnly && f.now < max(f.silentUntil[id], f.downUntil[id]) {
+		f.d.HandleStatusQueryFailure(id)
+		return
+	}
 	if f.now < f.silentUntil[id] {
 		f.d.HandleRenewFailure(f.now, id, errNoResponse)
 		return
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -60,7 +60,7 @@
 	d.endBackoffs(now)
 	d.advanceProbes(now)
 	d.dropOldExposures(now)
-	d.endUnusedHoldBacks(now)
+	d.advanceGroups(now)
 	d.drainWorkers(now)
 	d.advanceWaves(now)
 	d.stopStalledRuns(now)
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"time"
 
-	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
 )
 
@@ -30,9 +29,7 @@
 	}
 	if w != h.planned {
 		h.planned = w
-		if w.heldBackFor == nil {
-			d.holdBack(now, t, w)
-		}
+		d.holdBack(now, t, w)
 		d.markDirty(s.job)
 		h.version = s.job.version
 	}
@@ -42,50 +39,65 @@
 // chooseIsolatedWorker chooses the worker for a start in isolation, or holds one back for the task and returns nil.
 func (d *Dispatcher) chooseIsolatedWorker(now time.Duration, s *step, t *task) *worker {
 	h, demand := &t.history, reservedCapacity(s.def)
-	overdue := h.waitingSince != 0 && now-h.waitingSince >= t.isolationWait()
+	waited := time.Duration(0)
+	if h.waitingSince != 0 {
+		waited = now - h.waitingSince
+	}
+	overdue, late := waited >= t.isolationWait(), waited >= maxIsolationWait
 	if w := h.heldBack; w != nil {
+		begun := len(w.group.runs) > 0 // those of its group are started with it
 		switch {
 		case !d.canIsolate(now, s, w):
-			d.endHoldBack(w)
+			d.endHoldBack(t)
 		case !demand.FitsIn(w.free()):
 			return nil
-		case len(w.runs) == 0 || overdue:
+		case late:
+			if w.admitsLate(now, t) {
+				return w
+			}
+			return nil
+		case w.onlyGroupRuns(), overdue && (begun || now-w.lastStartAt >= startupWindow):
 			return w
 		default:
 			return nil
 		}
 	}
-	best := d.bestForIsolation(now, s, overdue)
+	best, blocked := d.bestForIsolation(now, s, t, overdue, late)
+	if h.waitingSince == 0 && (blocked || best != nil && !best.onlyGroupRuns()) {
+		h.waitingSince = now
+	}
 	if best == nil {
 		return nil
 	}
-	if demand.FitsIn(best.free()) && (len(best.runs) == 0 || overdue) {
+	if demand.FitsIn(best.free()) && (best.onlyGroupRuns() || overdue) {
 		return best
 	}
-	if h.waitingSince == 0 {
-		h.waitingSince = now
-	}
-	if len(d.heldBack) < max(minHeldBack, len(d.workerList)/workersPerHeldBack) {
+	if !best.group.empty() || len(d.heldBack) < max(minHeldBack, len(d.workerList)/workersPerHeldBack) {
 		d.holdBack(now, t, best)
 	}
 	return nil
 }
 
-// holdBack keeps other new runs off a worker.
-func (d *Dispatcher) holdBack(now time.Duration, t *task, w *worker) {
-	w.heldBackFor, w.heldBackSince, t.history.heldBack = t, now, w
-	d.heldBack = append(d.heldBack, w)
-}
+// onlyGroupRuns reports whether nothing but suspected tasks on probation is on the worker.
+func (w *worker) onlyGroupRuns() bool { return len(w.runs) == len(w.group.runs) }
 
 // bestForIsolation returns the worker on which a task of the step ends the fewest runs if it crashes, or nil. A task that is
-// overdue gets one that it fits on at once, if there is any.
-func (d *Dispatcher) bestForIsolation(now time.Duration, s *step, overdue bool) *worker {
-	var best *worker
+// overdue gets one that it fits on at once, if there is any, and a late one may join any group. blocked reports whether a worker is left
+// out for its group.
+func (d *Dispatcher) bestForIsolation(now time.Duration, s *step, t *task, overdue, late bool) (best *worker, blocked bool) {
 	var bestCost isolationCost
 	candidates := d.startCandidates(s)
 	d.load.Examined += int64(len(candidates))
+	d.feasibleBuffer = d.feasibleBuffer[:0]
 	for _, w := range candidates {
-		if w.heldBackFor != nil || !d.canIsolate(now, s, w) {
+		if d.canIsolate(now, s, w) {
+			d.feasibleBuffer = append(d.feasibleBuffer, w)
+		}
+	}
+	t.history.groupLimit = groupLimit(t.history.suspects, len(d.feasibleBuffer))
+	for _, w := range d.feasibleBuffer {
+		if !w.group.admits(now, t) && !(late && w.admitsLate(now, t)) {
+			blocked = true
 			continue
 		}
 		cost := d.isolationCost(now, w)
@@ -96,12 +108,12 @@
 			best, bestCost = w, cost
 		}
 	}
-	return best
+	return best, blocked
 }
 
 // isolationWait is how long the task waits for a worker without runs.
 func (t *task) isolationWait() time.Duration {
-	if t.history.crashes >= suspectCrashes {
+	if t.history.crashes >= suspectCrashes && t.history.lateCrash {
 		return isolationWait
 	}
 	return isolationWait / time.Duration(max(t.history.suspects/2, 1))
@@ -110,7 +122,7 @@
 // canIsolate reports whether a task of the step may be started on the worker in isolation, at once or when its
 // runs have ended.
 func (d *Dispatcher) canIsolate(now time.Duration, s *step, w *worker) bool {
-	return w.acceptsRuns(now) && w.isolated == nil && w.mayProbe(s) && d.satisfiesConstraints(s, w) &&
+	return w.acceptsRuns(now) && w.mayProbe(s) && d.satisfiesConstraints(s, w) &&
 		reservedCapacity(s.def).FitsIn(w.entry.Capacity) && (w.reservedFor == nil || w.reservedFor.step == s) &&
 		(s.job.queue.Advice == nil || s.advice.hasTicket(now, w.entry.ID))
 }
@@ -118,6 +130,7 @@
 // isolationCost rates a worker for a task in isolation, lower being better.
 type isolationCost struct {
 	full      int           // 1: an overdue task does not fit now
+	group     int           // suspected tasks that are or will be watched there
 	probing   int           // 1: its runs have failed, and it is probed
 	crashes   int           // 1: workers crash at its address repeatedly
 	remaining int           // runs that are likely to continue after isolationWait
@@ -125,11 +138,11 @@
 }
 
 func (c isolationCost) compare(other isolationCost) int {
-	return cmp.Or(cmp.Compare(c.full, other.full), cmp.Compare(c.probing, other.probing), cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
+	return cmp.Or(cmp.Compare(c.full, other.full), cmp.Compare(c.group, other.group), cmp.Compare(c.probing, other.probing), cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.remaining, other.remaining), cmp.Compare(c.vacant, other.vacant))
 }
 
 func (d *Dispatcher) isolationCost(now time.Duration, w *worker) isolationCost {
-	var c isolationCost
+	c := isolationCost{group: len(w.group.waiting) + len(w.group.runs)}
 	if d.crashesRepeatedly(now, w) {
 		c.crashes = 1
 	}
@@ -137,6 +150,9 @@
 		c.probing = 1
 	}
 	for _, r := range w.runs {
+		if r.isolated {
+			continue
+		}
 		left := time.Duration(float64(r.task.step.def.Estimate)*float64(fullPace-r.percent)/fullPace) - (now - r.progressAt)
 		if r.task.step.def.LongRunning || left > isolationWait {
 			c.remaining++
@@ -147,56 +163,6 @@
 	return c
 }
 
-// endHoldBack lets other runs start on the worker.
-func (d *Dispatcher) endHoldBack(w *worker) {
-	t := w.heldBackFor
-	if t == nil {
-		return
-	}
-	w.heldBackFor, t.history.heldBack = nil, nil
-	for i, other := range d.heldBack {
-		if other == w {
-			d.heldBack = append(d.heldBack[:i], d.heldBack[i+1:]...)
-			break
-		}
-	}
-	d.markFreed(w)
-}
-
-// endUnusedHoldBacks releases the workers that are held back for tasks that do not wait any more.
-func (d *Dispatcher) endUnusedHoldBacks(now time.Duration) {
-	for i := len(d.heldBack) - 1; i >= 0; i-- {
-		w := d.heldBack[i]
-		if t := w.heldBackFor; t.step.job.closed() || !t.needsIsolation() || now-w.heldBackSince > 2*isolationWait {
-			d.endHoldBack(w)
-		}
-	}
-}
-
-// beginIsolation starts the probation of a run.
-func (d *Dispatcher) beginIsolation(r *run) {
-	w := r.worker
-	d.endHoldBack(w)
-	if held := r.task.history.heldBack; held != nil {
-		d.endHoldBack(held)
-	}
-	r.task.history.waitingSince = 0
-	r.isolated, w.isolated = true, r
-	d.events.Record(event.RunIsolated, w.entry.ID, r.id.Task, r.id.Run, r.task.history.crashes, len(w.runs)-1)
-}
-
-// endIsolation lets other runs start beside a run.
-func (d *Dispatcher) endIsolation(r *run) {
-	if r.worker.isolated == r {
-		r.worker.isolated = nil
-		d.markFreed(r.worker)
-	}
-	if r.isolated && r.task.history.planned == r.worker {
-		r.task.history.planned = nil
-	}
-	r.isolated = false
-}
-
 // recordEndOfRun clears the suspicion of a task whose run has ended without a crash.
 func (t *task) recordEndOfRun(outcome fleet.Outcome) {
 	if outcome == fleet.OutcomeDone || outcome == fleet.OutcomeFailed {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,7 +36,8 @@
 	}
 	// A worker that cannot take the first task cannot take another one in this pass either.
 	feasible := d.feasibleWorkers(now, s, candidates)
-	for i := s.firstWaiting; i < len(s.tasks) && s.waiting > 0; i++ {
+	var suspects []*task // started after the others, which must not wait for them
+	for i := s.firstWaiting; i < len(s.tasks) && s.waiting > len(suspects); i++ {
 		t := s.tasks[i]
 		if t.state != taskWaiting {
 			if i == s.firstWaiting {
@@ -47,36 +49,63 @@
 			s.hasDelayedTask = true
 			continue
 		}
+		if t.needsIsolation() {
+			suspects = append(suspects, t)
+			continue
+		}
 		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
 			break
 		}
-		w := (*worker)(nil)
-		if t.needsIsolation() {
-			if t.mayStartIsolated(now) {
-				w = d.isolatedWorker(now, s, t)
-			}
-			if w == nil {
-				s.hasDelayedTask = true
-				s.isolating++
-				continue
-			}
-		} else if w = d.bestWorker(now, s, t, feasible); w == nil {
+		w := d.bestWorker(now, s, t, feasible)
+		if w == nil {
 			if s.hasSuspects {
-				continue // the others need no room on these workers
+				continue // suspects need no room on these workers
 			}
 			break
 		}
-		s.job.nextRun++
-		s.reservation = nil
-		d.startRun(now, t, w, d.opts.Fence*runsPerFence+s.job.nextRun)
-		if s.advice.rejectedRounds > 1 {
-			s.hasDelayedTask = true // one start shows whether the others would be rejected, too
+		if !d.startWaiting(now, t, w) {
 			break
 		}
 	}
+	d.placeSuspects(now, s, suspects, withinShare)
 	return len(feasible) > 0
 }
 
+// placeSuspects starts suspected tasks of the step in isolation, those with the most crashes first.
+func (d *Dispatcher) placeSuspects(now time.Duration, s *step, suspects []*task, withinShare bool) {
+	slices.SortStableFunc(suspects, func(a, b *task) int { return cmp.Compare(b.history.crashes, a.history.crashes) })
+	for _, t := range suspects {
+		if !d.quotaAllows(now, s, 1) || withinShare && !d.hasShareLeft(s.job.account) {
+			return
+		}
+		w := (*worker)(nil)
+		if t.mayStartIsolated(now) {
+			w = d.isolatedWorker(now, s, t)
+		}
+		if w == nil {
+			s.hasDelayedTask = true
+			s.isolating++
+			continue
+		}
+		if !d.startWaiting(now, t, w) {
+			return
+		}
+	}
+}
+
+// startWaiting starts a waiting task and reports whether further tasks of its step may be started in this pass.
+func (d *Dispatcher) startWaiting(now time.Duration, t *task, w *worker) bool {
+	s := t.step
+	s.job.nextRun++
+	s.reservation = nil
+	d.startRun(now, t, w, d.opts.Fence*runsPerFence+s.job.nextRun)
+	if s.advice.rejectedRounds > 1 {
+		s.hasDelayedTask = true // one start shows whether the others would be rejected, too
+		return false
+	}
+	return true
+}
+
 // feasibleWorkers returns the candidates on which a task of the step can be started. The result is
 // valid until the next call.
 func (d *Dispatcher) feasibleWorkers(now time.Duration, s *step, candidates []*worker) []*worker {
@@ -174,7 +203,7 @@
 		w.probe = r
 	}
 	if t.needsIsolation() && !s.def.Gang {
-		d.beginIsolation(r)
+		d.beginIsolation(now, r)
 	}
 	t.runs = append(t.runs, r)
 	if t.state == taskWaiting {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -81,10 +81,10 @@
 	// the worker may hold that much, whatever its capacity is now.
 	peakCapacity model.Resources
 
-	exposures     []*exposure   // of runs, if it may have crashed
-	isolated      *run          // on probation; no other run is started beside it; nil: none
-	heldBackFor   *task         // the only task that may be started; nil: any
-	heldBackSince time.Duration // when it was held back
+	exposures []*exposure // of runs, if it may have crashed
+	// crashExplained is set if the cause of the crash is among the exposed runs, as others had begun long before.
+	crashExplained bool
+	group          isolationGroup // of suspected tasks
 }
 
 // pendingAck is a result that may be acknowledged once the job's version is durable.
@@ -153,9 +153,9 @@
 	return free
 }
 
-// placeable reports whether new runs may be started on the worker, except that of a task for which it is held back.
+// placeable reports whether new runs may be started on the worker, except those of its group.
 func (w *worker) placeable(now time.Duration) bool {
-	return w.heldBackFor == nil && w.isolated == nil && w.acceptsRuns(now)
+	return !w.group.closed() && w.acceptsRuns(now)
 }
 
 // acceptsRuns reports whether the state of the worker itself allows new runs.
