dispatch: a restarted worker is used once it rejects earlier acknowledgements

Cause: the acknowledgement may be executed by the next incarnation and discard results that no owner has seen, so the worker was closed for 12.5 s.

Change: it is closed only until it has answered a renewal with a higher fencing token than the acknowledgement's, which its first answer usually carries. That replaces the tracking of lost acknowledgements, and the assumption that three failed renewals prove a dead worker.

TestSimulatedHistoriesOfLateCommands passes.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -56,7 +56,7 @@
 	d.createDeferred()
 	d.createDueOccurrences(now, wall)
 	d.expireWorkers(now)
-	d.forgetDepartures(now)
+	d.endFencing(now)
 	d.endBackoffs(now)
 	d.advanceProbes(now)
 	d.dropOldExposures(now)
@@ -170,7 +170,9 @@
 		d.raiseFence(now, w)
 		req := fleet.RenewRequest{Fence: w.fence}
 		if w.reported && w.failedRenewals == 0 && d.ownerRecorded {
-			req.Acknowledged = w.nextAck()
+			if req.Acknowledged = w.nextAck(); req.Acknowledged != 0 {
+				w.ackSentAt = now
+			}
 			w.commandFence = w.fence
 			req.Deadline = w.estimatedClock(now) + d.opts.Lease.Milliseconds()
 			w.leaseDeadline = max(w.leaseDeadline, req.Deadline)
--- a/internal/dispatch/fencing.go
+++ b/internal/dispatch/fencing.go
@@ -12,7 +12,7 @@
 // results that no owner has seen, and a renewal would extend the lease unnoticed.
 //
 // Therefore each incarnation gets a higher fencing token than all commands to earlier ones, which it rejects once it has
-// seen that token. The tokens of an owner are revisions of the store at which it held the owner key: that of its election,
+// seen that token. No run is started there before if an earlier acknowledgement may discard its result. The tokens of an owner are revisions of the store at which it held the owner key: that of its election,
 // and the one that its last write has proved. Every successor's token is higher.
 
 // raiseFence raises the fencing token of a worker that may be another incarnation than the one that got the last commands.
@@ -36,6 +36,12 @@
 	return w.seenFence > w.staleFence || now >= w.staleUntil
 }
 
+// mayLoseResults reports whether an acknowledgement to an earlier incarnation may still be executed, which would discard the
+// results of runs that are started now.
+func (w *worker) mayLoseResults(now time.Duration) bool {
+	return !w.fenced(now) && w.ackSentAt != 0 && now < w.ackSentAt+maxCommandDelay
+}
+
 // nextCommandFence returns the fencing token of a command with an effect.
 func (w *worker) nextCommandFence() int64 {
 	w.commandFence = w.fence
@@ -48,19 +54,26 @@
 
 // departure is what is kept of a worker that has left: it may come back under its ID before the commands to it have expired.
 type departure struct {
-	fence int64 // highest token of a command to it
-	until time.Duration
+	fence     int64 // highest token of a command to it
+	ackSentAt time.Duration
+	until     time.Duration
 }
 
 // rememberDeparture keeps the token of a worker that is dropped.
 func (d *Dispatcher) rememberDeparture(now time.Duration, w *worker) {
 	if w.commandFence > 0 {
-		d.departures[w.entry.ID] = departure{fence: w.commandFence, until: now + maxCommandDelay}
+		d.departures[w.entry.ID] = departure{fence: w.commandFence, ackSentAt: w.ackSentAt, until: now + maxCommandDelay}
 	}
 }
 
-// forgetDepartures drops departures whose commands cannot be executed any more.
-func (d *Dispatcher) forgetDepartures(now time.Duration) {
+// endFencing ends what was done against commands that cannot be executed any more.
+func (d *Dispatcher) endFencing(now time.Duration) {
+	for _, w := range d.workerList {
+		if w.staleUntil != 0 && now >= w.staleUntil {
+			w.staleFence, w.staleUntil = 0, 0
+			d.markFreed(w)
+		}
+	}
 	for id, left := range d.departures {
 		if now >= left.until {
 			delete(d.departures, id)
@@ -72,5 +85,5 @@
 func (d *Dispatcher) returnOf(id model.WorkerID, w *worker) {
 	w.fence = d.provenRevision
 	left := d.departures[id]
-	w.commandFence, w.staleFence, w.staleUntil = left.fence, left.fence, left.until
+	w.commandFence, w.staleFence, w.staleUntil, w.ackSentAt = left.fence, left.fence, left.until, left.ackSentAt
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -62,9 +62,6 @@
 	// maxCommandDelay is how long after being sent an unanswered command may still be executed.
 	// The platform documents 12 s.
 	maxCommandDelay = 12500 * time.Millisecond
-	// deadAfterFailedRenewals is the number of consecutive unanswered renewals, about a second,
-	// that proves that a worker with a new incarnation was already dead when they were sent.
-	deadAfterFailedRenewals = 3
 	// unknownAfterFailedRenewals is the number of consecutive unanswered renewals, about 5 s, after which a worker
 	// that has never reported is left out of the durable list.
 	unknownAfterFailedRenewals = 10
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -18,9 +18,7 @@
 		return
 	}
 	w.renewInFlight = false
-	if w.ackInFlight != 0 {
-		w.ackUncertainAt, w.ackInFlight = now, 0
-	}
+	w.ackInFlight = 0
 	w.renewDue = now
 	if w.failedRenewals > 0 {
 		w.renewDue = now + renewRetryDelay
@@ -93,19 +91,19 @@
 	if !w.recorded {
 		d.workerListDirty = true // no run starts there before that
 	}
-	failedRenewals := w.failedRenewals
 	w.renewInFlight, w.failedRenewals, w.lastReportAt = false, 0, now
 	if !w.reported || w.incarnation != rep.Incarnation {
 		w.incarnationSince = now
 	}
 	if w.reported && w.incarnation != rep.Incarnation {
-		d.handleRestart(now, w, rep.Incarnation, failedRenewals)
-	} else if w.ackUncertainAt != 0 {
-		w.ackLostAt, w.ackUncertainAt = w.ackUncertainAt, 0
+		d.handleRestart(now, w, rep.Incarnation)
 	}
 	d.settleExposures(now, w, rep.Incarnation)
 	w.incarnationConfirmedAt = max(w.incarnationConfirmedAt, sent)
-	w.seenFence = max(w.seenFence, w.fence)
+	wasFenced := w.fenced(now)
+	if w.seenFence = max(w.seenFence, w.fence); w.fenced(now) && !wasFenced {
+		d.markFreed(w)
+	}
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
 	d.applyReport(now, sent, w, rep)
 	w.renewDue = d.nextRenewal(now, w)
@@ -133,8 +131,7 @@
 
 // handleRestart ends all runs of the worker's previous incarnation. A start that is not
 // confirmed yet could reach the new incarnation, so it is stopped there first.
-// failedRenewals is the number of consecutive failed renewals before the restart was noticed.
-func (d *Dispatcher) handleRestart(now time.Duration, w *worker, incarnation int64, failedRenewals int) {
+func (d *Dispatcher) handleRestart(now time.Duration, w *worker, incarnation int64) {
 	d.events.Record(event.WorkerIncarnationChanged, w.entry.ID, w.incarnation, incarnation, len(w.runs))
 	w.beginFencing(now)
 	// A run that was confirmed later may belong to the new incarnation; the next report shows it.
@@ -157,14 +154,6 @@
 	}
 	w.lastResult, w.durableResult, w.pendingAcks, w.leaseDeadline, w.clock = 0, 0, nil, 0, 0
 	w.ackInFlight, w.ackConfirmed, w.resultsKnown = 0, 0, false
-	// A renewal sent to a dead worker was never received and cannot be executed late.
-	if w.ackUncertainAt != 0 && failedRenewals < deadAfterFailedRenewals {
-		w.ackLostAt = w.ackUncertainAt
-	}
-	w.ackUncertainAt = 0
-	if w.ackLostAt != 0 {
-		w.backoffUntil = max(w.backoffUntil, w.ackLostAt+maxCommandDelay)
-	}
 	w.quarantine = quarantine{lastFailedJob: w.lastFailedJob}
 	d.markFreed(w)
 	w.speed = speedMean{}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -49,14 +49,13 @@
 	used           model.Resources
 	stoppingDemand model.Resources // part of used that belongs to runs being stopped
 
-	lastResult     int64         // highest result number processed
-	durableResult  int64         // results up to this number are durable
-	resultsKnown   bool          // a report of this incarnation contained all results that were not acknowledged
-	pendingAcks    []pendingAck  // processed results that are not durable yet
-	ackInFlight    int64         // number acknowledged by the renewal in flight; 0: none
-	ackConfirmed   int64         // highest number acknowledged by an answered renewal
-	ackUncertainAt time.Duration // when the last acknowledgement failed with an unknown outcome, until the worker reports; 0: none
-	ackLostAt      time.Duration // when an acknowledgement was last lost that may still arrive; 0: never
+	lastResult    int64         // highest result number processed
+	durableResult int64         // results up to this number are durable
+	resultsKnown  bool          // a report of this incarnation contained all results that were not acknowledged
+	pendingAcks   []pendingAck  // processed results that are not durable yet
+	ackInFlight   int64         // number acknowledged by the renewal in flight; 0: none
+	ackSentAt     time.Duration // when the last renewal with an acknowledgement was sent, to whatever incarnation
+	ackConfirmed  int64         // highest number acknowledged by an answered renewal
 
 	quarantine
 	backoffUntil      time.Duration
@@ -160,7 +159,7 @@
 
 // acceptsRuns reports whether the state of the worker itself allows new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.listed && w.recorded && !w.unproven && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && now >= w.backoffUntil
+	return w.listed && w.recorded && !w.unproven && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && !w.mayLoseResults(now) && now >= w.backoffUntil
 }
 
 // estimatedClock estimates the worker's clock in ms.
@@ -169,9 +168,7 @@
 }
 
 // nextAck returns the number to acknowledge, or 0 if the worker has already received it.
-// Numbers restart with each incarnation. An acknowledgement executed late by the next
-// incarnation would discard results that no owner has seen, so each number is sent only until a
-// renewal with it is answered.
+// Numbers restart with each incarnation, so each is sent only until a renewal with it is answered.
 func (w *worker) nextAck() int64 {
 	if w.durableResult <= w.ackConfirmed {
 		return 0
