dispatch: submissions passed over in an outage are tried again after it

Cause: passes without authority use up the list of freed workers, but pass over submissions that may not be started then.

Change: the first pass with authority after such passes tries all workers for all steps.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -24,6 +24,7 @@
 
 func (d *Dispatcher) decideAuthorized(now time.Duration, wall time.Time) {
 	d.authorizedAt = now
+	d.retryPassedOver()
 	if now >= d.sweepDue {
 		d.sweepDue = now + sweepInterval
 		d.sweep(now, wall)
@@ -34,10 +35,23 @@
 	d.placeIfDue(now)
 }
 
+// retryPassedOver lets the next pass try all workers for all steps, if passes without authority have used up the knowledge of
+// freed workers: they pass over steps that may not be started, and workers that are not proven.
+func (d *Dispatcher) retryPassedOver() {
+	if !d.passedOver {
+		return
+	}
+	d.passedOver = false
+	for _, j := range d.activeJobs {
+		j.retryOnAllWorkers()
+	}
+}
+
 // placeIfDue makes a placement pass if it is due and the list of workers is current.
 func (d *Dispatcher) placeIfDue(now time.Duration) {
 	if now >= d.passDue && d.listIsCurrent(now) {
 		d.passDue = now + passIntervalPerJob*time.Duration(len(d.activeJobs))
+		d.passedOver = d.passedOver || d.suspended
 		d.placeWaiting(now)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,7 @@
 	lostOwnership bool
 	authorizedAt  time.Duration // time of the last Decide call with authority
 	suspended     bool          // during a Decide call without authority
+	passedOver    bool          // there was a pass without authority since authorizedAt
 	// provenRevision is the highest revision of the store at which this owner is known to have held the
 	// owner key. Every successor's fencing token is higher.
 	provenRevision int64
--- a/internal/dispatch/suspension_test.go
+++ b/internal/dispatch/suspension_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -109,3 +110,45 @@
 	h.advance(time.Millisecond)
 	h.d.HandleReport(h.now, sent, id, false, fleet.Report{Incarnation: 2, Clock: 1})
 }
+
+// A pass without authority uses up what is known of freed workers, although it passes over submissions that it may not start
+// (review/6, LOST): they waited on idle workers for good. The load is one that the owner cannot prove to be older than a
+// successor, one whose run was lost, and a backlog that waits for the same capacity.
+func TestSubmissionsPassedOverInAnOutageStartAfterIt(t *testing.T) {
+	for _, backlog := range []int{0, 200} {
+		h := newHarness(t, 2)
+		h.submit("rebuild", "first", tasks(2, 32))
+		h.decide()
+		running := h.starts
+		h.acceptStarts(running)
+		h.d.AddJob(h.now, &fleet.Submission{ID: "new", Queue: "rebuild", Service: "pool", Steps: []fleet.Step{tasks(2, 8)}}, h.d.provenRevision+1, 0, nil)
+		for i := range backlog {
+			h.d.AddJob(h.now, &fleet.Submission{ID: fleet.JobID(fmt.Sprint("later", i)), Queue: "rebuild", Service: "pool", Steps: []fleet.Step{tasks(1, 16)}}, h.d.provenRevision+2, 0, nil)
+		}
+		h.advance(100 * time.Millisecond)
+		h.decide() // passes it over for want of capacity
+		h.advance(500 * time.Millisecond)
+		for _, r := range running {
+			h.report(r.To.ID, h.runResult(r, fleet.OutcomeDone))
+		}
+		if starts := h.decideSuspended(); len(starts) != 0 {
+			t.Fatalf("%d starts of a submission that a successor may own", len(starts))
+		}
+		h.advance(100 * time.Millisecond)
+		h.decideSuspended()
+		h.advance(time.Second)
+		examined, started := h.d.load.Examined, 0
+		for range 10 {
+			h.decide()
+			started += len(h.starts)
+			h.acceptStarts(h.starts)
+			h.advance(50 * time.Millisecond)
+		}
+		if want := min(2+backlog, 4); started < want { // as many as fit
+			t.Fatalf("backlog of %d: %d starts on idle workers 0.5 s after the outage, want %d", backlog, started, want)
+		}
+		if cost := h.d.load.Examined - examined; cost > int64(10*(2+backlog)) {
+			t.Errorf("backlog of %d: %d workers examined after the outage", backlog, cost)
+		}
+	}
+}
