event/timeline: TestCollect sets the clock of its logs

Cause: a recurring event is summed up beyond 2,000 lines and 250 a second. The test recorded 2,007 as fast as the machine can; how many were left depended on its speed. It was red on x86-64, and here on arm64 in three of three runs without the race detector ("long:2000") and in one run with it.

Change: the test's clock advances by 10 ms for each event, so that none is summed up. The expected count is unchanged.

--- a/internal/event/timeline/timeline_test.go
+++ b/internal/event/timeline/timeline_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"testing"
+	"time"
 
 	"filbertcross/internal/event"
 	"filbertcross/internal/model"
@@ -41,13 +42,15 @@
 // VM's own ring and a VM that does not respond.
 func TestCollect(t *testing.T) {
 	const events = 2*event.MaxListEntries + 7
+	now := time.Unix(1_800_000_000, 0) // advances so slowly that no event is summed up, however fast the machine is
 	peers := fakePeers{}
 	logs := map[model.VMID]*event.Log{}
 	for id, ring := range map[model.VMID]int{"own": 10, "long": events, "short": 5} {
-		logs[id] = event.NewLog(event.LogOptions{VM: id, RingEntries: ring})
+		logs[id] = event.NewLog(event.LogOptions{VM: id, RingEntries: ring, Now: func() time.Time { return now }})
 		Register(addressRegistry{peers, string(id)}, logs[id])
 	}
 	for range events {
+		now = now.Add(10 * time.Millisecond)
 		logs["long"].Record(event.PeerDrained, "x")
 		logs["short"].Record(event.PeerDrained, "x")
 	}
