dispatch: a machine whose maintenance is rejected stays in use

What callers would see: a worker whose machine answers a maintenance command with 400 or `wave` got no runs any more, although it stayed in the list.

Cause: the rejection was handled like a confirmation, so the worker's life counted as ended until another one followed.

Change: a rejected command ends no life.

Evidence: TestMachineWhoseMaintenanceIsRejectedIsUsed fails before in all four cases ("nothing is started on the machine"), also with another owner in between, and passes.

--- a/internal/dispatch/wave.go
+++ b/internal/dispatch/wave.go
@@ -376,7 +376,8 @@
 	case reason == fleet.RejectedStaleFence:
 		d.lostOwnership = true
 	case reason == fleet.RejectedInvalid, reason == fleet.RejectedWave:
-		m.phase = machineConfirmed // the machine does not exist any more, or its maintenance is not requested
+		m.phase, m.worker = machineConfirmed, nil // the machine does not exist any more, or its maintenance is not requested
+		d.markRetired()
 		d.markWaveDirty(v)
 	case reason == fleet.RejectedMachineBusy:
 		m.retryAt = now + busyRetryDelay
