--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -64,7 +64,7 @@
 			break
 		}
 		if !d.startWaiting(now, t, w) {
-			break
+			return true
 		}
 	}
 	d.placeSuspects(now, s, suspects, withinShare)
