dispatch: what is known of a possible crash in one type

Cause: exposeRun took eight arguments, three of them bools.

Change: crashSigns names them; no change of behaviour.

Measured: the package's tests pass.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -126,39 +126,51 @@
 	case watched:
 		isEarly = (*run).onProbation
 	}
-	suspects := 0
+	signs := crashSigns{at: crashedAt, connectionLost: connectionLostAt != 0, prompt: prompt}
 	for _, r := range runs {
 		if isEarly(r) {
-			suspects++
+			signs.suspects++
 		}
 	}
 	if w.crashExplained = prompt || watched; w.crashExplained {
 		runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !isEarly(r) })
 	}
+	signs.together = len(runs)
 	for _, r := range runs {
-		d.exposeRun(now, crashedAt, r, isEarly(r), prompt, suspects, len(runs), connectionLostAt != 0)
+		d.exposeRun(now, r, isEarly(r), signs)
 	}
 }
 
 // leaving reports whether the worker is expected to end.
 func (w *worker) leaving() bool { return w.entry.Draining || w.retired || w.vacating }
 
-// exposeRun records that a run's worker may have crashed at the given time. Older runs than crashWindow, and gangs that did
-// not just begin, are not counted.
-func (d *Dispatcher) exposeRun(now, crashedAt time.Duration, r *run, early, prompt bool, suspects, together int, connectionLost bool) {
+// crashSigns is what is known of a possible crash of a worker.
+type crashSigns struct {
+	at             time.Duration // the earliest time of the crash; the time itself if the connection was lost
+	connectionLost bool
+	prompt         bool // the connection was lost, and runs had begun less than promptCrash before
+	suspects       int  // runs that are suspected
+	together       int  // runs that are counted
+}
+
+// exposeRun records that a run's worker may have crashed. Older runs than crashWindow, and gangs that did not just begin,
+// are not counted.
+func (d *Dispatcher) exposeRun(now time.Duration, r *run, early bool, signs crashSigns) {
 	j := r.task.step.job
-	if r.exposed || r.released || j.closed() || crashedAt-r.startSentAt >= crashWindow || r.task.step.def.Gang && !early {
+	age := signs.at - r.startSentAt
+	if r.exposed || r.released || j.closed() || age >= crashWindow || r.task.step.def.Gang && !early {
 		return
 	}
 	r.exposed = true
 	e := &exposure{
 		task: r.task, worker: r.worker, incarnation: r.worker.incarnation, run: r.id.Run, origin: r, since: now,
-		connectionLost: connectionLost,
-		isolated:       suspects <= 1 && (r.isolated && prompt || r.watchedAlone()), early: early, together: together, decisive: prompt && crashedAt-r.startSentAt < decisiveCrash && !d.crashesRepeatedly(now, r.worker), confirmed: r.confirmedAt != 0,
+		early: early, confirmed: r.confirmedAt != 0, connectionLost: signs.connectionLost, together: signs.together,
+		isolated: signs.suspects <= 1 && (r.isolated && signs.prompt || r.watchedAlone()),
+		decisive: signs.prompt && age < decisiveCrash && !d.crashesRepeatedly(now, r.worker),
 	}
 	d.addExposure(e)
 	if e.early {
-		r.task.history.suspects = suspects
+		r.task.history.suspects = signs.suspects
 		d.markDirty(j)
 	}
 }
