dispatch: possible crashes do not fail a submission at the fourth

What callers saw, in a simulated history (): a submission was shown as failed after one crash under its task and three starts that had got no response.

Cause: the limit of four crashes soon after a start, which came with the groups, counted possible ones.

Change: it counts certain ones only; five with possible ones fail a submission as before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,7 +30,7 @@
 	promptCrash = 150 * time.Millisecond
 	// maxCrashes is the number of crashes in a row, with possible ones, that fails the submission in any case.
 	maxCrashes = 5
-	// maxEarlyCrashes is the same if all of them came soon after a start, so that the task was suspected in each.
+	// maxEarlyCrashes is the same without possible ones, if all of them came soon after a start, so that the task was suspected in each.
 	maxEarlyCrashes = 4
 	// maxGangCrashes is the same for a gang, as runs shortly after whose start a worker of a member crashed. A gang is not
 	// isolated, so crashes under it may well be caused by others, and one may not have been counted.
@@ -255,11 +255,8 @@
 	if e.decisive && h.crashes-h.doubtful >= crashesToFail {
 		limit = crashesToFail
 	}
-	limitInAll := maxCrashes
-	if !h.lateCrash {
-		limitInAll = maxEarlyCrashes
-	}
-	if e.isolated && e.confirmed && h.crashes >= limit || h.crashes+h.possible >= limitInAll {
+	tooMany := h.crashes+h.possible >= maxCrashes || !h.lateCrash && h.crashes >= maxEarlyCrashes
+	if e.isolated && e.confirmed && h.crashes >= limit || tooMany {
 		d.finishJob(now, j, fleet.StateFailed, fmt.Sprintf("task %v crashed %d workers", t.id(), h.crashes+h.possible))
 	}
 }
--- a/internal/dispatch/crash_simulation_test.go
+++ b/internal/dispatch/crash_simulation_test.go
@@ -67,7 +67,10 @@
 // restart or are cut off, and messages are lost. Such a task must be given up, and no task under which fewer than two workers
 // have crashed, whatever the owners assumed.
 func TestSimulatedHistoriesOfCrashingTasks(t *testing.T) {
-	seeds := []uint64{1000007, 1000021, 1000128, 1000444, 1000557} // a run had ended unseen before its worker crashed, and counted as crashed
+	seeds := []uint64{
+		1000007, 1000021, 1000128, 1000444, 1000557, // a run had ended unseen before its worker crashed, and counted as crashed
+		1000413, // three starts without a response, and one crash
+	}
 	first := seedFromEnvironment(proptest.SeedVariable, 1) * 1_000_000
 	for i := range seedFromEnvironment(proptest.ChecksVariable, 30) {
 		seeds = append(seeds, first+i)
