ingress: clients' connections and heads within the memory and descriptors of the machine

What callers saw: a process that ran out of memory, or of descriptors for its workers, the store and its peers. Cause: net/http reads up to 1 MB of a head for each connection and takes several times that while it parses it; the kernel holds up to 6 MB of each connection that is not read; the number of connections and the time to write a response had no bound. Change: package ingress guards each HTTP listener of a VM. From memory-mb and max-fds it derives the number of connections and the memory of heads. What a head takes is reserved as it arrives. If connections or memory are used up, those that have held most for longest give way, and never one whose request is complete. The head's limit is max-header-bytes of the configuration. Refusals are counted by reason and listener, and recorded at most once a second. Why it works: every byte that a client can make the process hold is reserved before it is held, at every listener. Single legal requests are answered as before.

--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -320,6 +320,12 @@
 		Keys:    []string{"why", "error"}})
 )
 
+// ClientsRefused is recorded at most once a second for each listener, see package ingress.
+var ClientsRefused = Define(Definition{ID: 1212, Name: "clients-refused", Level: Warn,
+	Summary: "Clients were refused or their connections closed, since the last such event of the listener: for lack of connections or of memory for clients, for a head over the limit, for a body that did not arrive in time.",
+	Action:  "See docs/OPERATIONS.md, \"A crowd or load\".",
+	Keys:    []string{"listener", "connections", "memory", "head", "slow"}})
+
 // PeerAcceptFailed is recorded when a VM lacks the resources to accept a connection from another VM.
 var PeerAcceptFailed = Define(Definition{ID: 6006, Name: "peer-exhausted", Level: Warn,
 	Summary: "A connection from another VM could not be accepted for lack of file descriptors or memory; accepting is retried.",
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -10,6 +10,8 @@
 	Version int64
 	Queues  []Queue
 	MaxBody int64 // maximum size of a submission's body in bytes
+	// MaxHeader is the maximum size of a request's head in bytes; 0: not set.
+	MaxHeader int64
 	// Accounts are the client accounts; nil: requests need no API key.
 	Accounts *Accounts
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -13,6 +13,7 @@
 	"filbertcross/internal/dispatch"
 	"filbertcross/internal/entry"
 	"filbertcross/internal/event"
+	"filbertcross/internal/ingress"
 	"filbertcross/internal/model"
 	"filbertcross/internal/owner"
 	"filbertcross/internal/peer"
@@ -62,6 +63,7 @@
 		Name:           s.NodeName,
 		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.PortRange[0])),
 		CallerAddress:  s.Listen.CallerAddress,
+		CallerLimits:   ingress.LimitsFor(s.Limits.MemoryMB*mebibyte, s.Limits.MaxDescriptors),
 		ReadyAddress:   s.Listen.ReadinessAddress,
 		ReadyPath:      platform.ReadinessPath,
 		MetricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(process.MetricsPort)),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"filbertcross/internal/entry"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/ingress"
 	"filbertcross/internal/owner"
 	"filbertcross/internal/pause"
 	"filbertcross/internal/peer"
@@ -31,6 +32,7 @@
 	balancerNoticeTime      = 2200 * time.Millisecond // the entry balancer checks every second and removes a VM after two failed checks
 	exitReserve             = 600 * time.Millisecond  // part of the shutdown grace time, left for the process to exit
 	connectionCheckInterval = 20 * time.Millisecond
+	defaultMaxHeader        = 16 << 10 // bytes of a request's head, unless the configuration sets a limit
 )
 
 // Options are the dependencies and settings of a Node.
@@ -38,6 +40,7 @@
 	Name           string
 	PeerAddress    string
 	CallerAddress  string
+	CallerLimits   ingress.Limits // of the clients at CallerAddress together
 	ReadyAddress   string
 	ReadyPath      string
 	MetricsAddress string
@@ -119,10 +122,11 @@
 // Run serves until ctx is done or a server fails, then shuts down within the grace time. It returns
 // the error of the failed server.
 func (n *Node) Run(ctx context.Context) error {
-	servers := []*http.Server{
-		n.newServer(n.opts.CallerAddress, entry.NewHandler(n.opts.Format, n.opts.AgeLimits, n, n.storeHealth, relayCommitter{n}, n.opts.Events, n.opts.Scope)),
-		n.newServer(n.opts.ReadyAddress, http.HandlerFunc(n.serveReady)),
-		n.newServer(n.opts.MetricsAddress, n.opts.MetricsHandler),
+	callers := entry.NewHandler(n.opts.Format, n.opts.AgeLimits, n, n.storeHealth, relayCommitter{n}, n.opts.Events, n.opts.Scope)
+	servers := []*guardedServer{
+		n.newServer("callers", n.opts.CallerAddress, n.opts.CallerLimits, callers),
+		n.newServer("readiness", n.opts.ReadyAddress, ingress.AuxiliaryLimits(), http.HandlerFunc(n.serveReady)),
+		n.newServer("metrics", n.opts.MetricsAddress, ingress.AuxiliaryLimits(), n.opts.MetricsHandler),
 	}
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
@@ -134,7 +138,7 @@
 	group.Go(func() error { return n.opts.PeerServer.Serve(groupCtx, listener) })
 	var listeners []net.Listener
 	for _, s := range servers {
-		l, err := net.Listen("tcp", s.Addr)
+		l, err := s.guard.Listen(s.Addr)
 		if err != nil {
 			return errors.Wrap(err, "listener")
 		}
@@ -158,10 +162,29 @@
 	return group.Wait()
 }
 
-func (n *Node) newServer(address string, handler http.Handler) *http.Server {
+// guardedServer is an HTTP server whose clients are bounded.
+type guardedServer struct {
+	http.Server
+	guard *ingress.Guard
+}
+
+func (n *Node) newServer(name, address string, limits ingress.Limits, handler http.Handler) *guardedServer {
 	chain := negroni.New(negroni.NewRecovery())
 	chain.UseHandler(handler)
-	return &http.Server{Addr: address, Handler: chain, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: n.countConnection}
+	s := &guardedServer{guard: ingress.NewGuard(ingress.Options{
+		Name: name, Limits: limits, HeaderBytes: n.maxHeaderBytes, Events: n.opts.Events, Scope: n.opts.Scope,
+	})}
+	s.Addr, s.Handler, s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = address, chain, headerTimeout, idleTimeout, n.countConnection
+	s.guard.Install(&s.Server)
+	return s
+}
+
+// maxHeaderBytes returns the maximum size of a request's head in bytes, from the configuration.
+func (n *Node) maxHeaderBytes() int64 {
+	if conf := n.Configuration(); conf != nil && conf.MaxHeader > 0 {
+		return conf.MaxHeader
+	}
+	return defaultMaxHeader
 }
 
 // countConnection counts the open connections of all servers.
@@ -178,7 +201,7 @@
 // flight. Until the process exits, this VM makes calls for placement advice on behalf of the owner. Responses request
 // that callers close their connections; idle connections are closed from here only at the end of
 // the grace time, as a request may be in transit.
-func (n *Node) shutDown(servers []*http.Server, listeners []net.Listener) {
+func (n *Node) shutDown(servers []*guardedServer, listeners []net.Listener) {
 	start := time.Now()
 	n.opts.Events.Record(event.NodeStopping, n.opts.ShutdownGrace)
 	n.stopping.Store(true)
