entry: bodies that do not end hold no memory that others need

What callers saw: a process that ran out of memory while clients sent bodies of legal size and stopped short of their end. Cause: io.ReadAll doubles its buffer for each body, whatever all others hold, and no time ends the reading. Change: ingress.ReadBody reserves the declared size, or what a chunked body has reached, before it allocates. If the memory is used up, the requests whose memory times age is largest give way with 503; one below 250 ms of age does not. The rest waits for up to 1 s and is then answered 503 without having been read. A body that has not arrived when its client stops waiting is answered 503, as its submission was before. Why it works: what holds a reservation either progresses or gives way, so neither the memory nor an ordinary caller depends on the crowd.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"filbertcross/internal/admission"
 	"filbertcross/internal/event"
 	"filbertcross/internal/fleet"
+	"filbertcross/internal/ingress"
 	"filbertcross/internal/owner"
 	"filbertcross/internal/verdict"
 )
@@ -140,7 +141,11 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := ingress.ReadBody(ctx, r, limit)
+	if errors.IsAny(err, ingress.ErrOverloaded, ingress.ErrTimeout) {
+		w.Header().Set("Connection", "close")
+		return h.reject(w, r, id, http.StatusServiceUnavailable, "not read", err)
+	}
 	if err != nil {
 		h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
 		return writeResponse(w, http.StatusBadRequest, []byte(`{"error":"the body cannot be read or is too long"}`))
