platform: a body takes a bounded memory while it is decoded

Cause: the number of steps was checked after all of them had been decoded, in a list that grew; nothing bounded the bodies that were decoded at the same time. The handler reserves what the body may take until it is stored, from its length and the number of its objects and elements, before it decodes it.

--- a/internal/entry/account_test.go
+++ b/internal/entry/account_test.go
@@ -44,6 +44,7 @@
 	format := Format{
 		DeadlineHeader: "Deadline-Ms", KeyHeader: "X-Api-Key", ValidID: func(string) bool { return true },
 		ParseSubmission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
+		DecodedSize:     func(body []byte) int64 { return int64(len(body)) },
 		FormatStatus:    func(fleet.Status) ([]byte, error) { return []byte("{}"), nil },
 	}
 	h := NewHandler(format, testLimits, view, store, nil, events, tally.NoopScope)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -32,6 +32,7 @@
 	KeyHeader         string // name of the header with the API key
 	ValidID           func(id string) bool
 	ParseSubmission   func(id string, body []byte) (fleet.Submission, error)
+	DecodedSize       func(body []byte) int64 // bytes of memory that a submission takes at most until it is stored
 	FormatStatus      func(fleet.Status) ([]byte, error)
 	FormatQueueLength func(int) ([]byte, error)
 }
@@ -142,6 +143,9 @@
 		limit = defaultMaxBody
 	}
 	body, err := ingress.ReadBody(ctx, r, limit)
+	if err == nil {
+		err = ingress.ReserveDecoding(r, h.format.DecodedSize(body))
+	}
 	if errors.IsAny(err, ingress.ErrOverloaded, ingress.ErrTimeout) {
 		w.Header().Set("Connection", "close")
 		return h.reject(w, r, id, http.StatusServiceUnavailable, "not read", err)
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -36,6 +36,7 @@
 	format := Format{
 		DeadlineHeader: "Deadline-Ms", ValidID: func(string) bool { return true },
 		ParseSubmission: func(id string, _ []byte) (fleet.Submission, error) { return fleet.Submission{ID: fleet.JobID(id)}, nil },
+		DecodedSize:     func(body []byte) int64 { return int64(len(body)) },
 	}
 	for want, respond := range map[int]func(context.Context, int) error{
 		http.StatusServiceUnavailable: func(context.Context, int) error { return errNotRun },
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -79,7 +79,7 @@
 		PeerClient:     peer.NewClient(peers, events),
 		Format: entry.Format{
 			DeadlineHeader: platform.DeadlineHeader, KeyHeader: platform.APIKeyHeader, ValidID: platform.ValidJobID, ParseSubmission: platform.ParseSubmission,
-			FormatStatus: platform.FormatStatus, FormatQueueLength: platform.FormatQueueLength,
+			DecodedSize: platform.DecodedSize, FormatStatus: platform.FormatStatus, FormatQueueLength: platform.FormatQueueLength,
 		},
 		AgeLimits: entry.AgeLimits{
 			Reject: platform.Milliseconds(s.Bounds.ConfigApplyMS),
