entry: a body that is not read is answered 504, not 503

What callers saw: 503 for a submission sent again, whose body was not read for lack of memory, though an earlier request with the same id had been stored and its response lost. Status 503 says that the submission never runs. Change: such a request is answered 504 with Retry-After, which makes no promise; a head for which there is no memory gets no response. Asking the owner and the store for each of them would have let a crowd use up the store's rate of reads.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -147,8 +147,9 @@
 		err = ingress.ReserveDecoding(r, h.format.DecodedSize(body))
 	}
 	if errors.IsAny(err, ingress.ErrOverloaded, ingress.ErrTimeout) {
+		// Nothing of this request was stored, but an earlier one with this id may have been.
 		w.Header().Set("Connection", "close")
-		return h.reject(w, r, id, http.StatusServiceUnavailable, "not read", err)
+		return h.reject(w, r, id, http.StatusGatewayTimeout, "not read", err)
 	}
 	if err != nil {
 		h.events.Record(event.SubmissionInvalid, id, queue.Name, err)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -62,21 +62,18 @@
 	c.headLines += int64(bytes.Count(p[:n], []byte{'\n'}))
 	if c.headBytes > c.guard.opts.HeaderBytes()+headSlack {
 		c.guard.refused.add(reasonHead)
-		c.refuse("431 Request Header Fields Too Large", "")
-		return 0, io.EOF // the server closes the connection without a further response
+		_, _ = io.WriteString(c, headTooLarge) // the client may be gone
+		return 0, io.EOF                       // the server closes the connection without a further response
 	}
 	if !c.reserveHead() {
 		c.guard.refused.add(reasonMemory)
-		c.refuse("503 Service Unavailable", "Retry-After: 1\r\n")
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// refuse sends a response to a request whose head is not complete; header lines end with their line end.
-func (c *conn) refuse(status, header string) {
-	_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nConnection: close\r\n"+header+"Content-Length: 0\r\n\r\n") // the client may be gone
-}
+// headTooLarge is the response to a request whose head is over the limit.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // reserveHead reserves memory for the head as it has arrived so far.
 func (c *conn) reserveHead() bool {
