owner: the memory of accepted submissions is bounded

What callers saw: an owner that used 409 MB of 80 MB after 10 s of valid submissions of the largest size that do not end. Cause: the owner holds every submission that any VM has accepted, whatever its size; a finished one kept its steps for two minutes. Change: the owner counts what the submissions take, and tells each VM with its polls what its callers may add: a part of a fifth of the owner's memory. Submissions above 64 KiB may fill half of that, so that usual ones are accepted beside them. Beyond it a VM refuses a submission with 503 before it is stored, unless it is stored already. The steps of a finished submission are released once its compacted form is stored. Why it works: no VM accepts more than its part of what is left, counted as if the last report were still unseen; while less than a quarter is held, each VM may exceed its part by one submission per report.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,8 +1,10 @@
 package crowd
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,12 +16,15 @@
 
 // Size of a crowd, and limits of the callers' API.
 const (
-	crowdSize      = 400
-	maxBodyBytes   = 262_144
-	endlessBytes   = 4 * mebibyte // that a client sends of what has no end
-	sendTimeout    = 20 * time.Second
-	dwellTime      = 2 * time.Second // for which the process is observed once the clients have sent everything
-	returnsPerSeat = 4               // connections that a client opens, one after another, if it returns
+	crowdSize    = 400
+	maxBodyBytes = 262_144
+	endlessBytes = 4 * mebibyte // that a client sends of what has no end
+	sendTimeout  = 20 * time.Second
+	dwellTime    = 2 * time.Second // for which the process is observed once the clients have sent everything
+	// persistentClients and persistTime are those of clients that submit without end.
+	persistentClients = 20
+	persistTime       = 10 * time.Second
+	returnsPerSeat    = 4 // connections that a client opens, one after another, if it returns
 )
 
 // client is one client of a crowd: it sends what it has to say on a connection and reads nothing.
@@ -55,6 +60,39 @@
 	crowd.Wait()
 }
 
+// persist runs a crowd whose clients send requests, one after another, for a time, each until it is accepted.
+func persist(t *testing.T, address string, request func() string) {
+	t.Helper()
+	end := time.Now().Add(persistTime)
+	var crowd sync.WaitGroup
+	for range persistentClients {
+		crowd.Go(func() {
+			for time.Now().Before(end) {
+				text := request()
+				for !sendAccepted(address, text) && time.Now().Before(end) {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	crowd.Wait()
+}
+
+// sendAccepted sends a request on a new connection and reports whether it was accepted.
+func sendAccepted(address, text string) bool {
+	conn, err := net.DialTimeout("tcp", address, sendTimeout)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(sendTimeout))
+	if err := send(conn, text); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
 // visit opens one connection and lets the client act on it; nil: the server did not accept it.
 func visit(t *testing.T, address string, act client) net.Conn {
 	conn, err := net.DialTimeout("tcp", address, sendTimeout)
--- a/internal/crowd/withstand_test.go
+++ b/internal/crowd/withstand_test.go
@@ -232,6 +232,15 @@
 	withstand(t, func(conn net.Conn) error { return send(conn, postHeadWithLength(len(body))+body) })
 }
 
+// Valid submissions of the largest size that come back until they are accepted, and never end.
+func TestLargestSubmissionsWithoutEnd(t *testing.T) {
+	body := largestValidBody()
+	v := startVM(t)
+	persist(t, v.front, func() string { return postHeadWithLength(len(body)) + body })
+	v.requireAnswer("after the crowd")
+	v.requireReady("after the crowd")
+}
+
 func TestStalledLargeChunks(t *testing.T) {
 	body := chunked(legalBody(), maxBodyBytes)
 	withstand(t, func(conn net.Conn) error {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -198,7 +198,8 @@
 	if d.jobs[sub.ID] != nil {
 		return false
 	}
-	j := &job{sub: sub, revision: revision, state: fleet.StatePending, durableState: fleet.StatePending, arrivedAt: now - age}
+	j := &job{revision: revision, state: fleet.StatePending, durableState: fleet.StatePending, arrivedAt: now - age}
+	j.setSubmission(sub)
 	d.jobs[sub.ID] = j
 	d.setQueue(j)
 	if j.account = d.accountOf(sub); j.account != nil {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -70,7 +70,10 @@
 
 // job is a submission and its progress.
 type job struct {
-	sub          *fleet.Submission
+	sub *fleet.Submission
+	// definitionBytes and occurrenceBytes are about the memory of sub and of each occurrence.
+	definitionBytes, occurrenceBytes int64
+
 	revision     int64 // store revision at which it was accepted
 	state        fleet.State
 	durableState fleet.State // the final state once it is durable, before that not final
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -183,6 +183,7 @@
 		case rec.Compacted != nil:
 			if ok {
 				rec.job.occurrences = nil // a late report finds its job closed
+				rec.job.setSubmission(rec.Compacted)
 			} else {
 				d.queueCompaction(now, rec.job)
 			}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -51,6 +51,8 @@
 	// AdmitSubmission counts a submission of the stream and reports whether it is within the limit of
 	// the stream at this VM. If not, retryAfter is the time until the next one will be.
 	AdmitSubmission(stream admission.Stream) (retryAfter time.Duration, admitted bool)
+	// AdmitMemory counts a submission and reports whether the owner has memory for it.
+	AdmitMemory(sub *fleet.Submission) bool
 	// NotifyStored notifies the owner of an intake item that was written at a revision.
 	NotifyStored(w fleet.Write, revision int64)
 	// Stopping reports whether connections must be closed after the response.
@@ -173,6 +175,9 @@
 			return h.refuseBeyondRate(w, &sub, retryAfter)
 		}
 	}
+	if !h.view.AdmitMemory(&sub) && !h.mayBeStored(ctx, sub.ID) {
+		return h.refuseForMemory(w, &sub)
+	}
 	txn, err := owner.SubmissionTxn(&sub)
 	if err != nil {
 		return h.reject(w, r, id, http.StatusInternalServerError, "encode", err)
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -27,6 +27,7 @@
 }
 func (fakeView) QueueLength(string) (int, bool)                         { return 0, false }
 func (fakeView) AdmitSubmission(admission.Stream) (time.Duration, bool) { return 0, true }
+func (fakeView) AdmitMemory(*fleet.Submission) bool                     { return true }
 func (fakeView) NotifyStored(fleet.Write, int64)                        {}
 func (fakeView) Stopping() bool                                         { return false }
 
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -46,6 +46,18 @@
 	return writeResponse(w, http.StatusTooManyRequests, nil)
 }
 
+// refuseForMemory refuses a submission that the owner has no memory for, before anything is stored.
+func (h *Handler) refuseForMemory(w http.ResponseWriter, sub *fleet.Submission) int {
+	seconds := retrySeconds(string(sub.ID), memoryRetryAfter)
+	h.events.Record(event.SubmissionRefused, sub.ID, sub.Account, sub.Queue, "the owner has no memory for more submissions", memoryRetryAfter, seconds)
+	h.scope.Tagged(map[string]string{"reason": "memory"}).Counter("submissions_refused").Inc(1)
+	w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	return writeResponse(w, http.StatusServiceUnavailable, nil)
+}
+
+// memoryRetryAfter is the time in which some submissions end.
+const memoryRetryAfter = 2 * time.Second
+
 // retrySeconds returns the value of Retry-After, in whole seconds: at least the given time, and up to
 // twice as much by the submission's id, so that refused callers do not return together.
 func retrySeconds(id string, after time.Duration) int {
--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -255,8 +255,8 @@
 		Action:  "Compare the path and the account's keys with the operators' configuration of that version.",
 		Keys:    []string{"method", "host", "path", "configuration", "age", "status", "reason"}})
 	SubmissionRefused = Define(Definition{ID: 4107, Name: "submission-refused", Level: Info,
-		Summary: "A submission was refused with status 429 before anything was stored; it never runs.",
-		Action:  "Compare the account's rate, its weight in the configuration, with what it sends.",
+		Summary: "A submission was refused before anything was stored, with status 429 beyond its account's rate, or with 503 if the owner has no memory for it; it never runs.",
+		Action:  "Beyond the rate, compare the account's weight in the configuration with what it sends. For lack of memory, look for submissions that are large or do not end; otherwise use larger VMs.",
 		Keys:    []string{"submission", "account", "queue", "reason", "after", "retry_after_s"}})
 	SubmissionIDTaken = Define(Definition{ID: 4106, Name: "submission-id-taken", Level: Warn,
 		Summary: "A submission was rejected because another account has handed in one with its id.",
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -26,6 +26,8 @@
 	memoryLimitFraction = 0.7              // of the machine's memory, above which the garbage collector works harder
 	retentionMargin     = 10 * time.Second // the platform counts the retention from the end as it saw it
 	mebibyte            = 1 << 20
+	submissionDivisor   = 5                      // of the machine's memory, for the submissions that an owner holds
+	minSubmissionMemory = 16 << 20               // bytes
 	peerStallTimeout    = 800 * time.Millisecond // a connection to a VM without responses is closed after this
 	peerDialTimeout     = 500 * time.Millisecond
 	runLease            = 3500 * time.Millisecond // outlasts a change of owner (about 2 s) after a renewal that is up to 0.9 s old
@@ -68,15 +70,17 @@
 		ReadyPath:      platform.ReadinessPath,
 		MetricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(process.MetricsPort)),
 		ShutdownGrace:  seconds(s.Bounds.GraceS),
-		ElectionDelay:  electionDelay(s.Limits.CPUShare*max(s.Limits.CPUCores, 1), s.Limits.LinkMbps),
-		Incarnation:    uuid.NewString(),
-		Store:          store,
-		AdviceClient:   platform.NewAdviceClient(s.AdviceAddress),
-		Events:         events,
-		Scope:          metrics.Scope,
-		MetricsHandler: metrics.Handler,
-		PeerServer:     peer.NewServer(peers, events),
-		PeerClient:     peer.NewClient(peers, events),
+
+		SubmissionMemory: submissionMemory(s.Limits.MemoryMB * mebibyte),
+		ElectionDelay:    electionDelay(s.Limits.CPUShare*max(s.Limits.CPUCores, 1), s.Limits.LinkMbps),
+		Incarnation:      uuid.NewString(),
+		Store:            store,
+		AdviceClient:     platform.NewAdviceClient(s.AdviceAddress),
+		Events:           events,
+		Scope:            metrics.Scope,
+		MetricsHandler:   metrics.Handler,
+		PeerServer:       peer.NewServer(peers, events),
+		PeerClient:       peer.NewClient(peers, events),
 		Format: entry.Format{
 			DeadlineHeader: platform.DeadlineHeader, KeyHeader: platform.APIKeyHeader, ValidID: platform.ValidJobID, ParseSubmission: platform.ParseSubmission,
 			DecodedSize: platform.DecodedSize, FormatStatus: platform.FormatStatus, FormatQueueLength: platform.FormatQueueLength,
@@ -113,6 +117,9 @@
 	}), log, metrics
 }
 
+// submissionMemory returns what the submissions may take on a machine with the given memory, in bytes.
+func submissionMemory(memory int64) int64 { return max(memory/submissionDivisor, minSubmissionMemory) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // electionDelay returns how long a VM waits before it campaigns, so that larger VMs are elected
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -288,6 +288,9 @@
 		return reply, err
 	}
 	n.gate.SetLimits(reply.Limits, n.opts.Owner.Clock())
+	if reply.Room != nil {
+		n.room.Set(*reply.Room)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -57,6 +57,9 @@
 	Peers        []string       `json:"peers"`
 	// Limits are the follower's parts of the limits of streams.
 	Limits map[admission.Stream]admission.Limit `json:"limits,omitempty"`
+	// Room is the follower's part of the memory that the owner has left for submissions; nil: not said by an
+	// earlier release.
+	Room *admission.Room `json:"room,omitempty"`
 }
 
 type stateRequest struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,18 +45,20 @@
 	ReadyPath      string
 	MetricsAddress string
 	ShutdownGrace  time.Duration
-	ElectionDelay  time.Duration // before this VM campaigns; longer for small VMs
-	Incarnation    string
-	Store          fleet.Store
-	AdviceClient   fleet.AdviceClient
-	Owner          owner.Options // New sets Advice, PreviousOwner, Successor and Configuration
-	Format         entry.Format
-	AgeLimits      entry.AgeLimits // of the configuration by which callers are answered
-	Events         event.Recorder
-	Scope          tally.Scope
-	MetricsHandler http.Handler
-	PeerServer     *peer.Server
-	PeerClient     peer.Caller
+	// SubmissionMemory is what the submissions may take in bytes while this VM is the owner.
+	SubmissionMemory int64
+	ElectionDelay    time.Duration // before this VM campaigns; longer for small VMs
+	Incarnation      string
+	Store            fleet.Store
+	AdviceClient     fleet.AdviceClient
+	Owner            owner.Options // New sets Advice, PreviousOwner, Successor and Configuration
+	Format           entry.Format
+	AgeLimits        entry.AgeLimits // of the configuration by which callers are answered
+	Events           event.Recorder
+	Scope            tally.Scope
+	MetricsHandler   http.Handler
+	PeerServer       *peer.Server
+	PeerClient       peer.Caller
 }
 
 // Node is the process of an entry VM. The fields below mu are guarded by it. The exported methods
@@ -90,6 +92,7 @@
 	sender               transfer.Sender // of the configuration to followers
 	gate                 admission.Gate  // of the submissions that arrive at this VM
 	divider              admission.Divider
+	room                 admission.RoomGate // for submissions that arrive at this VM
 
 	mu             sync.Mutex
 	ownerAddress   string             // peer address of the owner that this VM follows; "": none
@@ -106,6 +109,7 @@
 // New returns a node. It registers the handlers of the calls between VMs at opts.PeerServer.
 func New(opts Options) *Node {
 	n := &Node{opts: opts, started: opts.Owner.Clock(), configurations: newConfigurationCache(opts.Owner.Codec.Configuration, opts.Events, opts.Scope)}
+	n.room.Set(admission.PartOfRoom(opts.SubmissionMemory, 0, 1)) // until an owner reports
 	n.configReadSuperseded = make(chan struct{}, 1)
 	n.storeReads = newReadSeries(sourceStore, opts.Events, opts.Scope)
 	n.ownerReads = newReadSeries(sourceOwner, opts.Events, opts.Scope)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -94,6 +94,8 @@
 	reply := attachResponse{Fence: o.Fence(), Suspended: !o.HoldsLease(), QueueLengths: load.QueueLengths, Limits: n.partsOfLimits(r.Address, load), Peers: append(n.advisors.followers(), n.opts.PeerAddress)}
 	reply.OperatorRevision, reply.ConfigurationAge = n.operatorRevision.Load(), n.ConfigurationAge() // before the version, which is at least as new
 	reply.Held = n.opts.Owner.Clock() - arrived
+	room := n.partOfRoom(load)
+	reply.Room = &room
 	version, raw := n.configurations.activeBytes()
 	reply.ConfigurationVersion = version
 	if !r.AcceptsChunks && version > r.Configuration {
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -36,12 +36,13 @@
 type Load struct {
 	QueueLengths map[string]int            // by queue, the number of submissions of which no task has started
 	Overdue      map[admission.Stream]bool // see dispatch.Dispatcher.OverdueStreams
+	HeldBytes    int64                     // of memory that the submissions take
 }
 
 // Load returns the current load.
 func (o *Owner) Load(ctx context.Context) (Load, error) {
 	return queryLoop(ctx, o, func(now time.Duration) Load {
-		return Load{o.dispatcher.QueueLengths(), o.dispatcher.OverdueStreams(now)}
+		return Load{o.dispatcher.QueueLengths(), o.dispatcher.OverdueStreams(now), o.dispatcher.HeldBytes()}
 	})
 }
 
