peer: connections that are not of VMs hold no memory or descriptors that others need

Cause: the server allocated what the length of a frame announces, up to 4 MiB, before it arrived, and kept connections that send nothing. The buffer of a frame grows with what has arrived.

--- a/internal/crowd/vm_test.go
+++ b/internal/crowd/vm_test.go
@@ -35,16 +35,16 @@
 	callTimeout    = 3200 * time.Millisecond
 )
 
-// binary is the path of the program, built without the race detector.
-var binary string
+// program is the path of the program, built without the race detector.
+var program string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "crowd")
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "filbertcross")
-	build := exec.Command("go", "build", "-o", binary, "filbertcross/cmd/filbertcross")
+	program = filepath.Join(dir, "filbertcross")
+	build := exec.Command("go", "build", "-o", program, "filbertcross/cmd/filbertcross")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -57,7 +57,8 @@
 // vm is the process under test. It is the only entry VM, so it is the owner too.
 type vm struct {
 	t                           *testing.T
-	front, readiness, metrics   string // addresses
+	front, readiness            string // addresses
+	metrics, peers              string
 	pid                         int
 	exited                      chan struct{} // closed when the process has ended
 	peakMemory, peakDescriptors atomic.Int64  // bytes, sockets
@@ -76,7 +77,7 @@
 	const ip = "127.9.0.1"
 	ports := freePorts(t, ip, 4)
 	v := &vm{t: t, exited: make(chan struct{}), logPath: filepath.Join(t.TempDir(), "log"),
-		front: address(ip, ports[0]), readiness: address(ip, ports[1]), metrics: address(ip, ports[2])}
+		front: address(ip, ports[0]), readiness: address(ip, ports[1]), metrics: address(ip, ports[2]), peers: address(ip, ports[3])}
 	settings := strings.Replace(p.SettingsFile("vm-0", ip, v.front, v.readiness, ports[3]),
 		"memory-mb = 284", fmt.Sprintf("memory-mb = %d\nmax-fds = %d", memoryMB, maxDescriptors), 1)
 	path := filepath.Join(t.TempDir(), "settings.toml")
@@ -88,7 +89,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = log.Close() })
-	cmd := exec.Command(binary, "node", "--metrics-port", strconv.Itoa(ports[2]))
+	cmd := exec.Command(program, "node", "--metrics-port", strconv.Itoa(ports[2]))
 	cmd.Env = append(os.Environ(), platform.SettingsPathEnv+"="+path)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -114,7 +115,7 @@
 
 func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// freePorts returns n different free ports, followed by a free one each.
+// freePorts returns n different free ports.
 func freePorts(t *testing.T, ip string, n int) []int {
 	t.Helper()
 	var ports []int
@@ -195,7 +196,7 @@
 	if err != nil {
 		return 0
 	}
-	local := map[string]bool{socketAddress(v.front): true, socketAddress(v.readiness): true, socketAddress(v.metrics): true}
+	local := map[string]bool{socketAddress(v.front): true, socketAddress(v.readiness): true, socketAddress(v.metrics): true, socketAddress(v.peers): true}
 	const localField, stateField, queuesField, listening = 1, 3, 4, "0A"
 	total := int64(0)
 	for line := range strings.Lines(string(table)) {
--- a/internal/crowd/withstand_test.go
+++ b/internal/crowd/withstand_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
@@ -51,6 +52,28 @@
 	v.requireAnswer("after the crowd")
 }
 
+// withstandAtPeers is withstand at the address for other VMs.
+func withstandAtPeers(t *testing.T, act client) {
+	t.Helper()
+	v := startVM(t)
+	gather(t, v.peers, act)
+	v.requireAnswer("beside the crowd")
+	v.requireReady("beside the crowd")
+}
+
+func TestSilentConnectionsAtPeers(t *testing.T) {
+	withstandAtPeers(t, func(net.Conn) error { return nil })
+}
+
+func TestOversizedHeadsAtPeers(t *testing.T) { withstandAtPeers(t, oversizedHead) }
+
+// Messages of the largest size that stop short of their end.
+func TestStalledMessagesAtPeers(t *testing.T) {
+	const messageBytes = 4 << 20
+	message := string(binary.AppendUvarint(nil, messageBytes)) + strings.Repeat(" ", messageBytes-shortOfEnd)
+	withstandAtPeers(t, func(conn net.Conn) error { return send(conn, message) })
+}
+
 func TestStalledBodiesAtReadiness(t *testing.T) {
 	v := startVM(t)
 	gather(t, v.readiness, func(conn net.Conn) error {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -18,7 +18,8 @@
 // codec implements jsonrpc2.ObjectCodec. It writes a length prefix before each message and
 // rejects messages over the limit in both directions.
 type codec struct {
-	limit int // bytes
+	limit   int      // bytes
+	inbound *inbound // nil: a connection of a Client
 }
 
 // WriteObject writes a frame with a single Write, so that after an error the peer cannot
@@ -36,27 +37,46 @@
 	return err
 }
 
-// ReadObject reads a complete frame before it decodes the message.
+// ReadObject reads a complete frame before it decodes the message. Its memory grows with what has arrived.
 func (c codec) ReadObject(r *bufio.Reader, v any) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
 	}
-	if size > uint64(c.limit) {
+	limit := c.limit
+	if c.inbound != nil {
+		limit = c.inbound.messageLimit(limit)
+	}
+	if size > uint64(limit) {
 		return errors.Wrapf(errTooLarge, "length prefix of %d bytes", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return err
+	data := make([]byte, 0, min(size, firstReadBytes))
+	for {
+		n, err := io.ReadFull(r, data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil {
+			return err
+		}
+		if uint64(len(data)) == size {
+			return json.Unmarshal(data, v)
+		}
+		data = append(make([]byte, 0, min(size, 2*uint64(cap(data)))), data...)
 	}
-	return json.Unmarshal(data, v)
 }
 
-// newStream returns a stream of messages over conn with a timeout on each write.
+// firstReadBytes is the size up to which a frame is read into a buffer of its declared size.
+const firstReadBytes = 64 << 10
+
+// newStream returns a stream of messages over a Client's connection, with a timeout on each write.
 func newStream(conn net.Conn, o Options) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(writeTimeoutConn{Conn: conn, timeout: o.WriteTimeout}, codec{limit: o.MaxMessageBytes})
 }
 
+// newInboundStream is newStream for a connection that a Server has accepted.
+func newInboundStream(conn *inbound, o Options) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(writeTimeoutConn{Conn: conn, timeout: o.WriteTimeout}, codec{limit: o.MaxMessageBytes, inbound: conn})
+}
+
 // writeTimeoutConn applies a timeout to each write and closes the connection after a
 // failed one, so that no frame follows an incomplete one.
 type writeTimeoutConn struct {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,7 @@
 	mu             sync.Mutex
 	stopping       bool
 	conns          map[*jsonrpc2.Conn]struct{}
+	unidentified   unidentified
 	closeListeners []func()       // cancel functions that close the listeners
 	running        sync.WaitGroup // running handlers; added to under mu, only while not stopping
 }
@@ -110,10 +111,13 @@
 	if s.stopping {
 		return false
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, s.opts), requestHandler{s}, jsonrpc2.SetLogger(discardLogger{}))
+	accepted := &inbound{Conn: conn}
+	s.unidentified.add(accepted)
+	rpc := jsonrpc2.NewConn(context.Background(), newInboundStream(accepted, s.opts), requestHandler{s, accepted}, jsonrpc2.SetLogger(discardLogger{}))
 	s.conns[rpc] = struct{}{}
 	go func() {
 		<-rpc.DisconnectNotify()
+		s.unidentified.remove(accepted)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, rpc)
@@ -152,27 +156,33 @@
 	return err
 }
 
-// requestHandler implements jsonrpc2.Handler.
-type requestHandler struct{ *Server }
+// requestHandler implements jsonrpc2.Handler for one connection.
+type requestHandler struct {
+	*Server
+	inbound *inbound
+}
 
 // Handle is called sequentially by the reader of a connection, so it must not block.
 func (r requestHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	r.handleRequest(ctx, conn, req)
+	if r.handleRequest(ctx, conn, req) {
+		r.inbound.identify()
+	}
 }
 
-// handleRequest rejects a call or starts its handler in a new goroutine.
-func (s *Server) handleRequest(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+// handleRequest rejects a call or starts its handler in a new goroutine. It reports whether the call is
+// one that a VM sends.
+func (s *Server) handleRequest(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) bool {
 	var meta requestMeta
 	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil {
 		s.reject(ctx, conn, req, CodeInvalid, "no deadline")
-		return
+		return false
 	}
 	if !s.opts.Clock.Observe(meta.Stamp) {
 		s.recorder.Record(event.PeerClockAhead, "caller", meta.Stamp.Time())
 	}
 	if req.Method == helloMethod {
 		s.reply(ctx, conn, req, struct{}{}, nil)
-		return
+		return true
 	}
 	m, ok := s.methods[Method(req.Method)]
 	switch {
@@ -188,6 +198,7 @@
 	default:
 		go s.runHandler(ctx, conn, req, m, meta.Deadline)
 	}
+	return true
 }
 
 // addRunning counts a running handler. It returns false if the server is stopping.
