ingress: the time for the rest of a body begins when the handler ends

Cause: the deadline for a body that is discarded was set before the handler ran, so a handler that reads without ReadBody would have been interrupted after 3 s. Change: it is set when the handler has ended, and serves refused bodies too.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -49,14 +49,9 @@
 		b.conn.guard.refused.add(reasonSlow)
 		err = ErrTimeout
 	}
-	_ = b.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	return nil, err
 }
 
-// lingerTimeout is how long the rest of a refused body is discarded, so that the client receives the
-// response before the connection is reset.
-const lingerTimeout = 500 * time.Millisecond
-
 // ReserveDecoding reserves memory for what the decoded form of a body takes until the handler returns.
 // It returns ErrOverloaded if there is none.
 func ReserveDecoding(r *http.Request, n int64) error {
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -83,14 +83,13 @@
 	}
 	c.setPhase(handling)
 	defer c.endRequest()
+	inner.ServeHTTP(w, r)
 	if r.ContentLength != 0 {
-		// For a body that the handler does not read: the server discards it.
 		_ = c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only on a closed connection
 	}
-	inner.ServeHTTP(w, r)
 }
 
-// discardTimeout is the time for the rest of a body that is not used.
+// discardTimeout is the time for the rest of a body that the handler has not read, which the server discards.
 const discardTimeout = 3 * time.Second
 
 // Listen opens a listener at a TCP address.
