--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -115,6 +115,7 @@
 	rng := rand.New(rand.NewPCG(r.opts.Seed, 1))
 	end := time.Now().Add(r.opts.Duration)
 	go r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 2)), end)
+	go r.injectCrowds(ctx, rand.New(rand.NewPCG(r.opts.Seed, 5)), end)
 	var mu sync.Mutex
 	var accepted []*submission
 	var callers sync.WaitGroup
