ingress: the age of a request does not include the time that its connection was idle

What callers saw: nothing yet; found when reading the diff. Beside a crowd, a request on a connection that had been idle for long would have been closed before requests that had stalled for less time. Cause: the age of a request counted from the end of the one before it. Change: it counts from its first byte. Measured: TestAgeOfRequestIsWithoutIdleTime, status 0 before, 200 now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -58,6 +58,9 @@
 	if n == 0 || phase(c.reading.Load()) != readingHead {
 		return n, err
 	}
+	if c.headBytes == 0 {
+		c.setSince(time.Now()) // until then the connection was idle
+	}
 	c.headBytes += int64(n)
 	c.headLines += int64(bytes.Count(p[:n], []byte{'\n'}))
 	if c.headBytes > c.guard.opts.HeaderBytes()+headSlack {
@@ -154,6 +157,12 @@
 	c.reading.Store(int32(p))
 }
 
+func (c *conn) setSince(t time.Time) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.since = t
+}
+
 // gaveWay reports whether the connection was evicted.
 func (c *conn) gaveWay() bool {
 	c.guard.mu.Lock()
--- a/internal/ingress/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -85,6 +85,30 @@
 	}
 }
 
+// A request that begins on a connection that was idle for long is as new as any other.
+func TestAgeOfRequestIsWithoutIdleTime(t *testing.T) {
+	_, address := startServer(t, Limits{Connections: 2, ArrivalMemory: 1 << 20, DecodingMemory: 1 << 20}, reply)
+	first := dial(t, address)
+	write(t, first, get)
+	if got := status(first); got != http.StatusOK {
+		t.Fatalf("first: status %d", got)
+	}
+	second := dial(t, address)
+	write(t, second, get[:10])
+	time.Sleep(100 * time.Millisecond) // the server has read what was sent
+	write(t, first, get[:10])
+	time.Sleep(100 * time.Millisecond)
+	third := dial(t, address)
+	write(t, third, get)
+	if got := status(third); got != http.StatusOK {
+		t.Errorf("third: status %d", got)
+	}
+	write(t, first, get[10:])
+	if got := status(first); got != http.StatusOK {
+		t.Errorf("the request that began last: status %d", got)
+	}
+}
+
 func TestRequestInProgressDoesNotGiveWay(t *testing.T) {
 	begun, end := make(chan struct{}), make(chan struct{})
 	_, address := startServer(t, Limits{Connections: 1, ArrivalMemory: 1 << 20, DecodingMemory: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
