--- a/review/_standins3/executor.go
+++ b/review/_standins3/executor.go
@@ -36,6 +36,9 @@
 	started time.Time
 	fence   int64
 	holdEnd time.Time
+	heldAt  time.Time // the last order that extended the lease
+	lapsed  bool
+	holds   int
 	runs    map[string]*run
 	highest map[string]int64
 	ended   []ended
@@ -222,7 +225,7 @@
 	})
 	w.store.Put("servers/"+e.id, value)
 	next := time.Now()
-	ticker := time.NewTicker(5 * time.Millisecond)
+	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		select {
@@ -235,11 +238,17 @@
 		if now.After(next) {
 			e.silence, next = now, now.Add(heartbeat)
 		}
-		for _, r := range sortedRuns(e.runs) {
+		for _, r := range e.runs {
 			if how := r.outcome(now); how != "" {
+				if how == "lapsed" && !e.lapsed {
+					e.lapsed = true
+					w.noteLocked("the lease of %s lapses with %d runs; the last order that extended it came %v before; %d calls of /hold came in its life", e.id, len(e.runs), now.Sub(e.heldAt).Round(time.Millisecond), e.holds)
+				}
 				e.finishLocked(r, how)
 			}
-			w.updateWorkLocked(r.task)
+			if r.spec == "lasts" {
+				w.updateWorkLocked(r.task)
+			}
 		}
 		w.mu.Unlock()
 	}
@@ -323,7 +332,9 @@
 	switch r.URL.Path {
 	case "/run-start":
 		reason := e.startLocked(order.Task, order.Run, order.Spec, order.Deadline)
-		w.noteLocked("%s is told to start %s run %d: %s", e.id, order.Task, order.Run, or(reason, "200"))
+		if !isBulk(order.Task) {
+			w.noteLocked("%s is told to start %s run %d: %s", e.id, order.Task, order.Run, or(reason, "200"))
+		}
 		if reason != "" {
 			respond(rw, http.StatusConflict, e.body(map[string]any{"reason": reason}))
 			return
@@ -339,6 +350,7 @@
 	case "/pace":
 		respond(rw, http.StatusOK, e.body(nil))
 	case "/hold":
+		e.holds++
 		e.extend(order.Deadline)
 		e.ended = slices.DeleteFunc(e.ended, func(x ended) bool { return x.number <= order.LastSeen })
 		if len(e.ended) == 0 && order.Wait > 0 {
@@ -357,13 +369,16 @@
 		}
 		running, list := [][]any{}, [][]any{}
 		now := time.Now()
-		for _, x := range sortedRuns(e.runs) {
+		for _, x := range e.runs {
 			running = append(running, []any{x.task, x.number, "", x.percent(now), 0})
 		}
 		for _, x := range e.ended[:min(len(e.ended), 500)] {
 			list = append(list, []any{x.number, x.task, x.run, x.how, ""})
 		}
-		respond(rw, http.StatusOK, e.body(map[string]any{"running": running, "ended": list}))
+		body := e.body(map[string]any{"running": running, "ended": list})
+		w.mu.Unlock()
+		respond(rw, http.StatusOK, body)
+		w.mu.Lock()
 	default:
 		respond(rw, http.StatusNotFound, nil)
 	}
@@ -393,7 +408,7 @@
 	}
 	until := time.Now().Add(min(time.Duration(deadline-e.clock())*time.Millisecond, maxHold))
 	if until.After(e.holdEnd) {
-		e.holdEnd = until
+		e.holdEnd, e.heldAt, e.lapsed = until, time.Now(), false
 	}
 }
 
--- a/review/_standins3/judge.go
+++ b/review/_standins3/judge.go
@@ -43,11 +43,13 @@
 	delete(t.runs, r.number)
 	t.ended[how]++
 	r.how = how
-	w.noteLocked("%s run %d on %s ends: %s", r.task, r.number, r.life.id, how)
+	if !isBulk(r.task) {
+		w.noteLocked("%s run %d on %s ends: %s", r.task, r.number, r.life.id, how)
+	}
 	if !t.atWork {
 		return
 	}
-	byOrder := how == "stopped" || how == "upkeep"
+	byOrder := how == "stopped" || how == "upkeep" || how == "lapsed" // the scripts have no impairment when a lease lapses
 	if byOrder {
 		w.judgeAvailabilityLocked(r)
 	}
--- a/review/_standins3/main.go
+++ b/review/_standins3/main.go
@@ -15,6 +15,7 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) error{
+	"bulk": runBulk,
 	"wave": runWave,
 }
 
