dispatch: events say what a restarted worker may have executed, and on which bound a lease expired

Change: worker-reborn has both clocks, the latest deadline of the previous incarnation, and the renewals and starts with a deadline since its last answer; worker-lapsed has the clock, the deadline and how long the incarnation has been known. No change of logic. TestSpeeds passes a report to handleRestart, as its signature changed.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		if w.recordedByPrevious || len(w.runs) > 0 {
-			d.events.Record(event.WorkerLeaseExpired, w.entry.ID, len(w.runs), now-w.lastReportAt)
+			d.events.Record(event.WorkerLeaseExpired, w.entry.ID, len(w.runs), now-w.lastReportAt, w.reported, w.clock, w.leaseDeadline, now-w.incarnationSince)
 		}
 		for _, r := range d.sortedRuns(w.runs) {
 			d.loseRun(now, r, lostByExpiry)
@@ -190,6 +190,7 @@
 			w.commandFence = w.fence
 			req.Deadline = w.estimatedClock(now) + d.opts.Lease.Milliseconds()
 			w.leaseDeadline = max(w.leaseDeadline, req.Deadline)
+			w.renewalsSinceReport++
 			if len(w.pendingAcks) == 0 && w.fenced(now) {
 				req.Wait = d.renewWait(w)
 			}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -213,6 +213,7 @@
 	s.started = true
 	deadline := w.estimatedClock(now) + d.opts.Lease.Milliseconds()
 	w.leaseDeadline = max(w.leaseDeadline, deadline)
+	w.startsSinceReport++
 	if w.renewDue > now+unackedPollInterval { // it was idle without a long poll and must be polled again
 		w.renewDue = now
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -96,7 +96,7 @@
 		w.incarnationSince = now
 	}
 	if w.reported && w.incarnation != rep.Incarnation {
-		d.handleRestart(now, w, rep.Incarnation)
+		d.handleRestart(now, w, rep)
 	}
 	d.settleExposures(now, w, rep.Incarnation)
 	w.incarnationConfirmedAt = max(w.incarnationConfirmedAt, sent)
@@ -105,6 +105,7 @@
 		d.markFreed(w)
 	}
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
+	w.renewalsSinceReport, w.startsSinceReport = 0, 0
 	d.applyReport(now, sent, w, rep)
 	w.renewDue = d.nextRenewal(now, w)
 }
@@ -131,8 +132,8 @@
 
 // handleRestart ends all runs of the worker's previous incarnation. A start that is not
 // confirmed yet could reach the new incarnation, so it is stopped there first.
-func (d *Dispatcher) handleRestart(now time.Duration, w *worker, incarnation int64) {
-	d.events.Record(event.WorkerIncarnationChanged, w.entry.ID, w.incarnation, incarnation, len(w.runs))
+func (d *Dispatcher) handleRestart(now time.Duration, w *worker, rep fleet.Report) {
+	d.events.Record(event.WorkerIncarnationChanged, w.entry.ID, w.incarnation, rep.Incarnation, len(w.runs), w.estimatedClock(now), w.leaseDeadline, w.renewalsSinceReport, w.startsSinceReport, rep.Clock)
 	w.beginFencing(now)
 	// A run that was confirmed later may belong to the new incarnation; the next report shows it.
 	dead := slices.DeleteFunc(d.sortedRuns(w.runs), func(r *run) bool {
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -69,7 +69,7 @@
 	if w.slowdown < 1.5 {
 		t.Errorf("slowdown %.2f after ten runs that took four times as long", w.slowdown)
 	}
-	h.d.handleRestart(h.now, w, 2)
+	h.d.handleRestart(h.now, w, fleet.Report{Incarnation: 2})
 	h.d.updateSlowdowns()
 	if w.slowdown != 1 {
 		t.Errorf("slowdown %.2f of a new incarnation", w.slowdown)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -24,6 +24,9 @@
 	clock            int64         // ms on the worker's clock at clockAt
 	clockAt          time.Duration // when the report with the clock reading arrived
 	leaseDeadline    int64         // latest deadline sent, in ms on the worker's clock; 0: none
+	// renewalsSinceReport and startsSinceReport count the commands with a deadline that were sent after the last answered
+	// renewal. Another incarnation may have executed them.
+	renewalsSinceReport, startsSinceReport int
 
 	// Fencing tokens, see fencing.go. Invariant: seenFence and commandFence are not above fence.
 	fence        int64 // of the next command
