--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -30,6 +30,8 @@
 const (
 	testFence = 1000
 	testLease = 3500 * time.Millisecond
+	// testMaxLease is the longest lease that a worker grants, whatever the deadline.
+	testMaxLease = 6 * time.Second
 )
 
 func testOptions() Options {
--- /dev/null
+++ b/internal/dispatch/restart_lease_test.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"filbertcross/internal/fleet"
+)
+
+// restartedWorker is a worker whose next incarnation executes a renewal that was meant for the one before. Its clock began anew,
+// so the deadline is far ahead and is shortened to the longest lease that a worker grants.
+type restartedWorker struct {
+	*harness
+	clock    int64         // ms on the clock of the new incarnation at backAt; it has the slowest rate
+	backAt   time.Duration // when the new incarnation executed the renewal
+	leaseEnd time.Duration // when its lease ends, on the slowest clock
+}
+
+const restartedIncarnation = 2
+
+// newRestartedWorker returns a worker that has crashed silently, and whose new clock begins at the given reading. The first renewal
+// after the crash got no answer, and nothing else has been sent since.
+func newRestartedWorker(t *testing.T, clock int64) *restartedWorker {
+	t.Helper()
+	w := &restartedWorker{harness: newHarness(t, 1), clock: clock}
+	w.decide()
+	if len(w.renewals) != 1 || w.renewals[0].Renew.Deadline == 0 {
+		t.Fatalf("renewals %+v, want one with a deadline", w.renewals)
+	}
+	w.advance(RenewWait)
+	w.backAt = w.now
+	w.leaseEnd = leaseEnd(w.now, testMaxLease) - leaseExpiryMargin
+	w.advance(CommandTimeout)
+	w.d.HandleRenewFailure(w.now, workerID(0), errNoResponse)
+	return w
+}
+
+// restartedEntry is the change of the restarted worker's entry in the platform's list.
+func restartedEntry(i int, e *fleet.WorkerEntry) {
+	if i == 0 {
+		e.Incarnation = restartedIncarnation
+	}
+}
+
+// answer answers the renewals of the last decision as the new incarnation, which lists the runs that were started on it.
+func (w *restartedWorker) answer(runs ...fleet.RunID) {
+	sent := w.now
+	w.advance(time.Millisecond)
+	var running []fleet.RunStatus
+	for _, r := range runs {
+		running = append(running, fleet.RunStatus{RunID: r, Percent: 1})
+	}
+	for range w.renewals {
+		w.d.HandleReport(w.now, sent, workerID(0), false, fleet.Report{
+			Incarnation: restartedIncarnation, Clock: w.clock + int64(minClockRate*float64((w.now-w.backAt).Milliseconds())), Running: running,
+		})
+	}
+}
+
+// startRun lets the owner learn of the restart, submits a long task, and lists its run for a while.
+func (w *restartedWorker) startRun() {
+	w.t.Helper()
+	w.listWorkers(1, restartedEntry)
+	long := tasks(1, 4)
+	long.Estimate = 30 * time.Second
+	w.submit("quick", "a", long)
+	for end := w.now + time.Second; len(w.starts) == 0; w.advance(20 * time.Millisecond) {
+		if w.now > end {
+			w.t.Fatal("the task is not started on the restarted worker")
+		}
+		w.decide()
+		w.answer()
+		w.commitAll()
+	}
+	run := w.starts[0].Start.RunID
+	w.acceptStarts(w.starts)
+	for range 2 {
+		w.advance(RenewWait)
+		w.decide()
+		w.answer(run)
+	}
+}
+
+// firstStartElsewhere cuts the worker off, adds another one, and returns when the task is started there.
+func (w *restartedWorker) firstStartElsewhere() time.Duration {
+	w.t.Helper()
+	for end := w.now + 20*time.Second; w.now < end; w.advance(20 * time.Millisecond) {
+		w.listWorkers(2, restartedEntry)
+		w.commitAll()
+		w.decide()
+		for _, renewal := range w.renewals {
+			if renewal.To.ID == workerID(0) {
+				w.d.HandleRenewFailure(w.now, workerID(0), errNoResponse)
+				continue
+			}
+			w.d.HandleReport(w.now, w.now, renewal.To.ID, false, fleet.Report{Incarnation: 1, Clock: w.now.Milliseconds()})
+		}
+		if len(w.starts) > 0 {
+			if w.starts[0].To.ID != workerID(1) {
+				w.t.Fatalf("start on %s, which does not answer", w.starts[0].To.ID)
+			}
+			return w.now
+		}
+	}
+	w.t.Fatal("the task is not started on the other worker")
+	return 0
+}
+
+// Guards against TWICE: a worker is restarted, executes a renewal that was meant for its former incarnation, and is cut off; its
+// run is at work until the longest lease is over, while the owner started the task elsewhere after its own lease (issue 62).
+func TestRestartedWorkerMayHoldTheLeaseOfAnEarlierDeadline(t *testing.T) {
+	w := newRestartedWorker(t, 1000)
+	w.startRun()
+	if at := w.firstStartElsewhere(); at < w.leaseEnd {
+		t.Errorf("the task's next run starts %v after the worker was back; the first one is at work until %v", at-w.backAt, w.leaseEnd-w.backAt)
+	}
+}
+
+// A deadline that has passed on the new clock grants nothing, and no task waits for it.
+func TestRestartedWorkerWithPassedDeadlineIsNotWaitedFor(t *testing.T) {
+	w := newRestartedWorker(t, time.Hour.Milliseconds()*10)
+	w.startRun()
+	silentSince := w.now
+	limit := leaseEnd(silentSince, testLease) + sweepInterval + 200*time.Millisecond
+	if at := w.firstStartElsewhere(); at > limit {
+		t.Errorf("the task's next run starts %v after the last answer, want %v at most", at-silentSince, limit-silentSince)
+	}
+}
