dispatch: the lease of a restarted worker includes what commands to its former incarnations may have granted

Cause: a renewal sent while the worker was down was executed by its next incarnation. The owner forgot its deadlines at the restart and counted its own lease of 3.5 s. Change: the latest deadline sent is kept over a restart (fencing.go). Until the new incarnation rejects commands to earlier ones, each of its reports extends the known lease to the old deadline on the new clock, at most by the longest lease that a worker grants (Options.MaxLease, the platform's bound). A deadline that has passed on the new clock costs nothing. Why this works: whatever such a command granted, it did before the report that proves the fence, on the clock that this report shows.

--- a/internal/dispatch/fencing.go
+++ b/internal/dispatch/fencing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"filbertcross/internal/model"
@@ -12,7 +13,8 @@
 // results that no owner has seen, and a renewal would extend the lease unnoticed.
 //
 // Therefore each incarnation gets a higher fencing token than all commands to earlier ones, which it rejects once it has
-// seen that token. No run is started there before if an earlier acknowledgement may discard its result. The tokens of an owner are revisions of the store at which it held the owner key: that of its election,
+// seen that token. No run is started there before if an earlier acknowledgement may discard its result. What it has executed until
+// then may have extended its lease beyond any that this owner grants, and no later deadline shortens it. The tokens of an owner are revisions of the store at which it held the owner key: that of its election,
 // and the one that its last write has proved. Every successor's token is higher.
 
 // raiseFence raises the fencing token of a worker that may be another incarnation than the one that got the last commands.
@@ -29,6 +31,23 @@
 // beginFencing records that another incarnation has answered a renewal.
 func (w *worker) beginFencing(now time.Duration) {
 	w.seenFence, w.staleFence, w.staleUntil = w.fence, w.commandFence, now+maxCommandDelay
+	if w.leaseDeadline == 0 { // those of an earlier owner are not known
+		w.staleDeadline = math.MaxInt64
+	}
+	w.staleDeadline, w.leaseDeadline = max(w.staleDeadline, w.leaseDeadline), 0
+}
+
+// admitStaleDeadlines extends the known lease of an incarnation by what it may have granted, until its last report, by commands to
+// earlier ones. Their deadlines count on clocks that have nothing to do with its own.
+func (w *worker) admitStaleDeadlines(now, maxLease time.Duration) {
+	w.lateLeaseEnd = 0
+	if w.staleDeadline <= w.clock {
+		return
+	}
+	w.leaseDeadline = max(w.leaseDeadline, min(w.staleDeadline, w.clock+maxLease.Milliseconds()))
+	if !w.fenced(now) {
+		w.lateLeaseEnd = leaseEnd(w.staleUntil, maxLease)
+	}
 }
 
 // fenced reports whether the worker rejects all commands that were sent to its earlier incarnations.
@@ -70,7 +89,7 @@
 func (d *Dispatcher) endFencing(now time.Duration) {
 	for _, w := range d.workerList {
 		if w.staleUntil != 0 && now >= w.staleUntil {
-			w.staleFence, w.staleUntil = 0, 0
+			w.staleFence, w.staleUntil, w.staleDeadline = 0, 0, 0
 			d.markFreed(w)
 		}
 	}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -36,7 +36,7 @@
 
 func testOptions() Options {
 	return Options{
-		Fence: testFence, Lease: testLease, MaxInheritedLease: 8 * time.Second, RenewGrace: 3 * time.Second,
+		Fence: testFence, Lease: testLease, MaxLease: testMaxLease, MaxInheritedLease: 8 * time.Second, RenewGrace: 3 * time.Second,
 		StopTimeout: 200 * time.Millisecond, Retention: 2 * time.Minute,
 	}
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -11,6 +11,7 @@
 	RateBurst         admission.Burst
 	Fence             int64         // fencing token of this owner; increases with every owner
 	Lease             time.Duration // lease of the runs on a worker, extended by every renewal
+	MaxLease          time.Duration // longest lease that a worker grants, whatever the deadline
 	MaxInheritedLease time.Duration // longest remaining lease granted by earlier owners, counted from this owner's election
 	RenewGrace        time.Duration // how long leases are still renewed after this owner can no longer prove its authority
 	StopTimeout       time.Duration // maximum time a worker takes to end a stopped run
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -95,7 +95,8 @@
 	if !w.reported || w.incarnation != rep.Incarnation {
 		w.incarnationSince = now
 	}
-	if w.reported && w.incarnation != rep.Incarnation {
+	restarted := w.reported && w.incarnation != rep.Incarnation
+	if restarted {
 		d.handleRestart(now, w, rep)
 	}
 	d.settleExposures(now, w, rep.Incarnation)
@@ -107,6 +108,9 @@
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
 	w.renewalsSinceReport, w.startsSinceReport = 0, 0
 	d.applyReport(now, sent, w, rep)
+	if restarted || !wasFenced {
+		w.admitStaleDeadlines(now, d.opts.MaxLease)
+	}
 	w.renewDue = d.nextRenewal(now, w)
 }
 
@@ -153,7 +157,7 @@
 		}
 		d.loseRun(now, r, lostByRestart)
 	}
-	w.lastResult, w.durableResult, w.pendingAcks, w.leaseDeadline, w.clock = 0, 0, nil, 0, 0
+	w.lastResult, w.durableResult, w.pendingAcks, w.clock = 0, 0, nil, 0
 	w.ackInFlight, w.ackConfirmed, w.resultsKnown = 0, 0, false
 	w.quarantine = quarantine{lastFailedJob: w.lastFailedJob}
 	d.markFreed(w)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -23,7 +23,7 @@
 	unproven         bool          // the owner is suspended, and the incarnation is not known from before; see suspension.go
 	clock            int64         // ms on the worker's clock at clockAt
 	clockAt          time.Duration // when the report with the clock reading arrived
-	leaseDeadline    int64         // latest deadline sent, in ms on the worker's clock; 0: none
+	leaseDeadline    int64         // latest end of the lease there that this owner knows of, in ms on the worker's clock; 0: none
 	// renewalsSinceReport and startsSinceReport count the commands with a deadline that were sent after the last answered
 	// renewal. Another incarnation may have executed them.
 	renewalsSinceReport, startsSinceReport int
@@ -34,6 +34,10 @@
 	commandFence int64 // highest of a command that has an effect
 	staleFence   int64 // highest of the commands to earlier incarnations, which may be executed until staleUntil
 	staleUntil   time.Duration
+	// staleDeadline is the latest deadline of the commands to earlier incarnations, on their clocks; lateLeaseEnd is when a lease has
+	// ended that the current incarnation grants by one of them, 0 once it rejects them.
+	staleDeadline int64
+	lateLeaseEnd  time.Duration
 
 	renewInFlight          bool
 	renewDue               time.Duration
@@ -190,7 +194,7 @@
 	if w.leaseDeadline == 0 { // only an earlier owner's lease
 		end = max(end, d.inheritedLeaseEnd)
 	}
-	return end
+	return max(end, w.lateLeaseEnd)
 }
 
 // leaseEnd returns when a lease granted no later than at has expired on any worker's clock.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -59,7 +59,8 @@
 	events := &telemetry.Recorder{Log: log, Scope: metrics.Scope}
 	peers := peer.Options{Clock: clock, StallTimeout: peerStallTimeout, DialTimeout: peerDialTimeout, MaxBackoff: peerDialTimeout}
 	store := platform.NewStore(s.Store.Address)
-	lease := min(runLease, platform.Milliseconds(s.Bounds.MaxRunLeaseMS))
+	maxLease := platform.Milliseconds(s.Bounds.MaxRunLeaseMS)
+	lease := min(runLease, maxLease)
 	ownerLease := max(owner.LeaseTTL, platform.Milliseconds(s.Store.MinLeaseMS))
 	return New(Options{
 		Name:           s.NodeName,
@@ -104,6 +105,7 @@
 			Dispatch: dispatch.Options{
 				RateBurst:         admission.Burst{Window: seconds(max(s.Bounds.RateWindowS, 1)), Slack: s.Bounds.RateSlack},
 				Lease:             lease,
+				MaxLease:          maxLease,
 				MaxInheritedLease: lease + ownerLease + renewalGrace,
 				MaxListAge:        platform.Milliseconds(s.Bounds.ContactMS) - dispatch.CommandTimeout,
 				RenewGrace:        renewalGrace,
--- a/internal/owner/damaged_test.go
+++ b/internal/owner/damaged_test.go
@@ -127,7 +127,7 @@
 				Events: event.Discard{}, Clock: func() time.Duration { return clock }, MaxValueBytes: 1 << 20,
 				Codec: Codec{Worker: platform.ParseWorkerEntry, Wave: platform.ParseWave, WavePrefix: platform.WavePrefix, WorkerPrefix: platform.WorkerPrefix,
 					WaveStatusKey: platform.WaveStatusKey, WaveState: platform.FormatWaveState},
-				Dispatch: dispatch.Options{Lease: 3500 * time.Millisecond, MaxInheritedLease: 8 * time.Second, RenewGrace: 3 * time.Second, StopTimeout: 200 * time.Millisecond,
+				Dispatch: dispatch.Options{Lease: 3500 * time.Millisecond, MaxLease: 6 * time.Second, MaxInheritedLease: 8 * time.Second, RenewGrace: 3 * time.Second, StopTimeout: 200 * time.Millisecond,
 					Retention: 2 * time.Minute, MaintenanceTime: 2 * time.Second, HolderCooldown: 3 * time.Second},
 			},
 			ownership: &Ownership{Fence: 10},
