dispatch: the clock in the answer to a start bounds the lease of an incarnation that the owner does not know

Cause: a start is executed by an incarnation that began after the worker's last report, and the worker is cut off before its next one. The owner counts the run as ended by the lease on the clock of the former incarnation, 3.64 s after the answer; the new one holds it for up to 6.1 s. Change: HandleStartResponse gets the clock of the answer, which was dropped. Until a report that was requested later, the known lease includes what any deadline sent grants on that clock. Why this works: the bound holds whichever incarnation answered; for the known one it is the ordinary lease. Evidence: TestRunOnUnknownIncarnationMayHoldTheLongestLease fails without the change (3.64 s, wanted 6.122 s) and passes; TestRunOnKnownIncarnationHoldsTheOrdinaryLease bounds the other case.

--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -55,7 +55,7 @@
 	c.decide()
 	for _, s := range c.starts {
 		c.started++
-		c.d.HandleStartResponse(c.now, s.Start.RunID, s.To.ID, nil)
+		c.d.HandleStartResponse(c.now, s.Start.RunID, s.To.ID, c.now.Milliseconds(), nil)
 		c.ends[s.To.ID] = append(c.ends[s.To.ID], costEnd{c.now + costRunTime, s})
 	}
 	for _, call := range c.adviceCalls {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -152,16 +152,16 @@
 func (f *crashFleet) start(c StartCommand) {
 	id := c.To.ID
 	if f.now < f.downUntil[id] {
-		f.d.HandleStartResponse(f.now, c.Start.RunID, id, &fleet.CallError{Op: "start", Verdict: verdict.NotRun})
+		f.d.HandleStartResponse(f.now, c.Start.RunID, id, 0, &fleet.CallError{Op: "start", Verdict: verdict.NotRun})
 		return
 	}
 	if f.loseStart {
 		f.loseStart, f.lostStart = false, c
-		f.d.HandleStartResponse(f.now, c.Start.RunID, id, errNoResponse)
+		f.d.HandleStartResponse(f.now, c.Start.RunID, id, 0, errNoResponse)
 		return
 	}
 	f.fence[id] = max(f.fence[id], c.Start.Fence)
-	f.d.HandleStartResponse(f.now, c.Start.RunID, id, nil)
+	f.d.HandleStartResponse(f.now, c.Start.RunID, id, f.now.Milliseconds(), nil)
 	f.starts[c.Start.Task]++
 	f.runs[id][c.Start.RunID] = true
 	f.startedAt[c.Start.RunID] = f.now
--- a/internal/dispatch/fencing.go
+++ b/internal/dispatch/fencing.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// noteStartClock extends the known lease by what the incarnation that executed a start may have granted: its clock may show that it is
+// not the one that reported last.
+func (w *worker) noteStartClock(now time.Duration, clock int64, maxLease time.Duration) {
+	deadline := w.leaseDeadline
+	if w.settled != w.incarnation {
+		deadline = max(deadline, w.staleDeadline)
+	}
+	left := min(max(deadline, clock)-clock, maxLease.Milliseconds())
+	w.startLeaseEnd = max(w.startLeaseEnd, leaseEnd(now, time.Duration(left)*time.Millisecond))
+	w.startAnsweredAt = now
+}
+
 // unsettle records that another incarnation than the settled one responds.
 func (d *Dispatcher) unsettle(w *worker) {
 	if w.settled == w.incarnation {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -173,7 +173,7 @@
 
 func (h *harness) acceptStarts(starts []StartCommand) {
 	for _, s := range starts {
-		h.d.HandleStartResponse(h.now, s.Start.RunID, s.To.ID, nil)
+		h.d.HandleStartResponse(h.now, s.Start.RunID, s.To.ID, h.now.Milliseconds(), nil)
 	}
 	h.advance(time.Millisecond)
 }
--- a/internal/dispatch/lost_response_test.go
+++ b/internal/dispatch/lost_response_test.go
@@ -19,7 +19,7 @@
 	h.decide()
 	first := h.starts[0]
 	h.advance(CommandTimeout)
-	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, errNoResponse)
+	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, 0, errNoResponse)
 	h.advance(time.Millisecond)
 	h.decide() // sends a status query
 	h.reportRuns(first.To.ID, nil)
@@ -49,7 +49,7 @@
 	h.submit("quick", "a", tasks(1, 4))
 	h.decide()
 	first := h.starts[0]
-	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, errNoResponse)
+	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, 0, errNoResponse)
 	h.advance(time.Millisecond)
 	h.reportRuns(first.To.ID, nil)
 	h.decide()
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -134,7 +134,7 @@
 	}
 	members := h.starts
 	h.acceptStarts(members[1:])
-	h.d.HandleStartResponse(h.now, members[0].Start.RunID, members[0].To.ID, &fleet.CallError{RejectReason: fleet.RejectedNoCapacity, Verdict: 1})
+	h.d.HandleStartResponse(h.now, members[0].Start.RunID, members[0].To.ID, 0, &fleet.CallError{RejectReason: fleet.RejectedNoCapacity, Verdict: 1})
 	h.decide()
 	if len(h.stops) != 3 {
 		t.Fatalf("%d members are stopped after a rejection, want 3", len(h.stops))
@@ -214,7 +214,7 @@
 	h.submit("quick", "a", s)
 	h.decide()
 	first := h.starts[0]
-	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, errNoResponse)
+	h.d.HandleStartResponse(h.now, first.Start.RunID, first.To.ID, 0, errNoResponse)
 	h.advance(sweepInterval)
 	h.decide()
 	if len(h.starts) != 1 || h.starts[0].To.ID == first.To.ID {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -113,6 +113,9 @@
 	if first {
 		d.unsettle(w)
 	}
+	if w.startAnsweredAt < sent {
+		w.startLeaseEnd = 0
+	}
 	if w.settled != w.incarnation && (first || !wasFenced) {
 		w.admitStaleDeadlines(now, d.opts)
 	}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -9,9 +9,12 @@
 	"filbertcross/internal/model"
 )
 
-// HandleStartResponse processes the response to a StartCommand. An err that leaves the
-// outcome unknown keeps the run until the worker's reports settle it.
-func (d *Dispatcher) HandleStartResponse(now time.Duration, id fleet.RunID, worker model.WorkerID, err error) {
+// HandleStartResponse processes the response to a StartCommand; clock is the worker's clock in ms, 0 with an err. An err that
+// leaves the outcome unknown keeps the run until the worker's reports settle it.
+func (d *Dispatcher) HandleStartResponse(now time.Duration, id fleet.RunID, worker model.WorkerID, clock int64, err error) {
+	if w := d.workers[worker]; w != nil && err == nil {
+		w.noteStartClock(now, clock, d.opts.MaxLease)
+	}
 	r := d.runs[id]
 	if r == nil || r.worker.entry.ID != worker || r.confirmedAt != 0 {
 		return // a report has already confirmed or ended it
--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -157,6 +157,33 @@
 	}
 }
 
+// Guards against TWICE: a run is started on an incarnation that its owner does not know of, as the worker has crashed and returned since
+// its last report, and is cut off before the next one (issue 62).
+func TestRunOnUnknownIncarnationMayHoldTheLongestLease(t *testing.T) {
+	w := &restartedWorker{harness: newHarness(t, 1)}
+	w.submit("quick", "a", tasks(1, 4))
+	w.decide()
+	w.backAt = w.now
+	w.leaseEnd = leaseEnd(w.now, testMaxLease) - leaseExpiryMargin
+	w.d.HandleStartResponse(w.now, w.starts[0].Start.RunID, workerID(0), 1000, nil)
+	if at := w.firstStartElsewhere(); at < w.leaseEnd {
+		t.Errorf("the task's next run starts %v after its first start was answered; that run is at work until %v", at-w.backAt, w.leaseEnd-w.backAt)
+	}
+}
+
+// The answer to a start by the known incarnation lengthens nothing.
+func TestRunOnKnownIncarnationHoldsTheOrdinaryLease(t *testing.T) {
+	w := &restartedWorker{harness: newHarness(t, 1)}
+	w.submit("quick", "a", tasks(1, 4))
+	w.decide()
+	w.acceptStarts(w.starts)
+	answered := w.now
+	limit := leaseEnd(answered, testLease) + sweepInterval + 200*time.Millisecond
+	if at := w.firstStartElsewhere(); at > limit {
+		t.Errorf("the task's next run starts %v after the answer, want %v at most", at-answered, limit-answered)
+	}
+}
+
 // A worker whose incarnation the former owner had known for long has only leases of the ordinary length, and its successor does
 // not wait for more.
 func TestSuccessorWaitsForTheOrdinaryLeaseOfAWorkerKnownForLong(t *testing.T) {
@@ -169,9 +196,10 @@
 		w.commitAll()
 	}
 	w.replaceOwner()
-	limit := leaseEnd(w.now, testLease) + sweepInterval + 200*time.Millisecond
+	silentSince := w.now
+	limit := leaseEnd(silentSince, testLease) + sweepInterval + 200*time.Millisecond
 	if at := w.firstStartElsewhere(); at > limit {
-		t.Errorf("the task's next run starts %v after the last answer, want %v at most", at-w.now, limit-w.now)
+		t.Errorf("the task's next run starts %v after the last answer, want %v at most", at-silentSince, limit-silentSince)
 	}
 }
 
--- a/internal/dispatch/result_pages_test.go
+++ b/internal/dispatch/result_pages_test.go
@@ -72,7 +72,7 @@
 		case StartCommand:
 			w.starts[c.Start.Task]++
 			w.running[c.Start.RunID] = true
-			h.d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, nil)
+			h.d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, h.now.Milliseconds(), nil)
 		case StopCommand:
 			if w.running[c.Run] {
 				delete(w.running, c.Run)
--- a/internal/dispatch/simulation_command_test.go
+++ b/internal/dispatch/simulation_command_test.go
@@ -75,8 +75,8 @@
 			if owner.suspended {
 				h.suspensions.starts++
 			}
-			w := h.worker(c.To.ID)
-			h.sendCommand(owner, w, func() error { return w.start(c.Start) }, func(err error) { d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, err) }, CommandTimeout)
+			w, clock := h.worker(c.To.ID), int64(0)
+			h.sendCommand(owner, w, func() error { clock = w.clock(); return w.start(c.Start) }, func(err error) { d.HandleStartResponse(h.now, c.Start.RunID, c.To.ID, clock, err) }, CommandTimeout)
 		case StopCommand:
 			w := h.worker(c.To.ID)
 			h.sendCommand(owner, w, func() error {
--- a/internal/dispatch/size_bench_test.go
+++ b/internal/dispatch/size_bench_test.go
@@ -47,7 +47,7 @@
 					if s, ok := c.(StartCommand); ok {
 						results++
 						ended = append(ended, fleet.RunResult{Number: results, RunID: s.Start.RunID, Outcome: fleet.OutcomeDone})
-						d.HandleStartResponse(now, s.Start.RunID, s.To.ID, nil)
+						d.HandleStartResponse(now, s.Start.RunID, s.To.ID, now.Milliseconds(), nil)
 					}
 				}
 			}
--- a/internal/dispatch/ticket_backoff_test.go
+++ b/internal/dispatch/ticket_backoff_test.go
@@ -20,7 +20,7 @@
 		for _, s := range h.starts {
 			starts++
 			h.advance(time.Millisecond)
-			h.d.HandleStartResponse(h.now, s.Start.RunID, s.To.ID, rejection)
+			h.d.HandleStartResponse(h.now, s.Start.RunID, s.To.ID, 0, rejection)
 		}
 		for _, c := range calls {
 			allowed := map[model.WorkerID]string{}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -38,6 +38,9 @@
 	// ended that the current incarnation grants by one of them, 0 once it rejects them.
 	staleDeadline int64
 	lateLeaseEnd  time.Duration
+	// startLeaseEnd is when a lease has ended that the incarnation grants which answered the last starts, at startAnsweredAt at
+	// the latest; 0 once a later report shows which one that is.
+	startLeaseEnd, startAnsweredAt time.Duration
 
 	// settled is the incarnation whose leases all have the ordinary length, 0 if there is none that is known. The incarnation that
 	// responds settles at settlesAt, once a lease of that length outlasts any other that it may have granted.
@@ -199,7 +202,7 @@
 	if w.leaseDeadline == 0 { // only an earlier owner's lease
 		end = max(end, d.inheritedEnd(w))
 	}
-	return max(end, w.lateLeaseEnd)
+	return max(end, w.lateLeaseEnd, w.startLeaseEnd)
 }
 
 // inheritedEnd returns when all leases on the worker that were granted under earlier owners have expired.
--- a/internal/owner/damaged_test.go
+++ b/internal/owner/damaged_test.go
@@ -229,7 +229,7 @@
 		if c.To.ID == "sound" {
 			sound.running = append(sound.running, c.Start.RunID)
 		}
-		d.HandleStartResponse(now, c.Start.RunID, c.To.ID, nil)
+		d.HandleStartResponse(now, c.Start.RunID, c.To.ID, drawEdge(t, now.Milliseconds()), nil)
 		return c.Start.Task.Job == "good" && c.To.ID == "sound"
 	case dispatch.StopCommand:
 		d.HandleStopResponse(now, c.Run, c.To.ID, nil)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -268,15 +268,15 @@
 		}
 	case dispatch.StartCommand:
 		sent := o.opts.Clock()
-		err := errLeaseNotHeld
+		clock, err := int64(0), errLeaseNotHeld
 		if o.maySendStart(sent, c) { // the lease may have expired since the decision
-			_, err = sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
+			clock, err = sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
 				return o.opts.Workers.StartRun(ctx, c.To, c.Start)
 			})
 		}
 		return func(now time.Duration) {
 			o.startLatency.RecordDuration(now - sent)
-			d.HandleStartResponse(now, c.Start.RunID, c.To.ID, err)
+			d.HandleStartResponse(now, c.Start.RunID, c.To.ID, clock, err)
 		}
 	case dispatch.StopCommand:
 		_, err := sendCommand(ctx, o, 0, func(ctx context.Context) (int64, error) {
