dispatch: a worker that has moved gets runs once its new address is in the worker list

Cause: a new owner takes an answer of another worker at the recorded address as proof that the worker has ended. The list was not written again when a worker returned at another address, so a successor whose list of workers lacked its entry could ask at the former one, and start its tasks a second time. Change: a new address makes the list due, and the worker gets no runs until it is written. Evidence: TestMovedWorkerGetsRunsOnceItsAddressIsRecorded fails without the change (started at once) and passes. TestRejectionFromOldAddressKeepsRunsAtNewAddress writes the list before its start, which is needed now; what it checks is unchanged.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -35,6 +35,10 @@
 	if had && (!e.Capacity.FitsIn(before.Capacity) || before.Outdated && !e.Outdated || before.Incarnation != e.Incarnation) {
 		d.markFreed(w)
 	}
+	if had && before.Address != e.Address {
+		// A new owner takes an answer of another worker at the recorded address as proof that this one has ended.
+		w.recorded, d.workerListDirty = false, true
+	}
 	if before.Incarnation != e.Incarnation && before.Incarnation != 0 {
 		w.peakCapacity = e.Capacity
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -207,7 +207,8 @@
 func (d *Dispatcher) markRecorded(workers []RecordedWorker) {
 	for _, r := range workers {
 		if w := d.workers[model.WorkerID(r.ID)]; w != nil {
-			w.recorded, w.recordedUnsettled = w.peakCapacity.FitsIn(r.Capacity), r.Settled == 0
+			w.recorded = w.peakCapacity.FitsIn(r.Capacity) && r.Address == w.entry.Address
+			w.recordedUnsettled = r.Settled == 0
 			d.markFreed(w)
 		}
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -28,6 +28,25 @@
 	h.d.AddJob(h.now, &fleet.Submission{ID: id, Queue: "quick", Service: "pool", Steps: steps}, testFence-1, 0, p)
 }
 
+// Guards against TWICE: a worker has moved to another address, and its owner is lost before the durable list has that address. The
+// successor would take another worker that responds at the former one as proof that the runs there have ended.
+func TestMovedWorkerGetsRunsOnceItsAddressIsRecorded(t *testing.T) {
+	h := newHarness(t, 1)
+	h.listWorkers(1, func(_ int, e *fleet.WorkerEntry) { e.Address = "10.0.9.9:80" })
+	h.submit("quick", "a", tasks(1, 4))
+	h.advance(time.Millisecond)
+	h.decide()
+	if len(h.starts) != 0 {
+		t.Fatalf("started while the list has address %q", h.recorded[0].Address)
+	}
+	h.commitAll()
+	h.advance(time.Millisecond)
+	h.decide()
+	if len(h.starts) != 1 || h.recorded[0].Address != "10.0.9.9:80" {
+		t.Fatalf("%d starts, recorded address %q, want one start and the new address", len(h.starts), h.recorded[0].Address)
+	}
+}
+
 // The owner is lost while a worker is unreachable. Tasks that may run there must not be started
 // elsewhere, but new submissions proceed.
 func TestOnlyInheritedSubmissionsWaitForUnreachableWorkers(t *testing.T) {
@@ -204,6 +223,7 @@
 	h.report(workerID(0))
 	h.decide()
 	h.listWorkers(1, func(_ int, e *fleet.WorkerEntry) { e.Address = "10.0.1.1:80" })
+	h.commitAll()
 	h.submit("quick", "a", tasks(1, 4))
 	h.decide()
 	h.acceptStarts(h.starts)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -13,7 +13,7 @@
 type worker struct {
 	entry              fleet.WorkerEntry
 	listed             bool // in the platform's list
-	recorded           bool // in the durable worker list; runs start only on workers that a new owner would know
+	recorded           bool // in the durable worker list, with its address; runs start only on workers that a new owner would know
 	recordedByPrevious bool // an earlier owner may have started runs there that are not known yet
 
 	incarnation int64
