dispatch: a stop that a former incarnation may have executed is repeated

Cause: the answer to a stop does not say which incarnation executed it. If the worker restarted meanwhile and its next incarnation had reported, the answer counted as that one's: the run was forgotten, and a late start could be executed there beside the task's next run until the worker was fenced. Change: a stop that was sent before the incarnation first reported is sent again. Evidence: TestStopAnsweredByFormerIncarnationIsRepeated fails without the change (0 stops, wanted 1) and passes.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -164,7 +164,7 @@
 		}
 		if r.stopConfirmedAt == 0 && !r.stopInFlight && now >= r.stopDue {
 			r.stopInFlight = true
-			r.stopFence = r.worker.nextCommandFence()
+			r.stopFence, r.stopSentAt = r.worker.nextCommandFence(), now
 			d.emit(StopCommand{To: r.worker.target(), Run: r.id, Fence: r.stopFence})
 			d.events.Record(event.RunStopped, r.worker.entry.ID, r.id.Task, r.id.Run, r.stopReason)
 		}
--- a/internal/dispatch/late_command_test.go
+++ b/internal/dispatch/late_command_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// Guards against TWICE: a stop is executed by a worker that then restarts, and its answer arrives after the first report of the next
+// incarnation. That one knows nothing of the stop, and would execute a late start beside the task's next run.
+func TestStopAnsweredByFormerIncarnationIsRepeated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("quick", "a", tasks(1, 4))
+	h.commitAll()
+	h.decide()
+	start := h.starts[0]
+	h.advance(CommandTimeout)
+	h.d.HandleStartResponse(h.now, start.Start.RunID, workerID(0), 0, errNoResponse)
+	h.advance(time.Millisecond)
+	h.decide()
+	h.reportRuns(workerID(0), nil) // without the run
+	h.advance(time.Millisecond)
+	h.decide()
+	if len(h.stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(h.stops))
+	}
+	stop, sent := h.stops[0], h.now
+	h.advance(time.Millisecond)
+	h.d.HandleReport(h.now, sent, workerID(0), false, fleet.Report{Incarnation: restartedIncarnation, Clock: 1000})
+	h.d.HandleStopResponse(h.now, stop.Run, workerID(0), nil)
+	h.advance(time.Millisecond)
+	h.decide()
+	if len(h.stops) != 1 || h.d.runs[start.Start.RunID] == nil {
+		t.Fatalf("%d stops to the next incarnation, want 1; run known: %v", len(h.stops), h.d.runs[start.Start.RunID] != nil)
+	}
+}
+
 // executeByLaterIncarnation executes a command without a response 2 to 12 s later, if its worker has started again and has been
 // known for a second. Before that nothing protects it, as the owner has not reached it.
 func (h *simHistory) executeByLaterIncarnation(w *simWorker, do func() error) {
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -103,6 +103,10 @@
 		}
 		return
 	}
+	if r.stopSentAt < r.worker.incarnationSince { // the former incarnation may have executed it
+		r.stopDue = now
+		return
+	}
 	if r.stopConfirmedAt == 0 {
 		r.stopConfirmedAt = now
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -139,6 +139,7 @@
 	uncertainSince  time.Duration // when the start failed with an unknown outcome
 	stopInFlight    bool
 	stopDue         time.Duration // when to send the next stop command
+	stopSentAt      time.Duration // when the last stop command was sent
 	stopConfirmedAt time.Duration // when the first stop was confirmed; 0: not yet
 	released        bool          // the task no longer depends on this run
 	stopReason      string
