dispatch: a run that the next incarnation of its worker lists is not counted as crashed

Several such counts would fail a sound submission. Cause: a run that was started by an incarnation that the owner did not know yet is taken for one of the former incarnation when a renewal fails. The next report settled its exposure as a crash before it was read whether it lists the run. Change: exposures of such runs are settled after the report has been applied: a listed run has not crashed. One that is not listed is counted as before, with all that is known of it. Evidence: TestRunOnUnknownIncarnationIsNotCountedAsCrashed fails without the change (1 crash counted) and passes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -204,6 +204,32 @@
 	}
 }
 
+// takeDoubtfulExposures removes and returns the exposures of runs that may have been started by the incarnation that responds now.
+func (w *worker) takeDoubtfulExposures() []*exposure {
+	var doubtful []*exposure
+	w.exposures = slices.DeleteFunc(w.exposures, func(e *exposure) bool {
+		taken := e.origin != nil && e.origin.endedIncarnation != 0
+		if taken {
+			doubtful = append(doubtful, e)
+		}
+		return taken
+	})
+	return doubtful
+}
+
+// settleDoubtfulExposures decides the exposures of runs that may have been started by the incarnation whose report has been applied:
+// its worker has crashed under those that the report does not list.
+func (d *Dispatcher) settleDoubtfulExposures(now time.Duration, doubtful []*exposure) {
+	for _, e := range doubtful {
+		d.dropExposure(e)
+		if !e.origin.removed && e.origin.endedIncarnation == 0 {
+			e.origin.exposed = false
+		} else if !e.worker.leaving() {
+			d.countCrash(now, e)
+		}
+	}
+}
+
 // dropOldExposures drops the exposures of workers about which nothing became known.
 func (d *Dispatcher) dropOldExposures(now time.Duration) {
 	for _, w := range d.workerList {
--- a/internal/dispatch/crash_attribution_test.go
+++ b/internal/dispatch/crash_attribution_test.go
@@ -12,6 +12,30 @@
 	"filbertcross/internal/verdict"
 )
 
+// Guards against sound submissions that fail for crashes: a worker restarts, its next incarnation executes a start before the owner
+// knows of it, and a renewal that the former one should have answered fails. The run is at work, and no crash may be counted against it.
+func TestRunOnUnknownIncarnationIsNotCountedAsCrashed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.decide()
+	h.submit("quick", "a", tasks(1, 4))
+	h.commitAll()
+	h.advance(300 * time.Millisecond)
+	h.decide()
+	start := h.starts[0].Start.RunID
+	h.advance(time.Millisecond)
+	h.d.HandleStartResponse(h.now, start, workerID(0), 1000, nil)
+	h.advance(RenewWait)
+	h.d.HandleRenewFailure(h.now, workerID(0), errNoResponse)
+	h.advance(time.Millisecond)
+	h.decide()
+	sent := h.now
+	h.advance(time.Millisecond)
+	h.d.HandleReport(h.now, sent, workerID(0), false, fleet.Report{Incarnation: 2, Clock: 2000, Running: []fleet.RunStatus{{RunID: start, Percent: 20}}})
+	if crashes := h.d.findTask(start.Task).history.crashes; crashes != 0 || h.d.runs[start] == nil || h.d.runs[start].exposed {
+		t.Fatalf("%d crashes counted, run known: %v", crashes, h.d.runs[start] != nil)
+	}
+}
+
 // historyAfter lets a task run on a worker, ends the worker's responses with end, and returns the crash history of the
 // task once it is done and the worker responds again.
 func historyAfter(t *testing.T, end func(f *crashFleet, id model.WorkerID)) crashHistory {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -101,6 +101,7 @@
 			w.meet(now)
 		}
 	}
+	doubtful := w.takeDoubtfulExposures()
 	d.settleExposures(now, w, rep.Incarnation)
 	w.incarnationConfirmedAt = max(w.incarnationConfirmedAt, sent)
 	wasFenced := w.fenced(now)
@@ -110,6 +111,7 @@
 	w.incarnation, w.reported, w.ackConfirmed = rep.Incarnation, true, max(w.ackConfirmed, w.ackInFlight)
 	w.renewalsSinceReport, w.startsSinceReport = 0, 0
 	d.applyReport(now, sent, w, rep)
+	d.settleDoubtfulExposures(now, doubtful)
 	if first {
 		d.unsettle(w)
 	}
