dispatch: simulated histories of commands that the next incarnation of a worker executes

Change: TestSimulatedHistoriesOfCallsToRestartedWorkers, under a random source of its own: silent crashes after which the next incarnation may execute what was sent before it was up, clocks that begin at any value, series of crash, return and cut with and without a new owner, runs of 6 to 14 s, with and without advice. In these histories a start that is rejected as old extends the lease, a ticket given out while the worker is down holds for the previous incarnation, and the entry of a silent worker stays listed for 1.5 s. The failure names the command that last extended the lease. The other tests of the package pass.

--- a/internal/dispatch/advice_simulation_test.go
+++ b/internal/dispatch/advice_simulation_test.go
@@ -18,7 +18,11 @@
 
 // simTicket names what a ticket is valid for, and until when.
 func simTicket(step fleet.StepID, w *simWorker, until time.Duration) string {
-	return fmt.Sprint(step, " ", w.entry.ID, " ", w.entry.Incarnation, " ", int64(until))
+	incarnation := w.entry.Incarnation
+	if w.h.restarts != nil && !w.up {
+		incarnation-- // the next one is not known yet
+	}
+	return fmt.Sprint(step, " ", w.entry.ID, " ", incarnation, " ", int64(until))
 }
 
 // ticketValid reports whether a worker accepts the ticket of a start.
--- a/internal/dispatch/crash_simulation_test.go
+++ b/internal/dispatch/crash_simulation_test.go
@@ -90,7 +90,7 @@
 			c.under[id]++
 		}
 	}
-	w.up = false
+	w.up, w.upAt = false, w.h.now+down
 	w.startIncarnation()
 	w.h.schedule(down, func() { w.up = true })
 }
--- a/internal/dispatch/simulation_command_test.go
+++ b/internal/dispatch/simulation_command_test.go
@@ -12,6 +12,7 @@
 // the command late.
 func (h *simHistory) sendCommand(owner *simOwner, w *simWorker, do func() error, respond func(err error), timeout time.Duration) {
 	incarnation := w.entry.Incarnation
+	do = h.noteOrigin(owner, w, do)
 	reply := func(d time.Duration, err error) {
 		h.schedule(d, func() {
 			if owner.alive {
@@ -40,6 +41,10 @@
 			reply(time.Millisecond, &fleet.CallError{Op: "order", Verdict: verdict.MayHaveRun, Cause: fleet.ErrConnectionLost})
 			return
 		}
+		if h.restarts != nil && (!w.up || w.entry.Incarnation != incarnation) {
+			h.executeAfterRestart(owner, w, do, reply, timeout)
+			return
+		}
 		if !w.up || w.partitioned || w.separatedFrom == owner || w.entry.Incarnation != incarnation { // a crash breaks its connections
 			reply(timeout, lost)
 			return
@@ -93,7 +98,10 @@
 		case AdviseCommand:
 			h.answerAdvice(c)
 		case RenewCommand:
-			w, sent := h.worker(c.To.ID), h.now
+			w, sent, timeout := h.worker(c.To.ID), h.now, CommandTimeout
+			if h.restarts != nil {
+				timeout += c.Renew.Wait
+			}
 			var rep fleet.Report
 			h.sendCommand(owner, w, func() (err error) { rep, err = w.renew(c.Renew); return err }, func(err error) {
 				switch {
@@ -104,7 +112,7 @@
 				default:
 					d.HandleRenewFailure(h.now, c.To.ID, err)
 				}
-			}, CommandTimeout)
+			}, timeout)
 		}
 	}
 }
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -51,9 +51,12 @@
 	h               *simHistory
 	entry           fleet.WorkerEntry
 	startedAt       time.Duration // start of the incarnation
+	clockBase       int64         // reading of the clock at startedAt
 	clockRate       float64
 	fence           int64
-	lease           int64 // end of the lease in ms on the worker's clock
+	lease           int64  // end of the lease in ms on the worker's clock
+	extendedBy      string // command that last extended the lease
+	executing       string // origin of the command that is being executed, for extendedBy; empty: meant for this incarnation
 	runs            map[fleet.TaskID]*simRun
 	highestRun      map[fleet.TaskID]int64
 	results         []fleet.RunResult
@@ -61,7 +64,11 @@
 	expiredResult   int64 // highest result number when the lease expired; acknowledging results up to it later has no effect
 	up, partitioned bool
 	knownSince      time.Duration // when the incarnation first answered a renewal; 0: not yet
+	inSeries        bool          // of faults, see simRestarts
+	upAt            time.Duration // when the incarnation is up; 0: from the start of the history
 	separatedFrom   *simOwner     // does not reach the worker; nil: none
+	listedEntry     fleet.WorkerEntry
+	listedAt        time.Duration // when the worker last updated its entry in the platform's list
 }
 
 // simOwner is the process of an owner, to which responses are delivered while it is alive.
@@ -69,8 +76,9 @@
 	d     *Dispatcher
 	alive bool
 	// suspended is set while the store does not answer the owner.
-	suspended bool
-	previous  *simOwner
+	suspended       bool
+	previous        *simOwner
+	previousStopped bool // it knows that the previous owner was stopped
 }
 
 // testFailer is the part of testing.TB that a history uses.
@@ -105,8 +113,9 @@
 	revision        int64          // of the last submission
 	crashing        *crashingTasks // nil: no task crashes its worker
 	failures        map[fleet.TaskID]int
-	lateRNG         *rand.Rand // nil: no command is executed by a later incarnation of its worker; see late_command_test.go
-	lateCommands    int        // that were executed so
+	lateRNG         *rand.Rand   // nil: no command is executed by a later incarnation of its worker; see late_command_test.go
+	lateCommands    int          // that were executed so
+	restarts        *simRestarts // nil: no command is executed by an incarnation that was not up when it was sent
 }
 
 func (h *simHistory) schedule(d time.Duration, do func()) {
@@ -124,11 +133,12 @@
 }
 
 func (w *simWorker) clock() int64 {
-	return 1000 + int64(float64((w.h.now-w.startedAt).Milliseconds())*w.clockRate)
+	return w.clockBase + int64(float64((w.h.now-w.startedAt).Milliseconds())*w.clockRate)
 }
 
 // startIncarnation starts an incarnation without state.
 func (w *simWorker) startIncarnation() {
+	w.clockBase, w.extendedBy = w.h.restarts.nextClock(w), ""
 	w.knownSince, w.startedAt, w.fence, w.lease, w.results, w.lastResult, w.expiredResult = 0, w.h.now, 0, 0, nil, 0, 0
 	w.runs, w.highestRun = map[fleet.TaskID]*simRun{}, map[fleet.TaskID]int64{}
 	w.entry.Incarnation++
@@ -156,9 +166,12 @@
 	}
 }
 
-func (w *simWorker) extend(deadline int64) {
+func (w *simWorker) extend(deadline int64, command string) {
 	w.recordLeaseExpiry()
-	w.lease = max(w.lease, min(deadline, w.clock()+6000))
+	if lease := min(deadline, w.clock()+6000); lease > w.lease {
+		w.lease, w.extendedBy = lease, command+w.executing
+		w.h.restarts.count(w.extendedBy)
+	}
 }
 
 func (w *simWorker) finish(id fleet.TaskID, r *simRun, outcome fleet.Outcome) {
@@ -188,16 +201,19 @@
 		return rejection(fleet.RejectedTicket)
 	}
 	if s.Run <= w.highestRun[s.Task] || w.runs[s.Task] != nil {
+		if h.restarts != nil {
+			w.extend(s.Deadline, "rejected start")
+		}
 		return rejection(fleet.RejectedOldRun)
 	}
 	if s.Deadline < w.clock() {
 		return rejection(fleet.RejectedDeadlinePassed)
 	}
-	w.extend(s.Deadline)
+	w.extend(s.Deadline, "start")
 	for _, other := range h.workers {
 		other.advance()
 		if r := other.runs[s.Task]; r != nil && other.up {
-			h.fail("%v run %d starts on %s while run %d is on %s", s.Task, s.Run, w.entry.ID, r.run, other.entry.ID)
+			h.fail("%v run %d starts on %s while run %d is on %s, whose lease was last extended by a %s; owner %d, previous one stopped: %v", s.Task, s.Run, w.entry.ID, r.run, other.entry.ID, other.extendedBy, h.fence, h.owner.previousStopped)
 		}
 	}
 	if h.done[s.Task] {
@@ -217,7 +233,11 @@
 	if h.crashing != nil {
 		h.crashing.started(w, s.Task)
 	}
-	w.runs[s.Task] = &simRun{run: s.Run, startedAt: h.now, duration: step.Estimate/2 + h.jitter(step.Estimate), fails: h.rng.IntN(30) == 0, milliCPU: step.Demand.MilliCPU}
+	duration := step.Estimate/2 + h.jitter(step.Estimate)
+	if step.Estimate == simLongRun {
+		duration = h.restarts.between(6*time.Second, 14*time.Second)
+	}
+	w.runs[s.Task] = &simRun{run: s.Run, startedAt: h.now, duration: duration, fails: h.rng.IntN(30) == 0, milliCPU: step.Demand.MilliCPU}
 	return nil
 }
 
@@ -231,7 +251,7 @@
 	}
 	w.recordLeaseExpiry()
 	if req.Deadline > 0 {
-		w.extend(req.Deadline)
+		w.extend(req.Deadline, "renewal")
 	}
 	for len(w.results) > 0 && w.results[0].Number <= req.Acknowledged {
 		if w.results[0].Outcome == fleet.OutcomeDone && w.results[0].Number > w.expiredResult {
@@ -300,6 +320,7 @@
 				previous.alive = false
 			}
 			if h.owner == owner {
+				owner.previousStopped = true
 				h.d.PreviousOwnerStopped(h.now)
 			}
 		})
@@ -316,7 +337,10 @@
 	var entries []fleet.WorkerEntry
 	for _, w := range h.workers {
 		if w.up && !w.partitioned {
-			entries = append(entries, w.entry)
+			w.listedEntry, w.listedAt = w.entry, h.now
+		}
+		if w.up && !w.partitioned || h.restarts != nil && h.now < w.listedAt+1500*time.Millisecond {
+			entries = append(entries, w.listedEntry)
 		}
 	}
 	for _, owner := range h.aliveOwners() {
@@ -336,10 +360,15 @@
 		h.suspendOwner()
 		return
 	}
+	if h.restarts != nil && h.restarts.begin(h) {
+		return
+	}
 	w := h.workers[h.rng.IntN(len(h.workers))]
 	switch h.rng.IntN(4) {
 	case 0:
-		h.replaceOwner()
+		if h.restarts == nil { // else the series replace owners
+			h.replaceOwner()
+		}
 	case 1:
 		if w.up {
 			w.crash(h.jitter(4 * time.Second))
@@ -368,24 +397,34 @@
 	h := &simHistory{t: t, seed: seed, accounts: accounts, jobQueue: queue, rng: rand.New(rand.NewPCG(seed, 1)), peerRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Hour, lossRate: 0.01, fence: 1000,
 		jobs: map[fleet.JobID]*fleet.Submission{}, revisions: map[fleet.JobID]int64{}, store: map[fleet.JobID]*Progress{}, done: map[fleet.TaskID]bool{}, failures: map[fleet.TaskID]int{}}
 	for i := range 5 {
-		w := &simWorker{h: h, entry: workerEntry(i), up: true, clockRate: 0.98 + 0.02*h.rng.Float64()}
-		w.startIncarnation()
-		h.workers = append(h.workers, w)
+		h.addWorker(i)
 	}
 	return h
 }
 
+func (h *simHistory) addWorker(i int) {
+	w := &simWorker{h: h, entry: workerEntry(i), up: true, clockRate: 0.98 + 0.02*h.rng.Float64()}
+	w.startIncarnation()
+	h.workers = append(h.workers, w)
+}
+
 // run runs the history to its end and checks that every submission has a final state.
 func (h *simHistory) run() {
 	h.replaceOwner()
-	loadEnd, end := h.now+20*time.Second, h.now+90*time.Second
+	loadEnd, end, interval := h.now+20*time.Second, h.now+90*time.Second, 150*time.Millisecond
+	if h.restarts != nil {
+		loadEnd, interval = h.now+25*time.Second, 300*time.Millisecond
+	}
 	h.revision = h.fence
-	h.every(150*time.Millisecond, loadEnd, func() {
+	h.every(interval, loadEnd, func() {
 		h.revision = max(h.revision, h.fence) + 1
 		revision := h.revision
 		id := simID(len(h.jobs))
 		step := tasks(1+h.rng.IntN(4), 1+h.rng.Int64N(8))
 		step.Estimate = 200*time.Millisecond + h.jitter(1500*time.Millisecond)
+		if h.restarts != nil && h.restarts.rng.IntN(2) == 0 {
+			step.Demand, step.Estimate = cores(1), simLongRun
+		}
 		second := tasks(1+h.rng.IntN(3), 2)
 		second.Estimate, second.After = 300*time.Millisecond, []int{0}
 		h.jobs[id] = &fleet.Submission{ID: id, Queue: h.jobQueue, Service: "pool", Steps: []fleet.Step{step, second}}
