--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -56,7 +56,7 @@
 	statusQueryDue         time.Duration
 	failedRenewals         int // consecutive failed renewals
 	lastReportAt           time.Duration
-	incarnationConfirmedAt time.Duration // when the last answered renewal was sent; the incarnation was alive then
+	incarnationConfirmedAt time.Duration // when the last answered renewal was sent; what was confirmed before that is not of a later incarnation
 
 	claimedMilliCPU         int64 // by advice calls in flight that name the worker
 	freeClass, freePosition int   // see freeIndex
