--- a/internal/soak/cmd/main.go
+++ b/internal/soak/cmd/main.go
@@ -29,6 +29,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first `SEED`", Destination: &opts.Seed},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "`NUMBER` of consecutive seeds to run", Destination: &seeds},
 			&cli.BoolFlag{Name: "regressions", Usage: "run the seeds that have found a bug, instead of --seed and --seeds", Destination: &regressions},
+			&cli.BoolFlag{Name: "recuts-only", Usage: "inject no faults but worker-recut", Destination: &opts.RecutsOnly},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "`TIME` of load and faults for each seed", Destination: &opts.Duration},
 			&cli.IntFlag{Name: "vms", Value: 3, Usage: "`NUMBER` of entry VMs", Destination: &opts.VMs},
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "`NUMBER` of workers", Destination: &opts.Workers},
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -23,7 +23,10 @@
 	crashingInterval = 40
 	// timedInterval is the number of submissions of which one is timed.
 	timedInterval = 13
-	lostAfter     = 10 * time.Second // an accepted submission that is unknown after this time counts as lost
+	// longInterval is the number of submissions of which one has tasks that outlast a lease.
+	longInterval = 5
+	longMilliCPU = 100
+	lostAfter    = 10 * time.Second // an accepted submission that is unknown after this time counts as lost
 )
 
 // submission is a submission that a caller has sent.
@@ -62,15 +65,21 @@
 	if n%crashingInterval == crashingInterval-1 {
 		s.spec, tasks = standin.CrashSpec, 1
 	}
-	sub := standin.SingleStep(s.spec, tasks, 1000*(1+rng.IntN(6)))
-	if rng.IntN(3) == 0 {
+	milliCPU := 1000 * (1 + rng.IntN(6))
+	timed := n%timedInterval == timedInterval-1
+	long := n%longInterval == longInterval-1 && !timed && s.spec != standin.CrashSpec
+	if long {
+		s.spec, milliCPU = fmt.Sprintf("ms=%d", 8000+rng.IntN(6000)), longMilliCPU
+	}
+	sub := standin.SingleStep(s.spec, tasks, milliCPU)
+	if rng.IntN(3) == 0 && !long {
 		second := sub.Steps[0]
 		second.After = []int{0}
 		sub.Steps = append(sub.Steps, second)
 	}
 	sub.Steps[0].Gang = rng.IntN(6) == 0
 	sub.Account, sub.Advised = accountName(s.account), advised
-	if n%timedInterval == timedInterval-1 {
+	if timed {
 		s.timed, s.endless = true, rng.IntN(2) == 0
 		setTimes(&sub, rng, s.endless)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,7 +23,9 @@
 	Duration time.Duration // of load and faults
 	VMs      int
 	Workers  int
-	Out      io.Writer // receives one line per injected fault and a summary
+	// RecutsOnly leaves out all other faults.
+	RecutsOnly bool
+	Out        io.Writer // receives one line per injected fault and a summary
 }
 
 // Timing of a soak.
@@ -114,8 +116,11 @@
 func (r *soakRun) runLoadAndFaults(ctx context.Context) []*submission {
 	rng := rand.New(rand.NewPCG(r.opts.Seed, 1))
 	end := time.Now().Add(r.opts.Duration)
-	go r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 2)), end)
-	go r.injectCrowds(ctx, rand.New(rand.NewPCG(r.opts.Seed, 5)), end)
+	if !r.opts.RecutsOnly {
+		go r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 2)), end)
+		go r.injectCrowds(ctx, rand.New(rand.NewPCG(r.opts.Seed, 5)), end)
+	}
+	go r.injectRecuts(ctx, rand.New(rand.NewPCG(r.opts.Seed, 6)), end)
 	var mu sync.Mutex
 	var accepted []*submission
 	var callers sync.WaitGroup
