dispatch: a start that is rejected also shows what lease the worker holds

Cause: a start that is rejected as old or for lack of room extends the lease as well. The clock in the rejection was dropped, so on an incarnation that the owner does not know yet a run that a first start had begun could outlive the bound by the time between the two starts.

--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -9,10 +9,10 @@
 	"filbertcross/internal/model"
 )
 
-// HandleStartResponse processes the response to a StartCommand; clock is the worker's clock in ms, 0 with an err. An err that
-// leaves the outcome unknown keeps the run until the worker's reports settle it.
+// HandleStartResponse processes the response to a StartCommand; clock is the worker's clock in ms, 0 if the response has none. An err
+// that leaves the outcome unknown keeps the run until the worker's reports settle it.
 func (d *Dispatcher) HandleStartResponse(now time.Duration, id fleet.RunID, worker model.WorkerID, clock int64, err error) {
-	if w := d.workers[worker]; w != nil && err == nil {
+	if w := d.workers[worker]; w != nil && clock > 0 {
 		w.noteStartClock(now, clock, d.opts.MaxLease)
 	}
 	r := d.runs[id]
--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -226,3 +226,25 @@
 		t.Errorf("the task's next run starts %v after the last answer, want %v at most", at-silentSince, limit-silentSince)
 	}
 }
+
+// Guards against TWICE: a start that an unknown incarnation rejects extends the lease of the run that it has started before (issue 62).
+func TestRejectedStartExtendsTheLeaseOnUnknownIncarnation(t *testing.T) {
+	w := &restartedWorker{harness: newHarness(t, 1)}
+	w.submit("quick", "a", tasks(2, 4))
+	w.decide()
+	w.run = w.starts[0].Start.RunID
+	w.d.HandleStartResponse(w.now, w.run, workerID(0), 1000, nil)
+	w.advance(250 * time.Millisecond)
+	w.leaseEnd = leaseEnd(w.now, testMaxLease) - leaseExpiryMargin
+	w.d.HandleStartResponse(w.now, w.starts[1].Start.RunID, workerID(0), 1250, rejection(fleet.RejectedNoCapacity))
+	for w.d.runs[w.run] != nil {
+		w.advance(20 * time.Millisecond)
+		w.decide()
+		for range w.renewals {
+			w.d.HandleRenewFailure(w.now, workerID(0), errNoResponse)
+		}
+	}
+	if w.now < w.leaseEnd {
+		t.Errorf("the run counts as ended %v before its lease", w.leaseEnd-w.now)
+	}
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -122,7 +122,7 @@
 }
 
 // WorkerClient sends commands to workers. Errors are *CallError; clock is the worker's
-// monotonic clock in ms. Safe for concurrent use.
+// monotonic clock in ms, 0 if the response has none. A rejection may have one. Safe for concurrent use.
 type WorkerClient interface {
 	StartRun(ctx context.Context, to Target, s StartRequest) (clock int64, err error)
 	StopRun(ctx context.Context, to Target, run RunID, fence int64) (clock int64, err error)
