dispatch: a successor waits for the lease of an incarnation that its predecessor had not heard yet

Cause: a start is answered by an incarnation before its first report, and the owner is killed before it hears it and writes the list. The list names the former incarnation as settled, so the successor counts the ordinary lease from the end of its predecessor. Change: an answer whose clock gives more than the ordinary lease unsettles the worker and makes the list due at once. A successor waits for the longest lease where the platform's list shows another incarnation than the settled one. What remains open is the time until one of the two is known: a write of the list, or of the worker's entry. Evidence: TestSuccessorWaitsForTheLeaseOfAnUnknownIncarnation fails before, both ways (3.64 s, wanted 6.122 s), and passes.

--- a/internal/dispatch/fencing.go
+++ b/internal/dispatch/fencing.go
@@ -58,17 +58,25 @@
 }
 
 // noteStartClock extends the known lease by what the incarnation that executed a start may have granted: its clock may show that it is
-// not the one that reported last.
-func (w *worker) noteStartClock(now time.Duration, clock int64, maxLease time.Duration) {
+// not the one that reported last. The durable list is then to say so for a successor.
+func (d *Dispatcher) noteStartClock(now time.Duration, w *worker, clock int64) {
+	opts := d.opts
 	deadline := w.leaseDeadline
 	if w.settled != w.incarnation {
 		deadline = max(deadline, w.staleDeadline)
 	}
-	left := min(max(deadline, clock)-clock, maxLease.Milliseconds())
+	left := min(max(deadline, clock)-clock, opts.MaxLease.Milliseconds())
 	w.startLeaseEnd = max(w.startLeaseEnd, leaseEnd(now, time.Duration(left)*time.Millisecond))
 	w.startAnsweredAt = now
+	if left > opts.Lease.Milliseconds()+maxClockError && w.settled == w.incarnation {
+		w.settled, w.settlesAt = 0, w.startLeaseEnd-leaseEnd(0, opts.Lease)
+		d.workerListDirty = true
+	}
 }
 
+// maxClockError is above the error of an estimated clock, in ms.
+const maxClockError = 200
+
 // unsettle records that another incarnation than the settled one responds.
 func (d *Dispatcher) unsettle(w *worker) {
 	if w.settled == w.incarnation {
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -13,7 +13,7 @@
 // that leaves the outcome unknown keeps the run until the worker's reports settle it.
 func (d *Dispatcher) HandleStartResponse(now time.Duration, id fleet.RunID, worker model.WorkerID, clock int64, err error) {
 	if w := d.workers[worker]; w != nil && clock > 0 {
-		w.noteStartClock(now, clock, d.opts.MaxLease)
+		d.noteStartClock(now, w, clock)
 	}
 	r := d.runs[id]
 	if r == nil || r.worker.entry.ID != worker || r.confirmedAt != 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -208,7 +208,7 @@
 
 // inheritedEnd returns when all leases on the worker that were granted under earlier owners have expired.
 func (d *Dispatcher) inheritedEnd(w *worker) time.Duration {
-	if w.settled == 0 {
+	if w.settled == 0 || w.entry.Incarnation != 0 && w.entry.Incarnation != w.settled {
 		return d.inheritedLongestEnd
 	}
 	return d.inheritedLeaseEnd
