dispatch: bounded waits for restarted workers, in large fleets, in crash loops and before they are fenced

Cause: the fix let a run wait 18.7 s whose worker was silent before it was fenced; closed an idle worker of a fleet above 2,000 for a poll interval of 4 s after a restart; settled a worker that was silent before it was fenced while a late command could have given it the longest lease; and did not write the list of settled workers as long as another one restarted all the time. Change: the wait covers the commands in flight at the last report, 0.87 s, not those that are executed seconds later; a worker that is not fenced is polled at once if a token that fences it is known; it settles when a late command has expired and an ordinary lease outlasts it; the list is written 5 s after the first settled worker at the latest. Only workers that were not fenced count as freed when late commands expire. Evidence: TestUnfencedIncarnationMayExecuteWhatWasInFlight (18.741 s), TestIdleWorkerOfLargeFleetIsUsedSoonAfterRestart, TestUnfencedSilentWorkerSettlesAfterLateCommands (2.511 s short) and TestCrashLoopDoesNotDelayTheSettledList fail before and pass.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -218,6 +218,8 @@
 	switch {
 	case len(w.pendingAcks) > 0 || w.staleFence >= d.provenRevision && !w.fenced(now):
 		return now + unackedPollInterval
+	case !w.fenced(now): // the next renewal has the token that fences it
+		return now
 	case d.renewWait(w) == 0 && w.nextAck() == 0:
 		return now + idleRenewInterval
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,8 +59,8 @@
 	waves             []*wave
 	dirtyWaves        []*wave
 	workerListDirty   bool
-	listUnsettled     bool // workers have settled since the list was written
-	workerListWriting bool // the worker list is in a batch in flight
+	settledSince      time.Duration // when the first worker settled that the list does not show; 0: none
+	workerListWriting bool          // the worker list is in a batch in flight
 	// ownerRecorded is set once the durable worker list names this owner. Before that it grants
 	// no leases, because the next owner would query another owner about them.
 	ownerRecorded bool
--- a/internal/dispatch/fencing.go
+++ b/internal/dispatch/fencing.go
@@ -53,7 +53,8 @@
 	w.leaseDeadline = max(w.leaseDeadline, deadline)
 	w.settlesAt = leaseEnd(now, time.Duration(deadline-w.clock)*time.Millisecond) - leaseEnd(0, opts.Lease)
 	if !w.fenced(now) {
-		w.lateLeaseEnd = leaseEnd(w.staleUntil, opts.MaxLease)
+		w.lateLeaseEnd = leaseEnd(now+RenewWait+CommandTimeout, opts.MaxLease)
+		w.settlesAt = leaseEnd(w.staleUntil, opts.MaxLease) - leaseEnd(0, opts.Lease)
 	}
 }
 
@@ -89,7 +90,10 @@
 // leaseRecorded reports whether a successor would wait as long as a lease on the worker may last.
 func (w *worker) leaseRecorded() bool { return w.settled == w.incarnation || w.recordedUnsettled }
 
-// settleIncarnations settles the incarnations that are due. The durable list is written again when no more are to follow.
+// settledListDelay is the longest time after which the durable list shows that an incarnation has settled.
+const settledListDelay = 5 * time.Second
+
+// settleIncarnations settles the incarnations that are due. The durable list is written again when no more are to follow soon.
 func (d *Dispatcher) settleIncarnations(now time.Duration) {
 	settled, pending := false, false
 	for _, w := range d.workerList {
@@ -102,9 +106,11 @@
 			pending = true
 		}
 	}
-	d.listUnsettled = d.listUnsettled || settled
-	if d.listUnsettled && !pending {
-		d.listUnsettled, d.workerListDirty = false, true
+	if settled && d.settledSince == 0 {
+		d.settledSince = now
+	}
+	if d.settledSince != 0 && (!pending || now >= d.settledSince+settledListDelay) {
+		d.settledSince, d.workerListDirty = 0, true
 	}
 }
 
@@ -140,8 +146,10 @@
 func (d *Dispatcher) endFencing(now time.Duration) {
 	for _, w := range d.workerList {
 		if w.staleUntil != 0 && now >= w.staleUntil {
+			if w.seenFence <= w.staleFence {
+				d.markFreed(w)
+			}
 			w.staleFence, w.staleUntil, w.staleDeadline = 0, 0, 0
-			d.markFreed(w)
 		}
 	}
 	for id, left := range d.departures {
--- a/internal/dispatch/restart_bounds_test.go
+++ b/internal/dispatch/restart_bounds_test.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// Guards against TWICE and against waits beyond 14 s: a restarted worker that is silent before it is fenced may still execute what was in
+// flight at its last report, and keeps a run by a start to its former incarnation.
+func TestUnfencedIncarnationMayExecuteWhatWasInFlight(t *testing.T) {
+	w := &restartedWorker{harness: newHarness(t, 1), clock: 1000}
+	w.submit("quick", "a", tasks(1, 4))
+	w.decide()
+	w.backAt = w.now
+	w.listWorkers(1, restartedEntry)
+	w.answer(w.starts[0].Start.RunID)
+	least := leaseEnd(w.backAt+CommandTimeout, testMaxLease) - leaseExpiryMargin
+	if at := w.firstStartElsewhere(); at < least || at > w.backAt+14*time.Second {
+		t.Errorf("the task's next run starts %v after the only report, want between %v and 14s", at-w.backAt, least-w.backAt)
+	}
+}
+
 // Guards against TWICE: a worker restarts while the list that names its former incarnation as settled is being written (issue 62).
 func TestRestartDuringTheWriteOfTheSettledList(t *testing.T) {
 	w := newRestartedWorker(t, 1000)
@@ -117,3 +132,93 @@
 		t.Errorf("the task's next run starts %v after the previous owner's end, want %v at most", at-stopped, limit-stopped)
 	}
 }
+
+// Guards against TWICE under a successor: a worker that was silent before it was fenced settles only once an ordinary lease outlasts what
+// a late command may have granted (review of issue 62).
+func TestUnfencedSilentWorkerSettlesAfterLateCommands(t *testing.T) {
+	w := newRestartedWorker(t, 1000)
+	w.listWorkers(1, restartedEntry)
+	w.decide()
+	known := w.d.workers[workerID(0)]
+	known.fence, known.commandFence = w.d.provenRevision, w.d.provenRevision
+	w.answer()
+	if known.incarnation != restartedIncarnation || known.fenced(w.now) {
+		t.Fatalf("incarnation %d, fenced %v", known.incarnation, known.fenced(w.now))
+	}
+	lateEnd := leaseEnd(known.staleUntil, testMaxLease)
+	for end := w.now + 30*time.Second; known.settled != restartedIncarnation; w.advance(20 * time.Millisecond) {
+		if w.now > end {
+			t.Fatal("it never settles")
+		}
+		w.decide()
+		for range w.renewals {
+			w.d.HandleRenewFailure(w.now, workerID(0), errNoResponse)
+		}
+	}
+	if ordinary := leaseEnd(w.now, testLease); ordinary < lateEnd {
+		t.Errorf("an ordinary lease ends %v before one by a late command", lateEnd-ordinary)
+	}
+}
+
+// Guards against an idle worker of a large fleet that is closed for a poll interval of 4 s after a restart (review of issue 62).
+func TestIdleWorkerOfLargeFleetIsUsedSoonAfterRestart(t *testing.T) {
+	h := newHarness(t, idleLongPollMaxWorkers+1)
+	h.commitAll()
+	known := h.d.workers[workerID(0)]
+	h.advance(idleRenewInterval)
+	h.decide() // polls the workers
+	h.advance(time.Millisecond)
+	h.d.HandleReport(h.now, h.now, workerID(0), false, fleet.Report{Incarnation: restartedIncarnation, Clock: 1000})
+	h.listWorkers(idleLongPollMaxWorkers+1, restartedEntry)
+	if known.fenced(h.now) {
+		t.Fatal("the first report fences the worker")
+	}
+	for end := h.now + time.Second; !known.acceptsRuns(h.now); h.advance(sweepInterval) {
+		if h.now > end {
+			t.Fatal("the worker gets no runs for a second")
+		}
+		h.commitAll()
+		h.decide()
+		for _, renewal := range h.renewals {
+			if renewal.To.ID == workerID(0) {
+				h.d.HandleReport(h.now, h.now, workerID(0), false, fleet.Report{Incarnation: restartedIncarnation, Clock: 2000})
+			}
+		}
+	}
+}
+
+// Guards against successors that wait for the longest lease of all workers, because one that restarts all the time keeps the list
+// from being written (review of issue 62).
+func TestCrashLoopDoesNotDelayTheSettledList(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, w := range h.d.workerList {
+		w.settled, w.reported = 0, false
+	}
+	h.d.workerListDirty = true
+	h.commitAll()
+	incarnation, began := int64(1), h.now
+	for ; h.now < began+10*time.Second; h.advance(50 * time.Millisecond) {
+		incarnation = 1 + int64((h.now-began)/(2*time.Second))
+		h.listWorkers(2, func(i int, e *fleet.WorkerEntry) {
+			if i == 1 {
+				e.Incarnation = incarnation
+			}
+		})
+		h.revision++
+		h.d.ProveOwnership(testFence + h.revision) // writes of progress
+		h.decide()
+		for _, renewal := range h.renewals {
+			responding := int64(1)
+			if renewal.To.ID == workerID(1) {
+				responding = incarnation
+			}
+			h.d.HandleReport(h.now, h.now, renewal.To.ID, false, fleet.Report{Incarnation: responding, Clock: 1000 + (h.now-began).Milliseconds()%2000})
+		}
+		h.commitAll()
+	}
+	for _, r := range h.recorded {
+		if r.ID == string(workerID(0)) && r.Settled != 1 {
+			t.Errorf("the list names incarnation %d of the worker that has settled, want 1", r.Settled)
+		}
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -35,7 +35,7 @@
 	staleFence   int64 // highest of the commands to earlier incarnations, which may be executed until staleUntil
 	staleUntil   time.Duration
 	// staleDeadline is the latest deadline of the commands to earlier incarnations, on their clocks; lateLeaseEnd is when a lease has
-	// ended that the current incarnation grants by one of them, 0 once it rejects them.
+	// ended that the current incarnation grants by one of those that were in flight at its last report, 0 once it rejects them.
 	staleDeadline int64
 	lateLeaseEnd  time.Duration
 	// startLeaseEnd is when a lease has ended that the incarnation grants which answered the last starts, at startAnsweredAt at
