dispatch: a start without an answer may have been executed by an incarnation that the owner does not know

Cause: the answer to a start is lost, and the worker is cut off before its next report. The run counted as ended with the lease on the clock of the known incarnation; one that the owner does not know may hold it for the longest lease. Change: such a run, not its worker, is waited for until the longest lease from the loss of the answer is over, unless a report that was requested later comes before. Evidence: TestUnansweredStartMayHoldTheLongestLease fails before (3.67 s, wanted 6.122 s) and passes.

--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -94,10 +94,11 @@
 		if now < w.leaseExpiry(d) || w.reported && w.failedRenewals == 0 {
 			continue
 		}
-		if w.recordedByPrevious || len(w.runs) > 0 {
-			d.events.Record(event.WorkerLeaseExpired, w.entry.ID, len(w.runs), now-w.lastReportAt, w.reported, w.clock, w.leaseDeadline, now-w.incarnationSince)
+		ended := slices.DeleteFunc(d.sortedRuns(w.runs), func(r *run) bool { return now < r.unansweredLeaseEnd(d.opts.MaxLease) })
+		if w.recordedByPrevious || len(ended) > 0 {
+			d.events.Record(event.WorkerLeaseExpired, w.entry.ID, len(ended), now-w.lastReportAt, w.reported, w.clock, w.leaseDeadline, now-w.incarnationSince)
 		}
-		for _, r := range d.sortedRuns(w.runs) {
+		for _, r := range ended {
 			d.loseRun(now, r, lostByExpiry)
 		}
 		w.recordedByPrevious = false
--- a/internal/dispatch/restart_bounds_test.go
+++ b/internal/dispatch/restart_bounds_test.go
@@ -36,6 +36,20 @@
 	}
 }
 
+// Guards against TWICE: an incarnation that the owner does not know executes a start, and the answer is lost (review of issue 62).
+func TestUnansweredStartMayHoldTheLongestLease(t *testing.T) {
+	w := &restartedWorker{harness: newHarness(t, 1)}
+	w.submit("quick", "a", tasks(1, 4))
+	w.decide()
+	w.backAt = w.now
+	w.leaseEnd = leaseEnd(w.now, testMaxLease) - leaseExpiryMargin
+	w.advance(CommandTimeout)
+	w.d.HandleStartResponse(w.now, w.starts[0].Start.RunID, workerID(0), 0, errNoResponse)
+	if at := w.firstStartElsewhere(); at < w.leaseEnd {
+		t.Errorf("the task's next run starts %v after its first start was sent; that run is at work until %v", at-w.backAt, w.leaseEnd-w.backAt)
+	}
+}
+
 // Guards against TWICE: the last report of the former incarnation arrives after the next one has answered a start (issue 62).
 func TestReportOfFormerIncarnationDoesNotShortenTheLease(t *testing.T) {
 	w := startOnUnknownIncarnation(t)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -214,6 +214,15 @@
 	return d.inheritedLeaseEnd
 }
 
+// unansweredLeaseEnd returns when a run has ended whose start got no answer: an incarnation that the owner does not know may have executed
+// it. It is 0 if the start was confirmed, or a report that was requested later shows which incarnation responds.
+func (r *run) unansweredLeaseEnd(maxLease time.Duration) time.Duration {
+	if r.uncertainSince == 0 || r.confirmedAt != 0 || r.worker.incarnationConfirmedAt > r.uncertainSince {
+		return 0
+	}
+	return leaseEnd(r.uncertainSince, maxLease)
+}
+
 // leaseEnd returns when a lease granted no later than at has expired on any worker's clock.
 func leaseEnd(at, lease time.Duration) time.Duration {
 	return at + time.Duration(float64(lease)/minClockRate) + leaseExpiryMargin
