--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -8,7 +8,7 @@
 	"filbertcross/internal/fleet"
 )
 
-// restartedWorker is a worker whose next incarnation executes a renewal that was meant for the one before. Its clock began anew,
+// restartedWorker is a worker whose next incarnation executes a command that was meant for the one before. Its clock began anew,
 // so the deadline is far ahead and is shortened to the longest lease that a worker grants.
 type restartedWorker struct {
 	*harness
