--- a/internal/event/catalogue_dispatch.go
+++ b/internal/event/catalogue_dispatch.go
@@ -171,11 +171,11 @@
 		Action:  "Nothing.",
 		Keys:    []string{"worker", "silent_for", "failed_holds"}})
 	WorkerLeaseExpired = Define(Definition{ID: 2135, Name: "worker-lapsed", Level: Warn,
-		Summary: "The lease of an unresponsive worker expired; its runs are dead. clock_ms is its clock at the last answer, deadline_ms the latest deadline sent, on that clock (0: none); incarnation_known is the time since its incarnation first answered. Without an answer (reported false) the lease of an earlier owner expired.",
+		Summary: "The lease of an unresponsive worker expired; its runs are dead. clock_ms is its clock at the last answer, deadline_ms the latest end of the lease that the owner counted with, on that clock (0: none); incarnation_known is the time since its incarnation first answered. Without an answer (reported false) the lease of an earlier owner expired.",
 		Action:  "Check the worker.",
 		Keys:    []string{"worker", "runs", "silent_for", "reported", "clock_ms", "deadline_ms", "incarnation_known"}})
 	WorkerIncarnationChanged = Define(Definition{ID: 2136, Name: "worker-reborn", Level: Warn,
-		Summary: "A worker was restarted: it responds with a new incarnation, and the runs of the previous incarnation are dead. clock_before_ms is the estimated clock of that one, deadline_before_ms the latest deadline sent to it; renewals_since and starts_since count the commands with a deadline since its last answer, which the new one may have executed; clock_ms is the new clock.",
+		Summary: "A worker was restarted: it responds with a new incarnation, and the runs of the previous incarnation are dead. clock_before_ms is the estimated clock of that one, deadline_before_ms the latest end of its lease that the owner counted with; renewals_since and starts_since count the commands with a deadline since its last answer, which the new one may have executed; clock_ms is the new clock.",
 		Action:  "Nothing.",
 		Keys:    []string{"worker", "before", "now", "runs", "clock_before_ms", "deadline_before_ms", "renewals_since", "starts_since", "clock_ms"}})
 	RunLost = Define(Definition{ID: 2158, Name: "run-lost", Level: Info,
