--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -191,13 +191,9 @@
 	return true
 }
 
-// checkCrashes checks that a task of a failed submission has crashed two workers. Its steps have one task each.
+// checkCrashes checks that a task of a failed submission, in any of its occurrences, has crashed two workers.
 func (r *soakRun) checkCrashes(s *submission) {
-	crashes := 0
-	for step := range 2 {
-		crashes = max(crashes, r.platform.Checker.Crashes(fmt.Sprintf("%s.0.%d.0", s.id, step)))
-	}
-	if crashes < 2 {
+	if crashes := r.platform.Checker.MostCrashes(s.id); crashes < 2 {
 		r.platform.Checker.AddViolation("LOST: %s is reported as failed after %d crashes", s.id, crashes)
 	}
 }
