dispatch: acceptsRuns in two parts

Change: what is known of the worker, and what it does; no change of logic (leaving has the same three terms). Result: go test ./internal/dispatch passes.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -175,7 +175,8 @@
 
 // acceptsRuns reports whether the state of the worker itself allows new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.listed && w.recorded && w.leaseRecorded() && !w.unproven && w.capacityKnown() && w.reported && w.failedRenewals == 0 && !w.entry.Draining && !w.vacating && !w.retired && w.fenced(now) && now >= w.backoffUntil
+	known := w.listed && w.recorded && w.leaseRecorded() && !w.unproven && w.capacityKnown() && w.reported
+	return known && w.failedRenewals == 0 && !w.leaving() && w.fenced(now) && now >= w.backoffUntil
 }
 
 // estimatedClock estimates the worker's clock in ms.
